Believe that an idle worker without a fresh report has room for one job

Cause: its first reports came from busy workers (0.14 in use, 1 of 5 slots free). note_report took one slot as the size of that kind, and load_of (src/rules.cpp) took the mean load for every worker not heard of; so none had room, nothing was sent, and no report could come to correct it.

Ruled out: bad clients' deadlines (a probe's log shows none over the class's own), their jobs (11 came to workers), CPU (0.05 s in the worst second), descriptors (162 of 384), odd load reports.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -28,6 +28,7 @@
 constexpr double default_step = 0.1; // the paper's I of a preferred tier, until slots are known
 constexpr double next_tier = 2;      // the paper's ratio of the next tier's I to the preferred one's
 constexpr double fade_s = 2;         // a report this old counts for half
+constexpr double blind_s = 2;        // without a report for so long, an idle worker's load is not known
 constexpr double mean_gain = 0.05;   // weight of a new sample in running means
 constexpr double cold_margin = 0.5;  // share of a cold worker's budget that is used
 constexpr double retry_ratio = 0.25; // further attempts that an arriving job allows
@@ -225,7 +226,8 @@
         double& slots = kind_slots[w.entry.kind];
         if (report.free_slots) {
             const double in_work = report.in_flight.value_or(0) - report.queued.value_or(0);
-            slots = std::max(slots, *report.free_slots + std::max(0.0, in_work));
+            // What it has finished, it had slots for. (A first report from a busy worker shows few.)
+            slots = std::max({slots, finished_slots, *report.free_slots + std::max(0.0, in_work)});
         }
         const double per_slot = slots > 0 ? 1 / slots : default_step;
         double load = report.utilisation.value_or(mean_load);
@@ -309,7 +311,8 @@
         double& no_room = no_room_for(job);
         if (anywhere && job.in.slots >= no_room && (allowance < 1 || no_room <= 0)) return none;
         const WorkerId to = pick(job);
-        if (to != none && load_of(workers[to]) + job.in.slots / slots_of(workers[to]) <= 1 + allowance + tiny)
+        const double room = 1 + allowance + tiny;
+        if (to != none && load_of(workers[to], job.in.slots) + job.in.slots / slots_of(workers[to]) <= room)
             return to;
         if (anywhere) no_room = to == none ? 0 : std::min(no_room, job.in.slots);
         return none;
@@ -339,7 +342,18 @@
     // and a worker once seen as busy must come up again. A report that left before the last sends arrived
     // clears X all the same, so the sum is never less than what this dispatcher itself has out there. And
     // free slots mean nothing while a job that needs more of them waits at the head of the queue.
-    double load_of(const Worker& w) const {
+    //
+    // A worker that has nothing of ours and has not reported for long is taken to have room for one job.
+    // Else, where the first reports come from a busy fleet, all unknown workers count as full by the mean,
+    // nothing is sent, no report comes, and the belief lasts for good.
+    double load_of(const Worker& w, double more = 0) const {
+        const double load = believed_load(w);
+        const bool blind =
+            w.own_slots <= 0 && (w.reported_at < 0ns || seconds(now - w.reported_at) > blind_s);
+        return blind ? std::min(load, std::max(0.0, 1 - more / slots_of(w))) : load;
+    }
+
+    double believed_load(const Worker& w) const {
         const double age = seconds(now - w.reported_at);
         const double faded =
             mean_load + (w.reported_at < 0ns ? 0 : (w.load - mean_load) * fade_s / (fade_s + age));
@@ -365,7 +379,7 @@
             Worker& w = workers[id];
             if (!eligible(job, id, anchor)) continue;
             ++able;
-            const double score = load_of(w) + increment(w) * job.in.slots;
+            const double score = load_of(w, job.in.slots) + increment(w) * job.in.slots;
             if (rests(w, job)) {
                 ++resting;
                 if (score < lowest_resting) best_resting = id;
--- /dev/null
+++ b/tests/decisions_test.cpp
@@ -0,0 +1,74 @@
+// Beliefs of the module that had gone wrong on rough days, each held against what a fleet can show it.
+#include <willowrill/dispatcher.h>
+
+#include <doctest/doctest.h>
+
+namespace willowrill::testing {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct Fleet {
+    explicit Fleet(WorkerId count, Index kinds = 1, double stretch = 0) {
+        Settings settings;
+        settings.seed = 3;
+        settings.kinds = kinds;
+        settings.classes = {
+            {.effect = Effect::once, .aim = 10s, .aim_stretch = stretch, .give_up = 60s, .kind = 0}};
+        settings.tick = 5ms;
+        settings.max_attempts = 4;
+        settings.takes_advice = true;
+        settings.max_stay_away = 2s;
+        settings.list_valid = 10s;
+        dispatcher.emplace(settings);
+        ListNews list{ListNews::Kind::complete, {}};
+        for (WorkerId id = 0; id < count; ++id)
+            list.entries.push_back({.worker = id, .key = id});
+        at(0s, {list});
+    }
+    // How many attempts go out; `to` is the last one's worker.
+    std::size_t at(Time now, std::vector<Event> events) {
+        actions.clear();
+        dispatcher->handle(now, events, actions);
+        std::size_t sent = 0;
+        for (const Action& action : actions) {
+            if (const auto* send = std::get_if<Send>(&action)) ++sent, to = send->worker;
+        }
+        return sent;
+    }
+    static JobArrived job(JobId id, double slots = 1) { return {.job = id, .left = 60s, .slots = slots}; }
+    AttemptEnded served(JobId id, double utilisation, double free_slots) const {
+        return {.job = id,
+                .worker = to,
+                .latency = 100ms,
+                .job_over = true,
+                .report = Report{.utilisation = utilisation, .free_slots = free_slots}};
+    }
+    std::optional<Dispatcher> dispatcher;
+    std::vector<Action> actions;
+    WorkerId to = none;
+};
+
+} // namespace
+
+// The first reports came from a busy fleet: every worker not heard of was believed as full, nothing was sent,
+// so no report came, and a class went unserved for the whole day.
+TEST_CASE("busy first reports do not make the unknown workers full for good") {
+    Fleet fleet(4);
+    REQUIRE(fleet.at(10ms, {Fleet::job(0)}) == 1);
+    REQUIRE(fleet.at(20ms, {fleet.served(0, 0.98, 1)}) == 0);
+    std::size_t sent = 0;
+    for (JobId id = 1; id <= 4; ++id)
+        sent += fleet.at(20ms + id * 5ms, {Fleet::job(id)});
+    CHECK(sent >= 3);
+}
+
+TEST_CASE("a worker that has served a job of four slots is not believed to have one") {
+    Fleet fleet(1);
+    REQUIRE(fleet.at(10ms, {Fleet::job(0, 4)}) == 1);
+    REQUIRE(fleet.at(20ms, {fleet.served(0, 0.2, 1)}) == 0);
+    REQUIRE(fleet.at(30ms, {Fleet::job(1, 2)}) == 1);
+    CHECK(fleet.at(40ms, {Fleet::job(2, 1)}) == 1); // 2 and 1 fit in 4
+}
+
+} // namespace willowrill::testing
