Read the configuration again on SIGHUP, and let discovery move

Cause: src/main.cpp asked for SIGTERM, SIGINT and SIGUSR1 alone, so SIGHUP had its default action.

Ruled out: PROXY_DISCOVERY alone can't be trusted at the reload, as the environment keeps the address of the start; the file's address is held against the file as last read instead.

The ordinary path is untouched.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -9,6 +9,7 @@
 #include <cmath>
 #include <fstream>
 #include <sstream>
+#include <tuple>
 #include <utility>
 
 namespace willowrill::config {
@@ -218,12 +219,21 @@
     return out;
 }
 
-net::Endpoint endpoint(const object& json, const char* key, const Environment& environment,
-                       const char* variable) {
+// The one that holds, and the one in the file.
+std::pair<net::Endpoint, net::Endpoint> endpoints(const object& json, const char* key,
+                                                  const Environment& environment, const char* variable) {
+    const auto read = [](const char* from, const std::string& given) {
+        const auto out = net::Endpoint::parse(given);
+        if (!out) bad(from, "an address and port such as 127.0.0.1:5000");
+        return *out;
+    };
     const char* given = environment(variable);
-    const auto out = net::Endpoint::parse(given != nullptr ? given : text(json, key));
-    if (!out) bad(given != nullptr ? variable : key, "an address and port such as 127.0.0.1:5000");
-    return *out;
+    if (given == nullptr) {
+        const net::Endpoint both = read(key, text(json, key));
+        return {both, both};
+    }
+    const net::Endpoint first = read(variable, given);
+    return {first, find(json, key) ? read(key, text(json, key)) : first};
 }
 
 } // namespace
@@ -253,15 +263,18 @@
 
     Settings out;
     const char* name = environment("PROXY_NAME");
-    out.name = name != nullptr ? name : text(json, "name", "willowrill");
-    out.listen = endpoint(json, "listen", environment, "PROXY_LISTEN");
-    out.discovery = endpoint(json, "discovery", environment, "PROXY_DISCOVERY");
+    out.file_name = text(json, "name", "willowrill");
+    out.name = name != nullptr ? name : out.file_name;
+    std::tie(out.listen, out.file_listen) = endpoints(json, "listen", environment, "PROXY_LISTEN");
+    std::tie(out.discovery, out.file_discovery) =
+        endpoints(json, "discovery", environment, "PROXY_DISCOVERY");
     const object limits = section(json, "limits");
     out.memory_mb = whole(limits, "memory_mb", 192);
     out.sockets = whole(limits, "sockets", 1024);
     if (out.sockets < 64) bad("sockets", "64 or more");
     if (!find(json, "settings")) throw ConfigError("'settings' is missing");
     read_decisions(section(json, "settings"), out);
+    out.file_settings = simdjson::minify(section(json, "settings"));
     const std::string seed = text(json, "seed", "0");
     const auto seed_value = net::http::to_number(seed, 16);
     if (!seed_value) bad("seed", "a hexadecimal number of 64 bits at most");
--- a/src/inventory/watch.cpp
+++ b/src/inventory/watch.cpp
@@ -41,6 +41,13 @@
     if (!calling_) call();
 }
 
+void Watch::move(const net::Endpoint& discovery) {
+    discovery_ = discovery;
+    hang_up();
+    moved_ = watching_ = true;
+    call();
+}
+
 void Watch::hang_up() {
     overdue_.disarm();
     calling_ = false;
@@ -64,7 +71,7 @@
     }
     parser_.restart();
     std::string target = "/v1/endpoints";
-    const bool whole = fetching_ || list_.empty();
+    const bool whole = fetching_ || moved_ || list_.empty();
     if (!whole)
         target += "?from=" + std::to_string(list_.version()) + "&hold_ms=" + std::to_string(hold_.count());
     connection_->write(net::http::write_request("GET", target, {{"Host", discovery_.text()}}, ""));
@@ -94,7 +101,7 @@
     auto news = list_.read(parser_.body());
     if (!news) return broken("an answer that is no list");
     overdue_.disarm();
-    calling_ = fetching_ = false;
+    calling_ = fetching_ = moved_ = false;
     if (!parser_.head().keeps_alive()) hang_up();
     // The next call goes out at once: a pause would end the watch.
     if (watching_) call();
--- a/src/inventory/watch.h
+++ b/src/inventory/watch.h
@@ -20,6 +20,10 @@
 
     void watch(bool active) override;
     void fetch() override;
+    // Discovery is at another address from now on. It is asked there at once, for the whole list, as versions
+    // may not go on; a call that this cuts off has not failed.
+    void move(const net::Endpoint& discovery);
+    const net::Endpoint& discovery() const { return discovery_; }
 
   private:
     void call();
@@ -40,6 +44,7 @@
     net::Timer overdue_;
     net::Time answer_by_{0};
     bool watching_ = false, fetching_ = false, calling_ = false;
+    bool moved_ = false; // and has not yet given its list there
 };
 
 } // namespace willowrill::inventory
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -18,6 +18,8 @@
 #include <cstdlib>
 #include <exception>
 #include <iostream>
+#include <optional>
+#include <utility>
 
 namespace willowrill {
 namespace {
@@ -32,18 +34,18 @@
 class Program {
   public:
     explicit Program(config::Settings settings)
-        : settings_(std::move(settings)), list_(settings_.names),
+        : settings_(std::move(settings)), settings_in_file_(settings_), list_(settings_.names),
           pool_(loop_, list_, settings_.report_fields,
-                {.connections = per_side(),
+                {.connections = per_side(settings_),
                  .idle = settings_.connection_idle,
                  .connect_timeout = settings_.connect_timeout}),
           watch_(loop_, settings_.discovery, settings_.decisions.list_valid, list_,
                  [this](auto news) { on_list(std::move(news)); }),
           host_(settings_.decisions, settings_.max_open, pool_, watch_),
-          front_(loop_, settings_, host_, per_side(), [this] { return !list_.empty(); }),
+          front_(loop_, settings_, host_, per_side(settings_), [this] { return !list_.empty(); }),
           next_batch_(loop_.wheel(), [] {}), watch_again_(loop_.wheel(), [this] { watch_.watch(true); }),
           leave_(loop_.wheel(), [this] { front_.leave(); }),
-          signals_(loop_, {SIGTERM, SIGINT, SIGUSR1}, [this](int signal) { on_signal(signal); }) {
+          signals_(loop_, {SIGTERM, SIGINT, SIGUSR1, SIGHUP}, [this](int signal) { on_signal(signal); }) {
         pool_.set_host(host_);
         if (!settings_.known.empty()) {
             if (auto news = list_.read(settings_.known)) {
@@ -66,10 +68,10 @@
     }
 
   private:
-    std::size_t per_side() const {
+    static std::size_t per_side(const config::Settings& settings) {
         rlimit allowed{};
         ::getrlimit(RLIMIT_NOFILE, &allowed);
-        return config::connections_per_side(settings_, allowed.rlim_cur);
+        return config::connections_per_side(settings, allowed.rlim_cur);
     }
 
     void on_list(willowrill::ListNews news) {
@@ -92,8 +94,30 @@
         if (stopping_ && !leave_.armed() && front_.empty() && host_.open() == 0) loop_.stop();
     }
 
+    // Takes the file over whole or not at all. What the parts were built from stays until a restart.
+    void reload() {
+        ++reloads_;
+        try {
+            const config::Settings before = std::exchange(
+                settings_in_file_, config::read([](const char* name) { return std::getenv(name); }));
+            const config::Settings& now = settings_in_file_;
+            pool_.limit(per_side(now));
+            front_.limit(per_side(now));
+            if (now.file_discovery != before.file_discovery) watch_.move(now.file_discovery);
+            spdlog::info("configuration read again: discovery at {}, {} connections a side",
+                         watch_.discovery().text(), per_side(now));
+            if (now.file_settings != before.file_settings || now.file_listen != before.file_listen ||
+                now.file_name != before.file_name)
+                spdlog::warn(
+                    "the configuration's name, listen or settings differ: a restart takes them over");
+        } catch (const std::exception& error) {
+            spdlog::error("the configuration stays as it was: {}", error.what());
+        }
+    }
+
     void on_signal(int signal) {
         if (signal == SIGUSR1) return print_counters();
+        if (signal == SIGHUP) return reload();
         if (std::exchange(stopping_, true)) return;
         spdlog::info("stopping: {} messages open", host_.open());
         front_.drain();
@@ -120,11 +144,12 @@
         spdlog::info("connections: opened {} reused {} failed {} retired {} hung-up {} evicted {} open {}",
                      pool.opened, pool.reused, pool.refused, pool.retired, pool.hung_up, pool.evicted,
                      pool_.size());
-        spdlog::info("inventory: lists {} broken {} version {}; batches {}", host.lists, host.lists_broken,
-                     list_.version(), host.batches);
+        spdlog::info("inventory: lists {} broken {} version {}; batches {}; reloads {}", host.lists,
+                     host.lists_broken, list_.version(), host.batches, reloads_);
     }
 
-    config::Settings settings_;
+    const config::Settings settings_;   // as at the start; the parts refer to them
+    config::Settings settings_in_file_; // as last read
     net::Loop loop_;
     inventory::List list_;
     relay::Pool pool_;
@@ -134,6 +159,7 @@
     net::Timer next_batch_, watch_again_, leave_;
     net::Signals signals_;
     bool stopping_ = false;
+    std::uint64_t reloads_ = 0;
 };
 
 } // namespace
@@ -144,8 +170,10 @@
     spdlog::cfg::load_env_levels(); // SPDLOG_LEVEL=debug tells of every attempt
     spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
     try {
+        std::optional<willowrill::net::HeldSignals> held(std::in_place, {SIGTERM, SIGINT, SIGUSR1, SIGHUP});
         willowrill::Program program(
             willowrill::config::read([](const char* name) { return std::getenv(name); }));
+        held.reset();
         program.run();
     } catch (const std::exception& error) {
         std::cerr << "willowrill: " << error.what() << '\n';
--- a/src/net/signals.cpp
+++ b/src/net/signals.cpp
@@ -22,6 +22,17 @@
 
 } // namespace
 
+HeldSignals::HeldSignals(std::initializer_list<int> signals) {
+    sigset_t held{};
+    ::sigemptyset(&held);
+    for (const int signal : signals) {
+        ::sigaddset(&held, signal);
+    }
+    ::sigprocmask(SIG_BLOCK, &held, &before_);
+}
+
+HeldSignals::~HeldSignals() { ::sigprocmask(SIG_SETMASK, &before_, nullptr); }
+
 Signals::Signals(Loop& loop, std::initializer_list<int> signals, std::function<void(int)> action)
     : loop_(loop), action_(std::move(action)) {
     std::array<int, 2> ends{};
--- a/src/net/signals.h
+++ b/src/net/signals.h
@@ -4,11 +4,25 @@
 #include "net/loop.h"
 #include "net/socket.h"
 
+#include <csignal>
 #include <functional>
 #include <initializer_list>
 
 namespace willowrill::net {
 
+// While one stands, signals of these kinds wait until there is someone to tell: taken before, SIGHUP would
+// end the program.
+class HeldSignals {
+  public:
+    HeldSignals(std::initializer_list<int> signals);
+    ~HeldSignals();
+    HeldSignals(const HeldSignals&) = delete;
+    HeldSignals& operator=(const HeldSignals&) = delete;
+
+  private:
+    sigset_t before_{};
+};
+
 // One at a time in a process.
 class Signals final : private Pollable {
   public:
--- a/src/north/front.h
+++ b/src/north/front.h
@@ -24,6 +24,7 @@
     ~Front() override;
 
     void drain(); // not ready any more, but takes in what comes
+    void limit(std::size_t connections) { most_connections_ = connections; }
     void leave(); // accepts no more, closes what is idle and the rest after its answer
     net::Endpoint address() const { return net::local_address(listener_); }
     bool empty() const { return clients_.empty(); }
--- a/src/relay/pool.h
+++ b/src/relay/pool.h
@@ -36,6 +36,7 @@
                const core::Message& message) override;
     void cancel(core::JobId job, core::Index attempt) override;
     void close_idle(core::WorkerId worker) override;
+    void limit(std::size_t connections) { limits_.connections = connections; }
     void close_unlisted(); // idle connections to workers that drain, are gone or have moved
 
     std::size_t size() const { return size_; }
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -285,4 +285,25 @@
     CHECK(rig.settle([&] { return rig.list.version() == 50; }));
 }
 
+TEST_CASE("discovery moves: the whole list is taken at the new address, and nothing counts as failed") {
+    Rig rig;
+    const auto asked = [&](Listener& at, std::size_t peer, std::string_view text) {
+        return rig.settle([&] { return at.peers.size() > peer && at.peers[peer]->has(text); });
+    };
+    REQUIRE(asked(rig.discovery, 0, "from=41&hold_ms="));
+    Listener moved(rig.loop);
+    rig.watch.move(moved.address);
+    CHECK(rig.list.condition(0) == willowrill::Condition::ready); // the list held stays in use
+    REQUIRE(asked(moved, 0, "GET /v1/endpoints HTTP/1.1"));
+    CHECK(rig.settle([&] { return rig.discovery.peers[0]->closed; }));
+    CHECK(rig.host.counters().lists_broken == 0);
+    moved.peers[0]->connection.write(net::http::write_answer(503, {}, ""));
+    CHECK(rig.settle([&] { return rig.host.counters().lists_broken == 1; }));
+    REQUIRE(asked(moved, 1, "GET /v1/endpoints HTTP/1.1")); // still the whole list
+    moved.peers[1]->connection.write(net::http::write_answer(200, {}, rig.list_text(7)));
+    REQUIRE(asked(moved, 1, "from=7&hold_ms=")); // and the watch goes on there
+    CHECK(rig.list.version() == 7);
+    CHECK(rig.discovery.peers.size() == 1);
+}
+
 } // namespace willowrill::testing
--- a/tests/run_test.sh
+++ b/tests/run_test.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
 # Starts the program, waits until it serves, ends it by SIGTERM: it must print its counters and exit with 0.
+# On SIGHUP it reads its configuration again, whole or not at all, and goes on, however often it is told.
 # A bad start must end with one line and another code.
 set -eu
 program=$1
@@ -7,13 +8,27 @@
 trap 'rm -rf "$work"' EXIT
 if PROXY_CONFIG="$work/none" "$program" 2>"$work/log"; then exit 1; fi
 [ "$(wc -l <"$work/log")" -eq 1 ]
-PROXY_CONFIG="$2" PROXY_LISTEN=127.0.0.1:0 "$program" 2>"$work/log" &
+cp "$2" "$work/config"
+export PROXY_CONFIG="$work/config" PROXY_LISTEN=127.0.0.1:0 PROXY_DISCOVERY=127.0.0.1:8500
+"$program" 2>"$work/log" &
 pid=$!
-until grep -q 'serves on' "$work/log"; do
-    kill -0 "$pid"
-    sleep 0.05
-done
+told() {
+    until grep -q "$1" "$work/log"; do
+        kill -0 "$pid"
+        sleep 0.05
+    done
+}
+told 'serves on'
+echo '{"discovery": "127.0.0.1:8502"' >"$work/config"
+kill -HUP "$pid"
+told 'stays as it was'
+sed 's/127.0.0.1:8500/127.0.0.1:8501/' "$2" >"$work/config"
+kill -HUP "$pid"
+kill -HUP "$pid"
+told 'discovery at 127.0.0.1:8501' # the file's, though the environment went before it at the start
+if grep -q 8502 "$work/log"; then exit 1; fi
 kill -USR1 "$pid"
 kill -TERM "$pid"
+kill -HUP "$pid"
 wait "$pid"
 [ "$(grep -c 'messages: taken-in 0 ' "$work/log")" -ge 1 ]
