Give new connections a deadline, and bound memory by bytes rather than connections

Cause: src/north/front.cpp had 10 s for a request that had begun and 300 s for silence, and gave up the longest idle connection, be it served or silent; connections_per_side (src/config/settings.cpp) reserved 288 KiB a connection. The module (JobArrived in src/rules.cpp) took the longest wait of any client for the class's own, so that one odd figure would have made all others late; not seen, found by reading.

Ruled out: CPU (0.05 s in the worst second), answers to bad clients (rejects went out within a round).

--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -55,9 +55,12 @@
 using Environment = std::function<const char*(const char*)>; // as std::getenv
 
 // How many connections each side may hold, within the descriptors that the process is allowed and the memory:
-// one message with all its buffers full must fit for each.
+// the buffers of all of them must fit when full.
 std::size_t connections_per_side(const Settings& settings, std::size_t descriptors);
 
+// How many bytes the messages that are open may take, with all their copies.
+std::size_t message_memory(const Settings& settings);
+
 Settings read(const Environment& environment);                           // throws ConfigError
 Settings parse(std::string_view config, const Environment& environment); // the same, from the file's text
 
--- a/src/core/host.cpp
+++ b/src/core/host.cpp
@@ -11,17 +11,22 @@
 constexpr std::array<std::string_view, 8> outcome_names{"served",         "error", "full",      "timed out",
                                                         "connect failed", "reset", "cancelled", "not sent"};
 
+// What a message takes: its body here, on the way to the worker, and as much for the result on its way back.
+constexpr std::size_t copies = 4, small_parts = 4096;
+
 template <class... Functions> struct Overloaded : Functions... { using Functions::operator()...; };
 template <class... Functions> Overloaded(Functions...) -> Overloaded<Functions...>;
 
 } // namespace
 
-Host::Host(willowrill::Settings settings, std::size_t max_open, Relays& relays, Inventory& inventory)
-    : dispatcher_(settings), tick_(settings.tick), max_open_(max_open), relays_(relays),
-      inventory_(inventory) {}
+Host::Host(willowrill::Settings settings, std::size_t max_open, std::size_t most_bytes, Relays& relays,
+           Inventory& inventory)
+    : dispatcher_(settings), tick_(settings.tick), max_open_(max_open), most_bytes_(most_bytes),
+      relays_(relays), inventory_(inventory) {}
 
 bool Host::take_in(Message message, Client& client, JobId& job) {
-    if (full() || !ids_.insert(message.id).second) {
+    const std::size_t bytes = small_parts + copies * message.body.size();
+    if (open_ >= max_open_ || bytes_ + bytes > most_bytes_ || !ids_.insert(message.id).second) {
         ++counters_.turned_away;
         return false;
     }
@@ -41,8 +46,9 @@
                                    .slots = message.slots,
                                    .memory = message.memory,
                                    .is_retry = message.is_retry};
-    entries_[job] = {.message = std::move(message), .client = &client, .used = true};
+    entries_[job] = {.message = std::move(message), .client = &client, .used = true, .bytes = bytes};
     ++open_;
+    bytes_ += bytes;
     ++counters_.taken_in;
     tell(job, arrived);
     return true;
@@ -156,6 +162,7 @@
     Entry& entry = entries_[job];
     if (!entry.used || !entry.answered || entry.holds > 0) return;
     ids_.erase(entry.message.id);
+    bytes_ -= entry.bytes;
     entry = {};
     free_.push_back(job);
 }
--- a/src/core/host.h
+++ b/src/core/host.h
@@ -68,12 +68,13 @@
 
 class Host {
   public:
-    Host(willowrill::Settings settings, std::size_t max_open, Relays& relays, Inventory& inventory);
+    // `most_bytes` is for the messages held, with their copies on the way to a worker and back.
+    Host(willowrill::Settings settings, std::size_t max_open, std::size_t most_bytes, Relays& relays,
+         Inventory& inventory);
 
-    // False: the id is in use, or no message more can be held (`full`). The client must outlive the message
-    // or call `client_left`.
+    // False: the id is in use, or no message more can be held. The client must outlive the message or call
+    // `client_left`.
     bool take_in(Message message, Client& client, JobId& job);
-    bool full() const { return open_ >= max_open_; }
     bool holds(const std::string& id) const { return ids_.contains(id); }
     void client_left(JobId job);
     void overdue(JobId job); // the deadline passes and the module has not answered: fails it
@@ -104,6 +105,7 @@
         Message message;
         Client* client = nullptr;
         bool used = false, answered = false;
+        std::size_t bytes = 0;
         std::vector<Attempt> attempts{};
         std::size_t holds = 0; // attempts out, and events that the module has not seen
     };
@@ -115,7 +117,7 @@
 
     willowrill::Dispatcher dispatcher_;
     Duration tick_;
-    std::size_t max_open_;
+    std::size_t max_open_, most_bytes_, bytes_ = 0;
     Relays& relays_;
     Inventory& inventory_;
     std::deque<Entry> entries_; // a deque, as references must outlive the arrival of others
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -41,7 +41,7 @@
                  .connect_timeout = settings_.connect_timeout}),
           watch_(loop_, settings_.discovery, settings_.decisions.list_valid, list_,
                  [this](auto news) { on_list(std::move(news)); }),
-          host_(settings_.decisions, settings_.max_open, pool_, watch_),
+          host_(settings_.decisions, settings_.max_open, config::message_memory(settings_), pool_, watch_),
           front_(loop_, settings_, host_, per_side(settings_), [this] { return !list_.empty(); }),
           next_batch_(loop_.wheel(), [] {}), watch_again_(loop_.wheel(), [this] { watch_.watch(true); }),
           leave_(loop_.wheel(), [this] { front_.leave(); }),
@@ -128,10 +128,10 @@
         const core::Counters& host = host_.counters();
         const north::FrontCounters& front = front_.counters();
         const relay::PoolCounters& pool = pool_.counters();
-        spdlog::info(
-            "north: accepted {} requests {} ready-checks {} rejected {} stalled {} turned-away {} open {}",
-            front.accepted, front.requests, front.ready_checks, front.rejected, front.stalled, front.full,
-            front_.size());
+        spdlog::info("north: accepted {} requests {} ready-checks {} rejected {} stalled {} turned-away {} "
+                     "evicted {} open {}",
+                     front.accepted, front.requests, front.ready_checks, front.rejected, front.stalled,
+                     front.full, front.evicted, front_.size());
         spdlog::info("messages: taken-in {} served {} refused {} failed {} overdue {} left {} open {}",
                      host.taken_in, host.served, host.refused, host.failed, host.overdue, host.left,
                      host_.open());
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -8,6 +8,12 @@
 
 namespace willowrill::net {
 
+namespace {
+
+constexpr int reads_a_round = 16;
+
+} // namespace
+
 Connection::Connection(Loop& loop, Owner& owner, Fd fd, State state, std::size_t input_limit)
     : loop_(loop), owner_(owner), fd_(std::move(fd)), state_(state), input_limit_(input_limit) {
     update();
@@ -65,7 +71,9 @@
 
 bool Connection::fill() {
     std::array<char, 16384> bytes; // NOLINT: filled by recv
-    while (input_.size() < input_limit_) {
+    // What is dropped does not fill the buffer: without the bound, one that sends at full speed after its
+    // answer would hold the round for as long as it likes.
+    for (int reads = 0; reads < reads_a_round && input_.size() < input_limit_; ++reads) {
         const auto got =
             ::recv(fd_.get(), bytes.data(), std::min(bytes.size(), input_limit_ - input_.size()), 0);
         if (got < 0 && errno == EINTR) continue;
--- a/src/north/front.cpp
+++ b/src/north/front.cpp
@@ -16,11 +16,14 @@
 using namespace std::chrono_literals;
 using net::http::write_answer;
 
-constexpr auto read_time = 10s;  // for a request, from its first byte to its last
+// A request must be whole so long after its first byte, and the first on a connection so long after it was
+// accepted, whatever trickles in: half a request or silence would hold a descriptor for nothing.
+constexpr auto read_time = 2500ms;
 constexpr auto write_time = 10s; // for an answer
 constexpr auto linger_time = 2s; // for the client to close after our last answer
 constexpr auto idle_time = 300s; // a connection between requests
 constexpr auto accept_pause = 100ms;
+constexpr int accepts_a_round = 64; // a flood of connections must not keep the others waiting
 
 std::string decimal_seconds(core::Duration span) {
     std::array<char, 32> text{};
@@ -39,15 +42,19 @@
         : front_(front),
           connection_(front.loop_, *this, std::move(fd), net::Connection::State::open, net::http::read_ahead),
           timer_(front.loop_.wheel(), [this] { on_timer(); }) {
-        rest();
+        idle_since_ = front_.loop_.now();
+        timer_.arm(first_by_ = idle_since_ + read_time);
     }
 
-    // Nothing of a request has come, read or not: to close on one that waits in the socket would lose it.
-    bool idle() const {
+    // Nothing of a request has come, as far as it was read.
+    bool rests() const {
         return state_ == State::reading && !parser_.begun() && connection_.input().empty() &&
-               connection_.all_sent() && !connection_.has_hung_up();
+               connection_.all_sent();
     }
-    net::Time idle_since() const { return idle_since_; }
+    // And none waits in the socket: to close on that would lose it.
+    bool idle() const { return rests() && !connection_.has_hung_up(); }
+    // Who gives way first: silent newcomers, and then whoever has been idle longest.
+    auto standing() const { return std::pair(!new_, idle_since_); }
     void close() {
         timer_.disarm();
         connection_.close();
@@ -76,6 +83,8 @@
             return front_.host_.overdue(job_);
         case State::reading:
             if (!parser_.begun() && !connection_.input().empty()) return read();
+            // What has just come is read in the next round.
+            if (rests() && connection_.has_hung_up()) return timer_.arm(front_.loop_.now());
             ++front_.counters_.stalled;
             if (parser_.begun() && connection_.all_sent()) return reject({408, "the request took too long"});
             [[fallthrough]];
@@ -88,7 +97,7 @@
         while (state_ == State::reading && !connection_.input().empty()) {
             if (!parser_.begun()) {
                 arrived_ = front_.loop_.now(); // the client's time has begun to run
-                timer_.arm(arrived_ + read_time);
+                timer_.arm(new_ ? first_by_ : arrived_ + read_time);
             }
             const bool had_head = parser_.head_done();
             connection_.consume(parser_.feed(connection_.input()));
@@ -105,6 +114,7 @@
     void on_request() {
         const net::http::Head& head = parser_.head();
         ++front_.counters_.requests;
+        new_ = false;
         if (head.minor >= 1 && head.find("host") == nullptr) return reject({400, "Host is missing"});
         const std::string_view path = std::string_view(head.target).substr(0, head.target.find('?'));
         if (path == "/ready") {
@@ -173,7 +183,8 @@
     net::Timer timer_;
     State state_ = State::reading;
     core::JobId job_ = 0;
-    net::Time arrived_{0}, idle_since_{0};
+    net::Time arrived_{0}, idle_since_{0}, first_by_{0};
+    bool new_ = true; // no whole request has come yet
 };
 
 Front::Front(net::Loop& loop, const config::Settings& settings, core::Host& host,
@@ -194,11 +205,12 @@
 // Out of descriptors, a connection that waits at the listener would wake poll for ever: look away for a
 // while, and let go of a client that wants nothing now.
 void Front::on_ready(short) {
-    while (true) {
+    for (int accepted = 0; accepted < accepts_a_round;) {
         // Room is made for a connection that is there: one too many, and no idle one is given up for nothing.
-        if (clients_.size() > most_connections_ && !close_one_idle()) break;
+        if (clients_.size() > most_connections_ && !close_one_idle()) return look_away();
         net::Fd fd = net::accept_from(listener_);
         if (fd.valid()) {
+            ++accepted;
             ++counters_.accepted;
             if (clients_.size() >= most_connections_) close_one_idle();
             const auto client = std::make_shared<ClientConnection>(*this, std::move(fd));
@@ -209,20 +221,26 @@
         if (errno == EAGAIN || errno == EWOULDBLOCK) return;
         spdlog::warn("north: cannot accept: errno {}", errno);
         close_one_idle();
-        break;
+        return look_away();
     }
+}
+
+void Front::look_away() {
     listen(false);
     pause_.arm(loop_.now() + accept_pause);
 }
 
 bool Front::close_one_idle() {
-    ClientConnection* longest = nullptr;
+    std::vector<ClientConnection*> resting;
     for (const auto& [client, owner] : clients_) {
-        if (client->idle() && (longest == nullptr || client->idle_since() < longest->idle_since()))
-            longest = client;
+        if (client->rests()) resting.push_back(client);
     }
-    if (longest != nullptr) drop(*longest);
-    return longest != nullptr;
+    std::ranges::sort(resting, {}, [](const ClientConnection* client) { return client->standing(); });
+    const auto found = std::ranges::find_if(resting, &ClientConnection::idle);
+    if (found == resting.end()) return false;
+    ++counters_.evicted;
+    drop(**found);
+    return true;
 }
 
 void Front::drop(ClientConnection& client) {
@@ -237,7 +255,11 @@
 
 void Front::leave() {
     draining_ = true;
-    if (listener_.valid()) on_ready(POLLIN); // what waits there has been accepted by this machine
+    // What waits there has been accepted by this machine.
+    for (auto before = counters_.accepted; listener_.valid(); before = counters_.accepted) {
+        on_ready(POLLIN);
+        if (counters_.accepted == before) break;
+    }
     leaving_ = true;
     pause_.disarm();
     listen(false);
--- a/src/north/front.h
+++ b/src/north/front.h
@@ -13,7 +13,8 @@
 namespace willowrill::north {
 
 struct FrontCounters {
-    std::uint64_t accepted = 0, requests = 0, ready_checks = 0, rejected = 0, stalled = 0, full = 0;
+    std::uint64_t accepted = 0, requests = 0, ready_checks = 0, rejected = 0, stalled = 0, full = 0,
+                  evicted = 0;
 };
 
 class Front final : private net::Pollable {
@@ -38,6 +39,7 @@
     void listen(bool on);
     void drop(ClientConnection& client);
     bool close_one_idle();
+    void look_away(); // from the listener, for a while
 
     net::Loop& loop_;
     const config::Settings& settings_;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -152,9 +152,10 @@
         if (jobs.size() <= in.job) jobs.resize(in.job + 1);
         const JobClass& c = settings.classes[in.job_class];
         ClassState& state = classes[in.job_class];
-        state.longest_left = std::max(state.longest_left, in.left);
-        // A client's later try has less time left: its aim has been running since the first.
-        const Time asked_at = now - (state.longest_left - in.left);
+        // A client's later try has less time left: its aim has been running since the first. No one client's
+        // odd time, longer than the class's, may make all others look late.
+        state.longest_left = std::max(state.longest_left, std::min(in.left, c.give_up));
+        const Time asked_at = now - std::max(0ns, state.longest_left - in.left);
         Job& job = jobs[in.job];
         job = {.serial = ++last_serial, .live = true, .in = in, .asked_at = asked_at, .arrived = now};
         job.deadline = now + in.left - settings.tick;
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -71,4 +71,12 @@
     CHECK(fleet.at(40ms, {Fleet::job(2, 1)}) == 1); // 2 and 1 fit in 4
 }
 
+TEST_CASE("one client that would wait for a day does not make all others look late") {
+    Fleet fleet(1);
+    JobArrived odd = Fleet::job(0);
+    odd.left = 24h;
+    REQUIRE(fleet.at(10ms, {odd}) == 1);
+    CHECK(fleet.at(20ms, {Fleet::job(1)}) == 1);
+}
+
 } // namespace willowrill::testing
--- a/tests/host_test.cpp
+++ b/tests/host_test.cpp
@@ -55,7 +55,7 @@
         core::Time give_up{0};
     };
 
-    explicit World(unsigned seed) : random_(seed), host(settings(), 30, *this, *this) {}
+    explicit World(unsigned seed) : random_(seed), host(settings(), 30, 1U << 20U, *this, *this) {}
 
     void start(core::JobId job, core::Index attempt, core::WorkerId, core::Time give_up,
                const core::Message& message) override {
@@ -168,7 +168,7 @@
         one.deadline = now + 3s;
         const std::string id = "m" + std::to_string(by_id_.size());
         by_id_[id] = &one;
-        const bool full = host.full();
+        const bool full = (host.open() >= 30);
         core::Message message{.id = id, .job_class = job_class, .deadline = one.deadline};
         CHECK(host.take_in(std::move(message), one, one.job) == !full);
         core::JobId unused = 0;
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -81,8 +81,13 @@
     settings.memory_mb = 192;
     CHECK(config::connections_per_side(settings, 4096) == 496);
     CHECK(config::connections_per_side(settings, 232) == 100); // the process is allowed less
-    settings.memory_mb = 96;
-    CHECK(config::connections_per_side(settings, 4096) == 256);
+    // The smallest place: the memory holds all that its descriptors allow, and ordinary messages beside it.
+    settings.memory_mb = 32;
+    settings.sockets = 256;
+    CHECK(config::connections_per_side(settings, 4096) == 112);
+    CHECK(config::message_memory(settings) == 8U << 20U);
+    settings.sockets = 1024;
+    CHECK(config::connections_per_side(settings, 4096) == 122);
     settings.memory_mb = 0;
     CHECK(config::connections_per_side(settings, 0) == 1);
 }
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -25,7 +25,7 @@
                {.connections = most_relays, .idle = 5s, .connect_timeout = settings.connect_timeout}),
           watch(loop, discovery.address, settings.decisions.list_valid, list,
                 [this](auto news) { host.list_news(std::move(news)); }),
-          host(settings.decisions, settings.max_open, pool, watch),
+          host(settings.decisions, settings.max_open, 1U << 20U, pool, watch),
           front(loop, settings, host, most_clients, [] { return true; }) {
         pool.set_host(host);
         auto news = list.read(list_text(41));
@@ -225,6 +225,49 @@
     CHECK_FALSE(first->closed);
 }
 
+TEST_CASE("a new connection has to send a whole request soon; one that was served may rest") {
+    Rig rig;
+    const auto served = rig.client("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n");
+    rig.settle([&] { return served->has("200"); });
+    const auto silent = rig.client("");
+    const auto trickling = rig.client("POST /api HTTP/1.1\r\nA: ");
+    CHECK(rig.settle([&] {
+        if (!trickling->closed) trickling->connection.write("a");
+        return silent->closed && trickling->closed;
+    }));
+    CHECK(silent->got.empty());
+    CHECK(trickling->has("HTTP/1.1 408 "));
+    CHECK_FALSE(served->closed);
+}
+
+TEST_CASE("short of descriptors, a silent newcomer gives way before a client that was served") {
+    Rig rig(2);
+    const auto served = rig.client("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n");
+    rig.settle([&] { return served->has("200"); });
+    const auto silent = rig.client("");
+    rig.settle([&] { return rig.front.size() == 2; });
+    const auto third = rig.client("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(rig.settle([&] { return third->has("HTTP/1.1 200 "); }));
+    CHECK(silent->closed);
+    CHECK_FALSE(served->closed);
+    CHECK(rig.front.counters().evicted == 1);
+}
+
+TEST_CASE("messages are bounded by the memory that their bodies take") {
+    Rig rig; // with a mebibyte for them, room for three of the largest
+    std::vector<std::unique_ptr<Peer>> clients;
+    for (int i = 0; i < 4; ++i) {
+        clients.push_back(rig.client("POST /api HTTP/1.1\r\nHost: h\r\nX-Request-ID: " + std::to_string(i) +
+                                     "\r\nX-Priority-Class: once\r\nContent-Length: 65536\r\n\r\n" +
+                                     std::string(65536, 'a')));
+        REQUIRE(rig.settle([&] { return rig.front.counters().requests == clients.size(); }));
+    }
+    CHECK(rig.host.counters().taken_in == 3);
+    CHECK(rig.settle([&] { return clients.back()->has("HTTP/1.1 503 "); }));
+    const auto small = rig.client(Rig::job("small"));
+    CHECK(rig.settle([&] { return rig.host.counters().taken_in == 4; }));
+}
+
 TEST_CASE("leaving: idle clients are closed, the others get their answer first") {
     Rig rig;
     const auto busy = rig.client(Rig::job("a"));
