Serve clients on the connections they have until the end after SIGTERM is near

Cause: Front::leave (src/north/front.cpp) closed idle connections and marked every answer as the last, so the clients had nobody to turn to, though the program itself lived on for seconds.

Ruled out: the time that the end takes (a scheduler that had ended after 1.8 s came back no sooner than one that took 3.8 s: both 4.4 s after SIGTERM), the move of discovery (lists came 0.3 s after it).

--- a/src/core/host.cpp
+++ b/src/core/host.cpp
@@ -22,7 +22,10 @@
 Host::Host(willowrill::Settings settings, std::size_t max_open, std::size_t most_bytes, Relays& relays,
            Inventory& inventory)
     : dispatcher_(settings), tick_(settings.tick), max_open_(max_open), most_bytes_(most_bytes),
-      relays_(relays), inventory_(inventory) {}
+      relays_(relays), inventory_(inventory) {
+    for (const willowrill::JobClass& job_class : settings.classes)
+        usual_.push_back(job_class.aim);
+}
 
 bool Host::take_in(Message message, Client& client, JobId& job) {
     const std::size_t bytes = small_parts + copies * message.body.size();
@@ -50,6 +53,8 @@
     ++open_;
     bytes_ += bytes;
     ++counters_.taken_in;
+    spdlog::debug("message {} taken in: class {}, {} slots{}", entries_[job].message.id, arrived.job_class,
+                  arrived.slots, arrived.is_retry ? ", again" : "");
     tell(job, arrived);
     return true;
 }
@@ -65,6 +70,7 @@
     Entry& entry = entries_[job];
     if (!entry.used || entry.answered) return nullptr;
     entry.answered = true;
+    spdlog::debug("message {} over after {} attempts", entry.message.id, entry.attempts.size());
     --open_;
     touched_.push_back(job);
     return std::exchange(entry.client, nullptr);
@@ -84,6 +90,15 @@
     client->on_failed();
 }
 
+void Host::cut_short(JobId job) {
+    const bool may_have_run = std::ranges::count(entries_[job].attempts, true, &Attempt::may_have_run) > 0;
+    Client* client = close(job);
+    if (client == nullptr) return;
+    ++counters_.cut_short;
+    tell(job, willowrill::JobLeft{job});
+    may_have_run ? client->on_failed() : client->on_refused(Duration(0));
+}
+
 void Host::attempt_started(JobId job, Index attempt) {
     tell(job, willowrill::AttemptStarted{job, attempt, entries_[job].attempts[attempt].worker});
 }
@@ -97,10 +112,19 @@
     Entry& entry = entries_[job];
     Attempt& ended = entry.attempts[attempt];
     if (!std::exchange(ended.out, false)) return;
+    using willowrill::Outcome;
+    ended.may_have_run =
+        outcome != Outcome::full && outcome != Outcome::connect_failed && outcome != Outcome::not_sent;
+    if (outcome == Outcome::served) {
+        Duration& usual = usual_[entry.message.job_class];
+        usual += (now - ended.sent - usual) / 16;
+    }
     --entry.holds;
     --out_;
     ++counters_.outcomes[static_cast<std::size_t>(outcome)];
-    spdlog::debug("message {} attempt {} at worker {}: {}", entry.message.id, attempt, ended.worker,
+    spdlog::debug("message {} attempt {} at worker {} after {} ms: {}", entry.message.id, attempt,
+                  ended.worker,
+                  std::chrono::duration_cast<std::chrono::milliseconds>(now - ended.sent).count(),
                   outcome_names[static_cast<std::size_t>(outcome)]);
     // What a worker has done goes to the client at once; the module hears of it with the next batch.
     Client* client = outcome == willowrill::Outcome::served ? close(job) : nullptr;
--- a/src/core/host.h
+++ b/src/core/host.h
@@ -62,7 +62,8 @@
     std::uint64_t taken_in = 0, turned_away = 0, left = 0;          // messages
     std::uint64_t served = 0, refused = 0, failed = 0, overdue = 0; // final answers; overdue ones by the host
     std::uint64_t sent = 0, cancelled = 0;                          // attempts
-    std::array<std::uint64_t, 8> outcomes{};                        // by willowrill::Outcome
+    std::uint64_t cut_short = 0;             // messages that the end of the program did not wait for
+    std::array<std::uint64_t, 8> outcomes{}; // by willowrill::Outcome
     std::uint64_t batches = 0, lists = 0, lists_broken = 0;
 };
 
@@ -78,6 +79,10 @@
     bool holds(const std::string& id) const { return ids_.contains(id); }
     void client_left(JobId job);
     void overdue(JobId job); // the deadline passes and the module has not answered: fails it
+    // The program ends before the message can: refused if no attempt of it may have run, else failed.
+    void cut_short(JobId job);
+    // How long an attempt of the class takes at a worker as a rule; the class's aim until one was served.
+    Duration usual_time(Index job_class) const { return usual_[job_class]; }
 
     void attempt_started(JobId job, Index attempt);
     void attempt_progress(JobId job, Index attempt, double done);
@@ -97,7 +102,7 @@
     struct Attempt {
         WorkerId worker = 0;
         Time sent{0};
-        bool out = true;
+        bool out = true, may_have_run = true;
     };
     // A message's place is free again once it has its final answer, no attempt of it is out, and the module
     // has been told of both: only then may the id return.
@@ -117,6 +122,7 @@
 
     willowrill::Dispatcher dispatcher_;
     Duration tick_;
+    std::vector<Duration> usual_; // by class
     std::size_t max_open_, most_bytes_, bytes_ = 0;
     Relays& relays_;
     Inventory& inventory_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -14,6 +14,7 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
@@ -27,8 +28,11 @@
 using namespace std::chrono_literals;
 
 // After SIGTERM new connections keep coming for up to 0.4 s; requests that come later than 0.7 s after it
-// are no longer waited for.
+// must have their answer before SIGKILL, which comes no sooner than the longest deadline plus 0.7 s, with
+// that deadline counted as 3 s where it is longer.
 constexpr auto accept_time = 550ms;
+constexpr auto longest_counted = 3s;
+constexpr auto after_longest = 450ms; // with a margin of a quarter of a second
 constexpr auto watch_pause = 1s;
 
 class Program {
@@ -44,7 +48,8 @@
           host_(settings_.decisions, settings_.max_open, config::message_memory(settings_), pool_, watch_),
           front_(loop_, settings_, host_, per_side(settings_), [this] { return !list_.empty(); }),
           next_batch_(loop_.wheel(), [] {}), watch_again_(loop_.wheel(), [this] { watch_.watch(true); }),
-          leave_(loop_.wheel(), [this] { front_.leave(); }),
+          leave_(loop_.wheel(), [this] { front_.leave(end_); }),
+          finish_(loop_.wheel(), [this] { front_.finish(); }),
           signals_(loop_, {SIGTERM, SIGINT, SIGUSR1, SIGHUP}, [this](int signal) { on_signal(signal); }) {
         pool_.set_host(host_);
         if (!settings_.known.empty()) {
@@ -121,7 +126,12 @@
         if (std::exchange(stopping_, true)) return;
         spdlog::info("stopping: {} messages open", host_.open());
         front_.drain();
+        net::Duration longest = 0ns;
+        for (const willowrill::JobClass& job_class : settings_.decisions.classes)
+            longest = std::max(longest, std::min<net::Duration>(job_class.give_up, longest_counted));
+        end_ = loop_.now() + longest + after_longest;
         leave_.arm(loop_.now() + accept_time);
+        finish_.arm(std::max(end_, loop_.now() + accept_time));
     }
 
     void print_counters() const {
@@ -132,9 +142,10 @@
                      "evicted {} open {}",
                      front.accepted, front.requests, front.ready_checks, front.rejected, front.stalled,
                      front.full, front.evicted, front_.size());
-        spdlog::info("messages: taken-in {} served {} refused {} failed {} overdue {} left {} open {}",
-                     host.taken_in, host.served, host.refused, host.failed, host.overdue, host.left,
-                     host_.open());
+        spdlog::info(
+            "messages: taken-in {} served {} refused {} failed {} overdue {} cut-short {} left {} open {}",
+            host.taken_in, host.served, host.refused, host.failed, host.overdue, host.cut_short, host.left,
+            host_.open());
         const auto& outcomes = host.outcomes;
         spdlog::info(
             "relays: sent {} served {} error {} full {} timed-out {} connect-failed {} reset {} cancelled {} "
@@ -156,7 +167,8 @@
     inventory::Watch watch_;
     core::Host host_;
     north::Front front_;
-    net::Timer next_batch_, watch_again_, leave_;
+    net::Timer next_batch_, watch_again_, leave_, finish_;
+    net::Time end_{0}; // of what is taken in late
     net::Signals signals_;
     bool stopping_ = false;
     std::uint64_t reloads_ = 0;
--- a/src/north/front.cpp
+++ b/src/north/front.cpp
@@ -59,6 +59,10 @@
         timer_.disarm();
         connection_.close();
     }
+    // What came too late to be waited for. (A job that was taken before runs on, as long as it may.)
+    void cut_short() {
+        if (state_ == State::waiting && arrived_ > front_.left_at_) front_.host_.cut_short(job_);
+    }
 
   private:
     enum class State { reading, waiting, leaving };
@@ -68,7 +72,9 @@
     }
 
     void on_sent() override {
-        if (state_ == State::reading) rest();
+        if (state_ != State::reading) return;
+        rest();
+        if (front_.finishing_ && idle()) front_.drop(*this);
     }
 
     // The client has gone away, or our last answer has reached it.
@@ -129,6 +135,10 @@
         Rejection rejection;
         if (!read_message(parser_, front_.settings_, arrived_, message, rejection)) return reject(rejection);
         const net::Time deadline = message.deadline;
+        // After SIGTERM time is short. A job that would not be done goes elsewhere at once.
+        if (front_.leaving_ &&
+            front_.loop_.now() + 2 * front_.host_.usual_time(message.job_class) > front_.end_)
+            return answer(503, {{"Connection", "close"}}, "ending, try elsewhere\n");
         if (front_.host_.holds(message.id)) return reject({409, "the X-Request-ID is in use"});
         state_ = State::waiting;
         if (!front_.host_.take_in(std::move(message), *this, job_)) {
@@ -157,7 +167,7 @@
     void answer(int status, net::http::Fields fields, std::string_view body) {
         const bool told =
             std::ranges::any_of(fields, [](const auto& field) { return field.first == "Connection"; });
-        const bool last = told || front_.leaving_ || !parser_.head().keeps_alive();
+        const bool last = told || front_.finishing_ || !parser_.head().keeps_alive();
         if (last && !told) fields.emplace_back("Connection", "close");
         if (!last && parser_.head().minor == 0) fields.emplace_back("Connection", "keep-alive");
         state_ = last ? State::leaving : State::reading;
@@ -253,7 +263,7 @@
 
 void Front::drain() { draining_ = true; }
 
-void Front::leave() {
+void Front::leave(net::Time end) {
     draining_ = true;
     // What waits there has been accepted by this machine.
     for (auto before = counters_.accepted; listener_.valid(); before = counters_.accepted) {
@@ -261,16 +271,20 @@
         if (counters_.accepted == before) break;
     }
     leaving_ = true;
+    left_at_ = loop_.now();
+    end_ = end;
     pause_.disarm();
     listen(false);
     listener_.reset();
-    std::vector<ClientConnection*> idle;
-    for (const auto& [client, owner] : clients_) {
-        if (client->idle()) idle.push_back(client);
-    }
-    for (ClientConnection* client : idle) {
-        drop(*client);
-    }
+}
+
+void Front::finish() {
+    finishing_ = true;
+    std::vector<ClientConnection*> clients;
+    for (const auto& [client, owner] : clients_)
+        clients.push_back(client);
+    for (ClientConnection* client : clients)
+        client->idle() ? drop(*client) : client->cut_short();
 }
 
 } // namespace willowrill::north
--- a/src/north/front.h
+++ b/src/north/front.h
@@ -26,7 +26,11 @@
 
     void drain(); // not ready any more, but takes in what comes
     void limit(std::size_t connections) { most_connections_ = connections; }
-    void leave(); // accepts no more, closes what is idle and the rest after its answer
+    // Accepts no more connections. Clients go on using those they have: what can end before `end` is still
+    // taken in on them.
+    void leave(net::Time end);
+    // Closes what is idle and the rest after its answer; what came after `leave` does not wait for its own.
+    void finish();
     net::Endpoint address() const { return net::local_address(listener_); }
     bool empty() const { return clients_.empty(); }
     std::size_t size() const { return clients_.size(); }
@@ -49,7 +53,8 @@
     net::Fd listener_;
     net::Timer pause_; // of accepting, when descriptors run out
     std::unordered_map<ClientConnection*, std::shared_ptr<ClientConnection>> clients_;
-    bool draining_ = false, leaving_ = false;
+    bool draining_ = false, leaving_ = false, finishing_ = false;
+    net::Time left_at_{0}, end_{0};
     FrontCounters counters_;
 };
 
