Let jobs of many slots go with ever fewer free instead of holding them for good

Cause: pick_with_room (src/rules.cpp) wanted all slots free at once at a worker of five, while each that came free was taken by a job of one slot. Workers keep slots for the job at the head of their queue, so such a job now goes with fewer free the longer it has waited, down to one after a quarter of its aim.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -39,6 +39,8 @@
 constexpr double tiny = 1e-9;
 constexpr double unlimited = std::numeric_limits<double>::infinity();
 constexpr double hopeless_share = 0.8;  // share of the tolerable wait after which a job is given up
+constexpr double wide_patience = 0.25;  // share of its aim after which a job of many slots goes with one
+constexpr double most_crowding = 0.35;   // but not if this share of small jobs finds no room at once
 constexpr double queue_allowance = 0.1; // load beyond full that a job accepts once it has waited its aim
 
 double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
@@ -276,7 +278,7 @@
         if (!std::exchange(last.stuck, true)) workers[last.worker].stuck_slots += job.in.slots;
         // It waits in a queue there: where it may, it moves to a worker with room.
         if (!settings.tells_start || !settings.may_cancel || !may_send(job, true)) return;
-        const WorkerId to = pick_with_room(job, 0);
+        const WorkerId to = pick_with_room(job, 0, job.in.slots);
         if (to == none || !retries.take()) {
             return look_again(id, now + std::max(patience(job), (now - last.sent) / 2));
         }
@@ -301,21 +303,27 @@
         const double waited = seconds(now - job.arrived) / std::max(0.001, seconds(class_of(job).aim));
         const bool anyway = class_of(job).late_worth > 0 && waited > 1;
         const double allowance = anyway ? 1e9 : queue_allowance * std::min(1.0, waited);
-        const WorkerId to = pick_with_room(job, allowance);
+        // Many slots are seldom free at once, and other jobs take each as it comes free. A job that needs
+        // many goes with ever fewer, down to one, and queues at a worker that then keeps them for it.
+        const double more = std::max(0.0, job.in.slots - 1);
+        const double spare = std::max(0.0, 1 - crowding / most_crowding);
+        const double need = job.in.slots - more * std::min(spare, waited / wide_patience);
+        const WorkerId to = pick_with_room(job, allowance, need);
+        if (more <= 0 && now == job.arrived) crowding += mean_gain * ((to == none ? 1 : 0) - crowding);
         if (to == none) return look_again(id, now + std::max(patience(job), (now - job.arrived) / 4));
         job.waiting = false;
         send(id, to);
     }
 
-    WorkerId pick_with_room(const Job& job, double allowance) {
+    // `need`: how many slots must be free.
+    WorkerId pick_with_room(const Job& job, double allowance, double need) {
         const bool anywhere = group_anchor(job) == none;
         double& no_room = no_room_for(job);
-        if (anywhere && job.in.slots >= no_room && (allowance < 1 || no_room <= 0)) return none;
+        if (anywhere && need >= no_room && (allowance < 1 || no_room <= 0)) return none;
         const WorkerId to = pick(job);
         const double room = 1 + allowance + tiny;
-        if (to != none && load_of(workers[to], job.in.slots) + job.in.slots / slots_of(workers[to]) <= room)
-            return to;
-        if (anywhere) no_room = to == none ? 0 : std::min(no_room, job.in.slots);
+        if (to != none && load_of(workers[to], need) + need / slots_of(workers[to]) <= room) return to;
+        if (anywhere) no_room = to == none ? 0 : std::min(no_room, need);
         return none;
     }
 
@@ -617,6 +625,7 @@
     std::priority_queue<Review, std::vector<Review>, std::greater<>> reviews;
     std::uint64_t last_serial = 0;
     double mean_load = 0.5;
+    double crowding = 0; // share of the jobs of one slot that found no room on arrival
     TokenBucket retries{.tokens = retry_burst};
     bool capacity_changed = false, watching = false, watch_failed = false;
     int watch_failures = 0;
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -79,4 +79,17 @@
     CHECK(fleet.at(20ms, {Fleet::job(1)}) == 1);
 }
 
+// Four slots were hardly ever free at once, and such jobs were held until it was too late, in plain days too.
+TEST_CASE("a job of many slots does not wait for good for all of them to be free at once") {
+    Fleet fleet(1);
+    REQUIRE(fleet.at(10ms, {Fleet::job(0, 4)}) == 1);
+    REQUIRE(fleet.at(20ms, {fleet.served(0, 0, 5)}) == 0);
+    REQUIRE(fleet.at(30ms, {Fleet::job(1), Fleet::job(2)}) == 2);
+    REQUIRE(fleet.at(40ms, {Fleet::job(3, 4)}) == 0); // three are free
+    std::size_t sent = 0;
+    for (Time now = 100ms; now < 3s; now += 100ms)
+        sent += fleet.at(now, {Woken{}});
+    CHECK(sent == 1);
+}
+
 } // namespace willowrill::testing
