Distrust kept connections that break, and load reports that only repeat

Cause: take_idle (src/relay/pool.cpp) reuses whatever has not hung up yet, so a close that is under way is not seen, and nothing is learnt from breaks. note_report (src/rules.cpp) took every report as fresh, also the same figures for seconds on end.

--- a/include/willowrill/dispatcher.h
+++ b/include/willowrill/dispatcher.h
@@ -104,6 +104,8 @@
     std::optional<double> service_ms{}; // recent service time
     std::optional<double> served_per_s{};
     std::optional<double> errors_per_s{};
+
+    bool operator==(const Report&) const = default;
 };
 
 enum class Condition { ready, draining, gone };
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -152,9 +152,10 @@
             "not-sent {}",
             host.sent, outcomes[0], outcomes[1], outcomes[2], outcomes[3], outcomes[4], outcomes[5],
             outcomes[6], outcomes[7]);
-        spdlog::info("connections: opened {} reused {} failed {} retired {} hung-up {} evicted {} open {}",
+        spdlog::info("connections: opened {} reused {} failed {} retired {} hung-up {} evicted {} "
+                     "broke-at-reuse {} open {}",
                      pool.opened, pool.reused, pool.refused, pool.retired, pool.hung_up, pool.evicted,
-                     pool_.size());
+                     pool.reuse_failed, pool_.size());
         spdlog::info("inventory: lists {} broken {} version {}; batches {}; reloads {}", host.lists,
                      host.lists_broken, list_.version(), host.batches, reloads_);
     }
--- a/src/north/request.cpp
+++ b/src/north/request.cpp
@@ -83,6 +83,7 @@
     if (job_class.effect == willowrill::Effect::keyed && message.idempotency_key.empty())
         return reject("a class that is repeated by key needs an Idempotency-Key");
 
+    message.repeatable = job_class.effect == willowrill::Effect::repeatable;
     core::Duration wait = job_class.give_up;
     if (const std::string* given = head.find("x-timeout-ms")) {
         const auto value = net::http::to_number(*given);
--- a/src/relay/pool.cpp
+++ b/src/relay/pool.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <cmath>
 
 namespace willowrill::relay {
 namespace {
@@ -14,6 +15,11 @@
 // A worker closes a connection when it has been idle for the time in the settings. Its clock starts before
 // ours and a request may be under way when it closes, so we let go at this share of the time.
 constexpr double idle_share = 0.8;
+// A worker that closes after its answer says so a moment later; a request written before we hear it is lost.
+constexpr auto settling = 15ms;
+// One kept connection may break at its next request because its worker died. More within a short time show
+// workers that break what they keep, and a request sent there may count as having run.
+constexpr double distrust_half_s = 60, most_distrust = 1.5, some_distrust = 0.5;
 constexpr auto answer_end = 1s; // how long the end of an answer may lag behind its verdict
 
 std::uint64_t key_of(core::JobId job, core::Index attempt) { return (std::uint64_t{job} << 32U) | attempt; }
@@ -47,6 +53,8 @@
 
     void rest() {
         state_ = State::idle;
+        reused_ = true;
+        rested_at_ = pool_.loop_.now();
         const auto idle = std::chrono::duration<double, std::nano>(pool_.limits_.idle) * idle_share;
         timer_.arm(pool_.loop_.now() + std::chrono::duration_cast<net::Duration>(idle));
     }
@@ -56,6 +64,7 @@
         connection_.close();
     }
     bool usable() const { return state_ == State::idle && !connection_.has_hung_up(); }
+    bool settled() const { return pool_.loop_.now() - rested_at_ >= settling; }
     std::uint64_t key() const { return key_of(job_, attempt_); }
 
     const core::WorkerId worker;
@@ -123,12 +132,14 @@
     void on_closed() override {
         if (state_ == State::idle) ++pool_.counters_.hung_up;
         if (state_ == State::asked) {
+            const bool answer_begun = parser_.begun();
             parser_.end_of_input();
             std::vector<Note> notes;
-            const bool whole = parser_.done();
+            const bool whole = parser_.done(), answered = whole || answer_begun;
             const Outcome outcome = broken();
             if (outcome == Outcome::connect_failed) ++pool_.counters_.refused;
             auto verdict = whole ? reader_.read(parser_, notes) : std::nullopt;
+            if (reused_ && !answered) pool_.reuse_failed();
             if (!verdict) verdict = Verdict{outcome};
             return finish(*verdict);
         }
@@ -164,6 +175,8 @@
     core::JobId job_ = 0;
     core::Index attempt_ = 0;
     core::Time give_up_{0};
+    net::Time rested_at_{0};
+    bool reused_ = false; // has carried a relay before
 };
 
 Pool::Pool(net::Loop& loop, const inventory::List& list, const std::vector<config::ReportName>& fields,
@@ -189,6 +202,7 @@
         const std::shared_ptr<Channel> channel = *at;
         ++at;
         if (channel->worker != worker) continue;
+        if (distrust() > some_distrust && !channel->settled()) continue;
         if (channel->usable() && channel->address == list_.address(worker)) {
             std::erase(idle_, channel);
             ++counters_.reused;
@@ -203,6 +217,17 @@
     return nullptr;
 }
 
+void Pool::reuse_failed() {
+    ++counters_.reuse_failed;
+    failures_ = distrust() + 1;
+    failures_at_ = loop_.now();
+}
+
+double Pool::distrust() const {
+    const double age = std::chrono::duration<double>(loop_.now() - failures_at_).count();
+    return failures_ * std::exp2(-age / distrust_half_s);
+}
+
 bool Pool::make_room() {
     if (size_ < limits_.connections) return true;
     if (idle_.empty()) return false;
@@ -224,7 +249,7 @@
 
 void Pool::start(core::JobId job, core::Index attempt, core::WorkerId worker, core::Time give_up,
                  const core::Message& message) {
-    auto channel = take_idle(worker);
+    auto channel = message.repeatable || distrust() < most_distrust ? take_idle(worker) : nullptr;
     Outcome failure{};
     if (!channel) channel = open(worker, failure);
     if (!channel) {
--- a/src/relay/pool.h
+++ b/src/relay/pool.h
@@ -22,7 +22,8 @@
 };
 
 struct PoolCounters {
-    std::uint64_t opened = 0, reused = 0, refused = 0, retired = 0, hung_up = 0, evicted = 0;
+    std::uint64_t opened = 0, reused = 0, refused = 0, retired = 0, hung_up = 0, evicted = 0,
+                  reuse_failed = 0;
 };
 
 class Pool final : public core::Relays {
@@ -47,6 +48,8 @@
     using Channels = std::list<std::shared_ptr<Channel>>;
 
     std::shared_ptr<Channel> take_idle(core::WorkerId worker);
+    void reuse_failed();     // a kept connection broke at its next request
+    double distrust() const; // of kept connections
     std::shared_ptr<Channel> open(core::WorkerId worker, willowrill::Outcome& failure);
     void drop(Channel& channel);
     bool make_room();
@@ -60,6 +63,8 @@
     std::unordered_map<std::uint64_t, std::shared_ptr<Channel>> busy_; // by message and attempt
     std::unordered_map<Channel*, std::shared_ptr<Channel>> closing_;   // verdict given, answer not at its end
     std::size_t size_ = 0;
+    double failures_ = 0; // of kept connections, fading with time
+    net::Time failures_at_{0};
     PoolCounters counters_;
 };
 
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -40,7 +40,7 @@
 constexpr double unlimited = std::numeric_limits<double>::infinity();
 constexpr double hopeless_share = 0.8;  // share of the tolerable wait after which a job is given up
 constexpr double wide_patience = 0.25;  // share of its aim after which a job of many slots goes with one
-constexpr double most_crowding = 0.35;   // but not if this share of small jobs finds no room at once
+constexpr double most_crowding = 0.35;  // but not if this share of small jobs finds no room at once
 constexpr double queue_allowance = 0.1; // load beyond full that a job accepts once it has waited its aim
 
 double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
@@ -53,6 +53,8 @@
     double load = 0;        // L: last reported load, in shares of its slots
     double degradation = 0; // X
     Time reported_at{-1};   // when L came; negative for never
+    std::optional<Report> last_report{};
+    Time changed_at{0};     // when it came first
     double own_slots = 0;   // slots of this dispatcher's attempts that are out
     double stuck_slots = 0; // of these, slots of attempts that ought to have started by now
     // health
@@ -237,6 +239,11 @@
         // Utilisation ends at 1 and may lag behind the slots: take the fuller view, and add what waits.
         if (report.free_slots && slots > 0) load = std::max(load, 1 - *report.free_slots / slots);
         load += report.queued.value_or(0) * per_slot;
+        // A worker whose reports have stopped repeats its last one for good: the same figures, noise and all,
+        // for longer than any report lives are not news.
+        if (w.last_report != report) w.changed_at = now;
+        w.last_report = report;
+        if (now - w.changed_at > from_seconds(blind_s)) return;
         w.load = std::max(0.0, load - finished_slots * per_slot);
         mean_load += mean_gain * (w.load - mean_load);
         w.degradation = 0;
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -92,4 +92,19 @@
     CHECK(sent == 1);
 }
 
+// A worker whose reports had stopped went on telling that it was idle, and each repeat cleared its X.
+TEST_CASE("a report that is repeated for long is no fresh one") {
+    Fleet fleet(2);
+    std::size_t to_other = 0;
+    WorkerId stale = none;
+    for (JobId id = 0; id < 20; ++id) {
+        REQUIRE(fleet.at(id * 1s + 10ms, {Fleet::job(id)}) == 1);
+        if (stale == none) stale = fleet.to;
+        if (id >= 10 && fleet.to != stale) ++to_other;
+        fleet.at(id * 1s + 110ms,
+                 {fleet.to == stale ? fleet.served(id, 0, 5) : fleet.served(id, 0.2, 4 + id * 0.001)});
+    }
+    CHECK(to_other > 0);
+}
+
 } // namespace willowrill::testing
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -55,6 +55,10 @@
             200, {}, R"({"id":")" + id + R"(","state":"done","result":")" + result + "\"}\n");
     }
     template <class Done> bool settle(Done done) { return testing::settle(loop, done); }
+    void wait(net::Duration span) {
+        const net::Time start = loop.now();
+        settle([&] { return loop.now() - start > span; });
+    }
     bool worker_has(std::size_t peer, std::string_view text) {
         return settle([&] { return worker.peers.size() > peer && worker.peers[peer]->has(text); });
     }
@@ -126,8 +130,7 @@
     CHECK(client->has("HTTP/1.1 200 OK\r\n"));
     worker.connection.write("\r\n0\r\n\r\n");
     rig.settle([&] { return rig.host.attempts_out() == 0; });
-    for (int i = 0; i < 20; ++i)
-        rig.loop.run_once(1ms);                              // the answer's end arrives
+    rig.wait(30ms);                                          // the answer's end arrives
     client->connection.write(Rig::job("b") + Rig::job("c")); // one after the other, in order
     REQUIRE(rig.worker_has(0, "X-Request-ID: b"));
     CHECK_FALSE(worker.has("X-Request-ID: c"));
@@ -268,6 +271,35 @@
     CHECK(rig.settle([&] { return rig.host.counters().taken_in == 4; }));
 }
 
+TEST_CASE("where kept connections break at their next request, jobs that must not run twice go on new ones") {
+    Rig rig;
+    std::size_t peer = 0;
+    int jobs = 0;
+    const auto send = [&] {
+        const std::string id = "j" + std::to_string(++jobs);
+        rig.wait(30ms); // a connection that was just used settles first
+        return std::pair(id, rig.client(Rig::job(id)));
+    };
+    const auto serve = [&] {
+        const auto [id, client] = send();
+        while (!rig.worker_has(peer, "X-Request-ID: " + id + "\r\n"))
+            FAIL("no relay came");
+        rig.worker.peers[peer]->connection.write(Rig::done(id, "of " + id));
+        REQUIRE(rig.settle([&] { return client->has("of " + id); }));
+    };
+    for (std::uint64_t broken = 1; broken <= 2; ++broken, ++peer) {
+        serve();
+        const auto [id, client] = send();
+        REQUIRE(rig.worker_has(peer, "X-Request-ID: " + id));
+        rig.worker.peers[peer]->connection.close();
+        REQUIRE(rig.settle([&] { return client->has("HTTP/1.1 502 "); }));
+        CHECK(rig.pool.counters().reuse_failed == broken);
+    }
+    serve(); // on a new one, which is kept
+    const auto [id, client] = send();
+    CHECK(rig.worker_has(peer + 1, "X-Request-ID: " + id));
+}
+
 TEST_CASE("leaving: clients go on using their connections, then idle ones are closed, the others answered") {
     Rig rig;
     const auto busy = rig.client(Rig::job("a"));
