--- a/include/willowrill/dispatcher.h
+++ b/include/willowrill/dispatcher.h
@@ -285,6 +285,10 @@
     // Takes in all events of one moment, in the order in which they arrived, and appends what is to be done.
     void handle(Time now, std::span<const Event> events, std::vector<Action>& actions);
 
+    // How many workers of the list no job goes to at this time: they drain, rest after failures, or were
+    // full.
+    std::size_t excluded(Time now) const;
+
   private:
     struct Impl;
     std::unique_ptr<Impl> impl_;
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -268,6 +268,9 @@
     std::tie(out.listen, out.file_listen) = endpoints(json, "listen", environment, "PROXY_LISTEN");
     std::tie(out.discovery, out.file_discovery) =
         endpoints(json, "discovery", environment, "PROXY_DISCOVERY");
+    out.file_mgmt = text(json, "mgmt");
+    if (environment("PROXY_MGMT") != nullptr || !out.file_mgmt.empty())
+        out.mgmt = endpoints(json, "mgmt", environment, "PROXY_MGMT").first;
     const object limits = section(json, "limits");
     out.memory_mb = whole(limits, "memory_mb", 192);
     out.sockets = whole(limits, "sockets", 1024);
@@ -288,7 +291,7 @@
 }
 
 std::size_t connections_per_side(const Settings& settings, std::size_t descriptors) {
-    constexpr std::size_t spare = 32; // the listener, discovery, the signals, the standard streams
+    constexpr std::size_t spare = 32; // the listeners, discovery, operators' calls, signals, standard streams
     // What a connection of either side holds when it has read a body that is not yet whole. Three fifths of
     // the memory are for these, a quarter for messages that are open, and the rest for all else.
     constexpr std::size_t both = 2 * (net::http::most_body + net::http::read_ahead);
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -38,10 +38,12 @@
 struct Settings {
     std::string name;
     net::Endpoint listen, discovery;
+    std::optional<net::Endpoint> mgmt; // the second address; without it, there is none
     // The same as the file has them, or as above where it has none: what a later file is held against, since
     // the environment goes before the file only at the start.
     std::string file_name;
     net::Endpoint file_listen, file_discovery;
+    std::string file_mgmt;
     std::string file_settings; // the text of `settings`, without blanks
     std::string known;         // the remembered list, as JSON in discovery's form; may be empty
     std::size_t memory_mb = 0, sockets = 0;
--- a/src/core/host.cpp
+++ b/src/core/host.cpp
@@ -25,12 +25,14 @@
       relays_(relays), inventory_(inventory) {
     for (const willowrill::JobClass& job_class : settings.classes)
         usual_.push_back(job_class.aim);
+    tallies_.resize(settings.classes.size());
 }
 
 bool Host::take_in(Message message, Client& client, JobId& job) {
     const std::size_t bytes = small_parts + copies * message.body.size();
     if (open_ >= max_open_ || bytes_ + bytes > most_bytes_ || !ids_.insert(message.id).second) {
         ++counters_.turned_away;
+        turn_away(message.job_class);
         return false;
     }
     if (free_.empty()) {
@@ -66,10 +68,14 @@
 }
 
 // Exactly one final answer: whoever ends a message gets its client from here, and only the first one does.
-Client* Host::close(JobId job) {
+Client* Host::close(JobId job, End end) {
     Entry& entry = entries_[job];
     if (!entry.used || entry.answered) return nullptr;
     entry.answered = true;
+    Tally& tally = tallies_[entry.message.job_class];
+    if (end == End::served) ++tally.served;
+    if (end == End::refused) ++tally.refused;
+    if (end == End::failed) ++tally.failed;
     spdlog::debug("message {} over after {} attempts", entry.message.id, entry.attempts.size());
     --open_;
     touched_.push_back(job);
@@ -77,13 +83,13 @@
 }
 
 void Host::client_left(JobId job) {
-    if (close(job) == nullptr) return;
+    if (close(job, End::left) == nullptr) return;
     ++counters_.left;
     tell(job, willowrill::JobLeft{job});
 }
 
 void Host::overdue(JobId job) {
-    Client* client = close(job);
+    Client* client = close(job, End::failed);
     if (client == nullptr) return;
     ++counters_.overdue;
     tell(job, willowrill::JobLeft{job});
@@ -92,7 +98,7 @@
 
 void Host::cut_short(JobId job) {
     const bool may_have_run = std::ranges::count(entries_[job].attempts, true, &Attempt::may_have_run) > 0;
-    Client* client = close(job);
+    Client* client = close(job, may_have_run ? End::failed : End::refused);
     if (client == nullptr) return;
     ++counters_.cut_short;
     tell(job, willowrill::JobLeft{job});
@@ -127,7 +133,7 @@
                   std::chrono::duration_cast<std::chrono::milliseconds>(now - ended.sent).count(),
                   outcome_names[static_cast<std::size_t>(outcome)]);
     // What a worker has done goes to the client at once; the module hears of it with the next batch.
-    Client* client = outcome == willowrill::Outcome::served ? close(job) : nullptr;
+    Client* client = outcome == willowrill::Outcome::served ? close(job, End::served) : nullptr;
     tell(job, willowrill::AttemptEnded{.job = job,
                                        .attempt = attempt,
                                        .worker = ended.worker,
@@ -211,13 +217,13 @@
                 relays_.start(send.job, attempt, send.worker, give_up, entry.message);
             },
             [&](const willowrill::Refuse& refuse) {
-                if (Client* client = close(refuse.job)) {
+                if (Client* client = close(refuse.job, End::refused)) {
                     ++counters_.refused;
                     client->on_refused(refuse.stay_away);
                 }
             },
             [&](const willowrill::Fail& fail) {
-                if (Client* client = close(fail.job)) {
+                if (Client* client = close(fail.job, End::failed)) {
                     ++counters_.failed;
                     client->on_failed();
                 }
--- a/src/core/host.h
+++ b/src/core/host.h
@@ -68,6 +68,11 @@
     std::uint64_t batches = 0, lists = 0, lists_broken = 0;
 };
 
+// Jobs by the answer that their clients were given. What a client left counts nowhere.
+struct Tally {
+    std::uint64_t served = 0, refused = 0, failed = 0;
+};
+
 class Host {
   public:
     // `most_bytes` is for the messages held, with their copies on the way to a worker and back.
@@ -78,6 +83,8 @@
     // `client_left`.
     bool take_in(Message message, Client& client, JobId& job);
     bool holds(const std::string& id) const { return ids_.contains(id); }
+    // A message that was never taken in is answered with a refusal.
+    void turn_away(Index job_class) { ++tallies_[job_class].refused; }
     void client_left(JobId job);
     void overdue(JobId job); // the deadline passes and the module has not answered: fails it
     // The program ends before the message can: refused if no attempt of it may have run, else failed.
@@ -98,6 +105,8 @@
     std::size_t open() const { return open_; } // messages without a final answer
     std::size_t attempts_out() const { return out_; }
     const Counters& counters() const { return counters_; }
+    const std::vector<Tally>& tallies() const { return tallies_; } // by class
+    std::size_t workers_excluded(Time now) const { return dispatcher_.excluded(now); }
 
   private:
     struct Attempt {
@@ -116,7 +125,8 @@
         std::size_t holds = 0; // attempts out, and events that the module has not seen
     };
 
-    Client* close(JobId job); // the one place where a message ends
+    enum class End { served, refused, failed, left };
+    Client* close(JobId job, End end); // the one place where a message ends
     void tell(JobId job, willowrill::Event event);
     void release(JobId job);
     void carry_out(const willowrill::Action& action, Time now);
@@ -136,6 +146,7 @@
     Time last_batch_{0};
     std::size_t open_ = 0, out_ = 0;
     Counters counters_;
+    std::vector<Tally> tallies_; // by class
 };
 
 } // namespace willowrill::core
--- a/src/inventory/list.cpp
+++ b/src/inventory/list.cpp
@@ -2,6 +2,8 @@
 
 #include <simdjson.h>
 
+#include <algorithm>
+
 namespace willowrill::inventory {
 namespace {
 
@@ -54,6 +56,11 @@
 
 } // namespace
 
+std::size_t List::listed() const {
+    return workers_.size() -
+           static_cast<std::size_t>(std::ranges::count(workers_, Condition::gone, &Worker::condition));
+}
+
 std::optional<willowrill::ListNews> List::read(std::string_view json) {
     std::vector<Entry> entries;
     bool full = false;
--- a/src/inventory/list.h
+++ b/src/inventory/list.h
@@ -24,6 +24,7 @@
 
     std::uint64_t version() const { return version_; }
     bool empty() const { return workers_.empty(); }
+    std::size_t listed() const; // workers that are in the list now
     const net::Endpoint& address(willowrill::WorkerId worker) const { return workers_[worker].address; }
     willowrill::Condition condition(willowrill::WorkerId worker) const { return workers_[worker].condition; }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -3,6 +3,7 @@
 #include "core/host.h"
 #include "inventory/list.h"
 #include "inventory/watch.h"
+#include "mgmt/desk.h"
 #include "net/loop.h"
 #include "net/signals.h"
 #include "north/front.h"
@@ -35,7 +36,7 @@
 constexpr auto after_longest = 450ms; // with a margin of a quarter of a second
 constexpr auto watch_pause = 1s;
 
-class Program {
+class Program final : private mgmt::Service {
   public:
     explicit Program(config::Settings settings)
         : settings_(std::move(settings)), settings_in_file_(settings_), list_(settings_.names),
@@ -52,6 +53,7 @@
           finish_(loop_.wheel(), [this] { front_.finish(); }),
           signals_(loop_, {SIGTERM, SIGINT, SIGUSR1, SIGHUP}, [this](int signal) { on_signal(signal); }) {
         pool_.set_host(host_);
+        if (settings_.mgmt) desk_.emplace(loop_, *settings_.mgmt, static_cast<mgmt::Service&>(*this));
         if (!settings_.known.empty()) {
             if (auto news = list_.read(settings_.known)) {
                 news->kind = willowrill::ListNews::Kind::remembered;
@@ -112,9 +114,9 @@
             spdlog::info("configuration read again: discovery at {}, {} connections a side",
                          watch_.discovery().text(), per_side(now));
             if (now.file_settings != before.file_settings || now.file_listen != before.file_listen ||
-                now.file_name != before.file_name)
+                now.file_name != before.file_name || now.file_mgmt != before.file_mgmt)
                 spdlog::warn(
-                    "the configuration's name, listen or settings differ: a restart takes them over");
+                    "the configuration's name, listen, mgmt or settings differ: a restart takes them over");
         } catch (const std::exception& error) {
             spdlog::error("the configuration stays as it was: {}", error.what());
         }
@@ -134,6 +136,22 @@
         finish_.arm(std::max(end_, loop_.now() + accept_time));
     }
 
+    bool can_serve() const override { return !list_.empty() && !stopping_; }
+    void lame_duck(bool on) override { front_.lame_duck(on); }
+    mgmt::Figures figures() const override {
+        mgmt::Figures out{.classes = {},
+                          .attempts = pool_.counters().written,
+                          .in_flight = host_.open(),
+                          .workers_known = list_.listed(),
+                          .workers_excluded = host_.workers_excluded(loop_.now())};
+        const std::vector<core::Tally>& tallies = host_.tallies();
+        for (std::size_t i = 0; i < tallies.size(); ++i) {
+            out.classes.push_back(
+                {settings_.names.classes[i], tallies[i].served, tallies[i].refused, tallies[i].failed});
+        }
+        return out;
+    }
+
     void print_counters() const {
         const core::Counters& host = host_.counters();
         const north::FrontCounters& front = front_.counters();
@@ -153,9 +171,14 @@
             host.sent, outcomes[0], outcomes[1], outcomes[2], outcomes[3], outcomes[4], outcomes[5],
             outcomes[6], outcomes[7]);
         spdlog::info("connections: opened {} reused {} failed {} retired {} hung-up {} evicted {} "
-                     "broke-at-reuse {} open {}",
+                     "broke-at-reuse {} written {} open {}",
                      pool.opened, pool.reused, pool.refused, pool.retired, pool.hung_up, pool.evicted,
-                     pool.reuse_failed, pool_.size());
+                     pool.reuse_failed, pool.written, pool_.size());
+        if (desk_) {
+            const mgmt::DeskCounters& desk = desk_->counters();
+            spdlog::info("mgmt: calls {} bad {} silent {} evicted {}", desk.calls, desk.bad, desk.silent,
+                         desk.evicted);
+        }
         spdlog::info("inventory: lists {} broken {} version {}; batches {}; reloads {}", host.lists,
                      host.lists_broken, list_.version(), host.batches, reloads_);
     }
@@ -171,6 +194,7 @@
     net::Timer next_batch_, watch_again_, leave_, finish_;
     net::Time end_{0}; // of what is taken in late
     net::Signals signals_;
+    std::optional<mgmt::Desk> desk_;
     bool stopping_ = false;
     std::uint64_t reloads_ = 0;
 };
--- /dev/null
+++ b/src/mgmt/desk.h
@@ -0,0 +1,51 @@
+// The second address, for operators alone: readiness, the figures and the drain switch. One call a
+// connection. It knows the rest of the program by `Service` only.
+#pragma once
+
+#include "mgmt/figures.h"
+#include "net/loop.h"
+#include "net/socket.h"
+
+#include <cstdint>
+#include <list>
+#include <memory>
+
+namespace willowrill::mgmt {
+
+class Service {
+  public:
+    virtual ~Service() = default;
+    virtual bool can_serve() const = 0;
+    virtual Figures figures() const = 0;
+    virtual void lame_duck(bool on) = 0; // asked again, it changes nothing
+};
+
+struct DeskCounters {
+    std::uint64_t calls = 0, bad = 0, silent = 0, evicted = 0;
+};
+
+class Desk final : private net::Pollable {
+  public:
+    // How many callers it holds at once; these descriptors are kept free of clients and workers.
+    static constexpr std::size_t most_callers = 8;
+
+    Desk(net::Loop& loop, const net::Endpoint& address, Service& service);
+    ~Desk() override;
+
+    net::Endpoint address() const { return net::local_address(listener_); }
+    const DeskCounters& counters() const { return counters_; }
+
+  private:
+    class Call;
+
+    void on_ready(short events) override;
+    void drop(Call& call);
+
+    net::Loop& loop_;
+    Service& service_;
+    net::Fd listener_;
+    std::list<std::shared_ptr<Call>> calls_; // the oldest first
+    DeskCounters counters_;
+};
+
+} // namespace willowrill::mgmt
--- a/src/north/front.cpp
+++ b/src/north/front.cpp
@@ -23,6 +23,11 @@
 constexpr auto linger_time = 2s; // for the client to close after our last answer
 constexpr auto idle_time = 300s; // a connection between requests
 constexpr auto accept_pause = 100ms;
+// A lame duck. The front notices within 0.1 s, and for 0.2 s more it brings new connections, with their first
+// requests. Two seconds before its time is up, at 4 s, no job may be taken any more.
+constexpr auto lame_idle = 500ms;   // from when on idle connections are closed
+constexpr auto lame_jobs = 1800ms;  // until when jobs are taken
+constexpr auto lame_pause = 50ms;   // between two looks
 constexpr int accepts_a_round = 64; // a flood of connections must not keep the others waiting
 
 std::string decimal_seconds(core::Duration span) {
@@ -60,6 +65,11 @@
         connection_.close();
     }
     // What came too late to be waited for. (A job that was taken before runs on, as long as it may.)
+    // The lame duck's time is up: whoever is still sending a request is told to go elsewhere with it.
+    void cut_off() {
+        if (state_ == State::reading && parser_.begun() && connection_.all_sent())
+            reject({503, "going away, try elsewhere"});
+    }
     void cut_short() {
         if (state_ == State::waiting && arrived_ > front_.left_at_) front_.host_.cut_short(job_);
     }
@@ -127,7 +137,7 @@
             ++front_.counters_.ready_checks;
             if (head.method != "GET")
                 return answer(405, {{"Allow", "GET"}}, "GET tells whether we are ready\n");
-            const bool ready = !front_.draining_ && front_.ready_();
+            const bool ready = !front_.draining_ && !front_.lame_since_ && front_.ready_();
             return answer(ready ? 200 : 503, {}, ready ? "ready\n" : "not ready\n");
         }
         if (head.method != "POST") return answer(405, {{"Allow", "POST"}}, "a job comes by POST\n");
@@ -136,9 +146,12 @@
         if (!read_message(parser_, front_.settings_, arrived_, message, rejection)) return reject(rejection);
         const net::Time deadline = message.deadline;
         // After SIGTERM time is short. A job that would not be done goes elsewhere at once.
-        if (front_.leaving_ &&
-            front_.loop_.now() + 2 * front_.host_.usual_time(message.job_class) > front_.end_)
-            return answer(503, {{"Connection", "close"}}, "ending, try elsewhere\n");
+        const bool ending = front_.leaving_ &&
+                            front_.loop_.now() + 2 * front_.host_.usual_time(message.job_class) > front_.end_;
+        if (ending || front_.lame_for() > lame_jobs) {
+            front_.host_.turn_away(message.job_class);
+            return answer(503, {{"Connection", "close"}}, "going away, try elsewhere\n");
+        }
         if (front_.host_.holds(message.id)) return reject({409, "the X-Request-ID is in use"});
         state_ = State::waiting;
         if (!front_.host_.take_in(std::move(message), *this, job_)) {
@@ -167,7 +180,7 @@
     void answer(int status, net::http::Fields fields, std::string_view body) {
         const bool told =
             std::ranges::any_of(fields, [](const auto& field) { return field.first == "Connection"; });
-        const bool last = told || front_.finishing_ || !parser_.head().keeps_alive();
+        const bool last = told || front_.finishing_ || front_.lame_since_ || !parser_.head().keeps_alive();
         if (last && !told) fields.emplace_back("Connection", "close");
         if (!last && parser_.head().minor == 0) fields.emplace_back("Connection", "keep-alive");
         state_ = last ? State::leaving : State::reading;
@@ -201,7 +214,7 @@
              std::size_t most_connections, std::function<bool()> ready)
     : loop_(loop), settings_(settings), host_(host), most_connections_(most_connections),
       ready_(std::move(ready)), listener_(net::listen_on(settings.listen)),
-      pause_(loop.wheel(), [this] { listen(true); }) {
+      pause_(loop.wheel(), [this] { listen(true); }), send_away_(loop.wheel(), [this] { send_away(); }) {
     listen(true);
 }
 
@@ -263,6 +276,32 @@
 
 void Front::drain() { draining_ = true; }
 
+void Front::lame_duck(bool on) {
+    if (on == lame_since_.has_value()) return;
+    spdlog::info("north: {} connections {}", clients_.size(), on ? "are sent away" : "may stay");
+    lame_since_ = on ? std::optional(loop_.now()) : std::nullopt;
+    on ? send_away_.arm(loop_.now() + lame_idle) : send_away_.disarm();
+}
+
+net::Duration Front::lame_for() const { return lame_since_ ? loop_.now() - *lame_since_ : net::Duration(-1); }
+
+void Front::send_away() {
+    each_client([this](ClientConnection& client) {
+        if (client.idle()) return drop(client);
+        if (lame_for() > lame_jobs) client.cut_off();
+    });
+    send_away_.arm(loop_.now() + lame_pause);
+}
+
+// The action may drop it.
+template <class Action> void Front::each_client(Action action) {
+    std::vector<ClientConnection*> clients;
+    for (const auto& [client, owner] : clients_)
+        clients.push_back(client);
+    for (ClientConnection* client : clients)
+        action(*client);
+}
+
 void Front::leave(net::Time end) {
     draining_ = true;
     // What waits there has been accepted by this machine.
@@ -280,11 +319,7 @@
 
 void Front::finish() {
     finishing_ = true;
-    std::vector<ClientConnection*> clients;
-    for (const auto& [client, owner] : clients_)
-        clients.push_back(client);
-    for (ClientConnection* client : clients)
-        client->idle() ? drop(*client) : client->cut_short();
+    each_client([this](ClientConnection& client) { client.idle() ? drop(client) : client.cut_short(); });
 }
 
 } // namespace willowrill::north
--- a/src/north/front.h
+++ b/src/north/front.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 namespace willowrill::north {
@@ -25,6 +26,9 @@
     ~Front() override;
 
     void drain(); // not ready any more, but takes in what comes
+    // Sends the clients away, for as long as it is on. It goes together with `drain` and `leave`, in any
+    // order.
+    void lame_duck(bool on);
     void limit(std::size_t connections) { most_connections_ = connections; }
     // Accepts no more connections. Clients go on using those they have: what can end before `end` is still
     // taken in on them.
@@ -43,7 +47,10 @@
     void listen(bool on);
     void drop(ClientConnection& client);
     bool close_one_idle();
-    void look_away(); // from the listener, for a while
+    void look_away();               // from the listener, for a while
+    net::Duration lame_for() const; // how long the lame duck has been on; negative while it is off
+    void send_away();               // what a lame duck no longer holds
+    template <class Action> void each_client(Action action);
 
     net::Loop& loop_;
     const config::Settings& settings_;
@@ -55,6 +62,8 @@
     std::unordered_map<ClientConnection*, std::shared_ptr<ClientConnection>> clients_;
     bool draining_ = false, leaving_ = false, finishing_ = false;
     net::Time left_at_{0}, end_{0};
+    std::optional<net::Time> lame_since_;
+    net::Timer send_away_;
     FrontCounters counters_;
 };
 
--- a/src/relay/pool.cpp
+++ b/src/relay/pool.cpp
@@ -49,6 +49,7 @@
         const bool opening = connection_.state() == net::Connection::State::opening;
         timer_.arm(opening ? std::min(give_up, pool_.loop_.now() + pool_.limits_.connect_timeout) : give_up);
         connection_.write(net::http::write_request(message.method, message.target, fields, message.body));
+        if (connection_.all_sent()) ++pool_.counters_.written;
     }
 
     void rest() {
@@ -77,6 +78,7 @@
     Outcome broken() const { return connection_.all_sent() ? Outcome::reset : Outcome::connect_failed; }
 
     void on_open() override { timer_.arm(give_up_); }
+    void on_sent() override { ++pool_.counters_.written; }
 
     void on_input() override {
         connection_.consume(parser_.feed(connection_.input()));
--- a/src/relay/pool.h
+++ b/src/relay/pool.h
@@ -24,6 +24,7 @@
 struct PoolCounters {
     std::uint64_t opened = 0, reused = 0, refused = 0, retired = 0, hung_up = 0, evicted = 0,
                   reuse_failed = 0;
+    std::uint64_t written = 0; // relays whose request went out to its last byte
 };
 
 class Pool final : public core::Relays {
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -412,6 +412,20 @@
         return common_trouble && lowest_resting < lowest ? best_resting : best;
     }
 
+    std::size_t excluded(Time at) const {
+        const auto some = [&](auto is) {
+            return static_cast<std::size_t>(std::ranges::count_if(workers, is));
+        };
+        const std::size_t drain =
+            some([](const Worker& w) { return w.entry.condition == Condition::draining; });
+        const std::size_t rest = some([&](const Worker& w) { return w.ready && at < w.rest_until; });
+        const std::size_t full =
+            some([&](const Worker& w) { return w.ready && at >= w.rest_until && at < w.full_until; });
+        // As in `pick`, trouble that is common keeps nobody out.
+        const bool common = static_cast<double>(rest) > most_resting * static_cast<double>(ready.size());
+        return drain + full + (common ? 0 : rest);
+    }
+
     bool rests(const Worker& w, const Job& job) const {
         if (now < w.rest_until) return true;
         return now < w.trusted_from && class_of(job).effect != Effect::repeatable;
@@ -649,4 +663,6 @@
     impl_->handle(now, events, actions);
 }
 
+std::size_t Dispatcher::excluded(Time now) const { return impl_->excluded(now); }
+
 } // namespace willowrill
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -107,4 +107,17 @@
     CHECK(to_other > 0);
 }
 
+TEST_CASE("workers that drain, rest or were full are told as excluded, those gone from the list are not") {
+    Fleet fleet(4);
+    CHECK(fleet.dispatcher->excluded(0s) == 0);
+    ListNews news{ListNews::Kind::changes, {{.worker = 2}, {.worker = 3}}};
+    news.entries[0].condition = Condition::draining;
+    news.entries[1].condition = Condition::gone;
+    REQUIRE(fleet.at(10ms, {news, Fleet::job(0)}) == 1);
+    CHECK(fleet.dispatcher->excluded(10ms) == 1);
+    REQUIRE(fleet.at(20ms, {AttemptEnded{.job = 0, .worker = fleet.to, .outcome = Outcome::full}}) == 1);
+    CHECK(fleet.dispatcher->excluded(20ms) == 2);
+    CHECK(fleet.dispatcher->excluded(2s) == 1);
+}
+
 } // namespace willowrill::testing
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -357,6 +357,43 @@
     CHECK(rig.host.counters().taken_in == 0);
 }
 
+TEST_CASE("a lame duck sends its clients away, takes no job late, and serves again once it is off") {
+    Rig rig;
+    const std::string check = "GET /ready HTTP/1.1\r\nHost: h\r\n\r\n";
+    const auto busy = rig.client(Rig::job("a"));
+    const auto idle = rig.client(check);
+    REQUIRE(rig.worker_has(0, "\r\n\r\nhi"));
+    rig.settle([&] { return idle->has("200"); });
+    rig.front.lame_duck(true);
+    rig.front.lame_duck(true); // asked again, it goes on
+    const auto asking = rig.client(check);
+    CHECK(rig.settle([&] { return asking->closed; }));
+    CHECK(asking->has("HTTP/1.1 503 "));
+    const auto late = rig.client(Rig::job("b")); // the clients' front has not noticed yet
+    REQUIRE(rig.worker_has(1, "X-Request-ID: b"));
+    CHECK_FALSE(idle->closed);
+    CHECK(rig.settle([&] { return idle->closed; }));
+    const auto slow = rig.client("POST /api HTTP/1.1\r\n");
+    rig.wait(2s);
+    CHECK(slow->has("HTTP/1.1 503 "));
+    const auto too_late = rig.client(Rig::job("c"));
+    CHECK(rig.settle([&] { return too_late->closed; }));
+    CHECK(too_late->has("HTTP/1.1 503 "));
+    CHECK(rig.host.counters().taken_in == 2);
+    CHECK(rig.host.tallies()[0].refused == 1); // though it never came to the host
+    rig.worker.peers[0]->connection.write(Rig::done("a", "of a"));
+    CHECK(rig.settle([&] { return busy->closed; }));
+    CHECK(busy->has("Connection: close\r\n"));
+    CHECK(busy->has("of a"));
+    CHECK(rig.host.tallies()[0].served == 1);
+    CHECK(rig.pool.counters().written == 2);
+    rig.front.lame_duck(false);
+    const auto back = rig.client(check);
+    CHECK(rig.settle([&] { return back->has("HTTP/1.1 200 "); }));
+    rig.wait(600ms);
+    CHECK_FALSE(back->closed);
+}
+
 TEST_CASE("the watch goes on from the version held, and a failed call leaves the list as it is") {
     Rig rig;
     std::size_t call = 0;
--- a/tests/run_test.sh
+++ b/tests/run_test.sh
@@ -9,7 +9,7 @@
 if PROXY_CONFIG="$work/none" "$program" 2>"$work/log"; then exit 1; fi
 [ "$(wc -l <"$work/log")" -eq 1 ]
 cp "$2" "$work/config"
-export PROXY_CONFIG="$work/config" PROXY_LISTEN=127.0.0.1:0 PROXY_DISCOVERY=127.0.0.1:8500
+export PROXY_CONFIG="$work/config" PROXY_LISTEN=127.0.0.1:0 PROXY_MGMT=127.0.0.1:0 PROXY_DISCOVERY=127.0.0.1:8500
 "$program" 2>"$work/log" &
 pid=$!
 told() {
