--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -291,13 +291,12 @@
 }
 
 std::size_t connections_per_side(const Settings& settings, std::size_t descriptors) {
-    constexpr std::size_t spare = 32; // the listeners, discovery, operators' calls, signals, standard streams
     // What a connection of either side holds when it has read a body that is not yet whole. Three fifths of
     // the memory are for these, a quarter for messages that are open, and the rest for all else.
     constexpr std::size_t both = 2 * (net::http::most_body + net::http::read_ahead);
-    const std::size_t sockets = std::max(std::min(settings.sockets, descriptors), 2 * spare);
+    const std::size_t sockets = std::max(std::min(settings.sockets, descriptors), 2 * spare_descriptors);
     const std::size_t fitting = settings.memory_mb * (1U << 20U) / 5 * 3 / both;
-    return std::clamp<std::size_t>((sockets - spare) / 2, 1, std::max<std::size_t>(1, fitting));
+    return std::clamp<std::size_t>((sockets - spare_descriptors) / 2, 1, std::max<std::size_t>(1, fitting));
 }
 
 std::size_t message_memory(const Settings& settings) { return settings.memory_mb * (1U << 20U) / 4; }
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -56,6 +56,9 @@
 
 using Environment = std::function<const char*(const char*)>; // as std::getenv
 
+// Kept for the listeners, discovery, operators' calls, an upgrade, signals and the standard streams.
+inline constexpr std::size_t spare_descriptors = 32;
+
 // How many connections each side may hold, within the descriptors that the process is allowed and the memory:
 // the buffers of all of them must fit when full.
 std::size_t connections_per_side(const Settings& settings, std::size_t descriptors);
--- a/src/core/host.h
+++ b/src/core/host.h
@@ -83,6 +83,7 @@
     // `client_left`.
     bool take_in(Message message, Client& client, JobId& job);
     bool holds(const std::string& id) const { return ids_.contains(id); }
+    void limit(std::size_t most_bytes) { most_bytes_ = most_bytes; }
     // A message that was never taken in is answered with a refusal.
     void turn_away(Index job_class) { ++tallies_[job_class].refused; }
     void client_left(JobId job);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,6 +8,7 @@
 #include "net/signals.h"
 #include "north/front.h"
 #include "relay/pool.h"
+#include "upgrade/succession.h"
 
 #include <sys/resource.h>
 
@@ -35,10 +36,17 @@
 constexpr auto longest_counted = 3s;
 constexpr auto after_longest = 450ms; // with a margin of a quarter of a second
 constexpr auto watch_pause = 1s;
+constexpr std::size_t few = 8;
+// At an upgrade: how long a predecessor may take to hand the listener over, and discovery to tell a new run
+// what is newer than the list it remembers. The predecessor serves meanwhile; both are far below the 6 s for
+// a yes.
+constexpr auto handover_time = 1s;
+constexpr auto fresh_time = 2s;
 
-class Program final : private mgmt::Service {
+class Program final : private mgmt::Service, private upgrade::Succession::Run {
   public:
-    explicit Program(config::Settings settings)
+    Program(config::Settings settings, std::optional<std::string> door,
+            std::optional<upgrade::Inheritance> inheritance)
         : settings_(std::move(settings)), settings_in_file_(settings_), list_(settings_.names),
           pool_(loop_, list_, settings_.report_fields,
                 {.connections = per_side(settings_),
@@ -47,11 +55,14 @@
           watch_(loop_, settings_.discovery, settings_.decisions.list_valid, list_,
                  [this](auto news) { on_list(std::move(news)); }),
           host_(settings_.decisions, settings_.max_open, config::message_memory(settings_), pool_, watch_),
-          front_(loop_, settings_, host_, per_side(settings_), [this] { return !list_.empty(); }),
+          front_(
+              loop_, settings_, host_, per_side(settings_), [this] { return !list_.empty(); },
+              inheritance ? std::move(inheritance->listener) : net::Fd()),
           next_batch_(loop_.wheel(), [] {}), watch_again_(loop_.wheel(), [this] { watch_.watch(true); }),
           leave_(loop_.wheel(), [this] { front_.leave(end_); }),
-          finish_(loop_.wheel(), [this] { front_.finish(); }),
-          signals_(loop_, {SIGTERM, SIGINT, SIGUSR1, SIGHUP}, [this](int signal) { on_signal(signal); }) {
+          finish_(loop_.wheel(), [this] { front_.finish(); }), fresh_(loop_.wheel(), [] {}),
+          signals_(loop_, {SIGTERM, SIGINT, SIGUSR1, SIGHUP}, [this](int signal) { on_signal(signal); }),
+          succession_(loop_, std::move(door), std::move(inheritance), *this) {
         pool_.set_host(host_);
         if (settings_.mgmt) desk_.emplace(loop_, *settings_.mgmt, static_cast<mgmt::Service&>(*this));
         if (!settings_.known.empty()) {
@@ -69,6 +80,12 @@
         loop_.at_round_end([this] { on_round_end(); });
         spdlog::info("{} serves on {}, discovery at {}", settings_.name, front_.address().text(),
                      settings_.discovery.text());
+        if (succession_.shared()) {
+            share_limits();
+            fresh_.arm(loop_.now() + fresh_time);
+        } else {
+            serve();
+        }
         host_.batch(loop_.now()); // the module asks for the list
         loop_.run();
         print_counters();
@@ -81,9 +98,45 @@
         return config::connections_per_side(settings, allowed.rlim_cur);
     }
 
+    void serve() {
+        serving_ = true;
+        front_.accept(true);
+        succession_.serve();
+    }
+
+    // Both runs of an upgrade keep to the limits of one: each has half the memory, and the new one those
+    // descriptors that the old one does not hold.
+    void share_limits() {
+        config::Settings share = settings_in_file_;
+        if (succession_.shared()) {
+            share.memory_mb /= 2;
+            const std::size_t theirs = succession_.neighbour_holds();
+            share.sockets -= std::min(share.sockets, theirs > 0 ? theirs : share.sockets / 2);
+        }
+        const std::size_t most = per_side(share);
+        // With a successor that accepts, no more relays are needed than there are clients, and a few that
+        // outlive theirs.
+        pool_.limit(succession_.succeeded() ? std::min(most, front_.size() + few) : most);
+        front_.limit(most);
+        host_.limit(config::message_memory(share));
+    }
+
+    const net::Fd& listener() const override { return front_.listener(); }
+    std::size_t held() const override {
+        const std::size_t clients =
+            succession_.succeeded() ? front_.size() : std::max(front_.size(), front_.most());
+        return config::spare_descriptors + clients + std::max(pool_.size(), pool_.most());
+    }
+    void on_neighbour() override { share_limits(); }
+    void on_successor(bool serves) override {
+        share_limits();
+        if (serving_ && !stopping_) front_.accept(!serves);
+    }
+
     void on_list(willowrill::ListNews news) {
         // Where the module counts on news that come by themselves, it will not ask again.
         const bool broken = news.kind == willowrill::ListNews::Kind::broken;
+        if (!broken) fresh_.disarm();
         if (broken && !settings_.decisions.list_on_request) watch_again_.arm(loop_.now() + watch_pause);
         if (!news.entries.empty())
             spdlog::info("inventory: version {} with {} entries", list_.version(), news.entries.size());
@@ -98,6 +151,7 @@
             next = host_.next_batch();
         }
         if (next) next_batch_.arm(*next);
+        if (!serving_ && !stopping_ && !list_.empty() && !fresh_.armed()) serve();
         if (stopping_ && !leave_.armed() && front_.empty() && host_.open() == 0) loop_.stop();
     }
 
@@ -108,11 +162,10 @@
             const config::Settings before = std::exchange(
                 settings_in_file_, config::read([](const char* name) { return std::getenv(name); }));
             const config::Settings& now = settings_in_file_;
-            pool_.limit(per_side(now));
-            front_.limit(per_side(now));
+            share_limits();
             if (now.file_discovery != before.file_discovery) watch_.move(now.file_discovery);
             spdlog::info("configuration read again: discovery at {}, {} connections a side",
-                         watch_.discovery().text(), per_side(now));
+                         watch_.discovery().text(), front_.most());
             if (now.file_settings != before.file_settings || now.file_listen != before.file_listen ||
                 now.file_name != before.file_name || now.file_mgmt != before.file_mgmt)
                 spdlog::warn(
@@ -132,11 +185,15 @@
         for (const willowrill::JobClass& job_class : settings_.decisions.classes)
             longest = std::max(longest, std::min<net::Duration>(job_class.give_up, longest_counted));
         end_ = loop_.now() + longest + after_longest;
-        leave_.arm(loop_.now() + accept_time);
+        if (succession_.succeeded()) {
+            front_.hand_on(end_);
+        } else {
+            leave_.arm(loop_.now() + accept_time);
+        }
         finish_.arm(std::max(end_, loop_.now() + accept_time));
     }
 
-    bool can_serve() const override { return !list_.empty() && !stopping_; }
+    bool can_serve() const override { return serving_ && !list_.empty() && !stopping_; }
     void lame_duck(bool on) override { front_.lame_duck(on); }
     mgmt::Figures figures() const override {
         mgmt::Figures out{.classes = {},
@@ -191,11 +248,12 @@
     inventory::Watch watch_;
     core::Host host_;
     north::Front front_;
-    net::Timer next_batch_, watch_again_, leave_, finish_;
+    net::Timer next_batch_, watch_again_, leave_, finish_, fresh_;
     net::Time end_{0}; // of what is taken in late
     net::Signals signals_;
+    upgrade::Succession succession_;
     std::optional<mgmt::Desk> desk_;
-    bool stopping_ = false;
+    bool serving_ = false, stopping_ = false;
     std::uint64_t reloads_ = 0;
 };
 
@@ -208,8 +266,12 @@
     spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
     try {
         std::optional<willowrill::net::HeldSignals> held(std::in_place, {SIGTERM, SIGINT, SIGUSR1, SIGHUP});
-        willowrill::Program program(
-            willowrill::config::read([](const char* name) { return std::getenv(name); }));
+        auto settings = willowrill::config::read([](const char* name) { return std::getenv(name); });
+        auto door = willowrill::upgrade::door_path(std::getenv("TMPDIR"), settings.listen);
+        std::optional<willowrill::upgrade::Inheritance> inheritance;
+        if (door)
+            inheritance = willowrill::upgrade::inherit(*door, settings.listen, willowrill::handover_time);
+        willowrill::Program program(std::move(settings), std::move(door), std::move(inheritance));
         held.reset();
         program.run();
     } catch (const std::exception& error) {
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -43,10 +43,11 @@
     return std::string(host.data()) + ":" + std::to_string(ntohs(address.sin_port));
 }
 
-Fd listen_on(const Endpoint& endpoint) {
+Fd listen_on(const Endpoint& endpoint, bool shared) {
     Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     const int on = 1; // a restart takes its address over from connections that linger
     if (!fd.valid() || ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
+        (shared && ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof on) != 0) ||
         ::bind(fd.get(), raw(endpoint), sizeof endpoint.address) != 0 || ::listen(fd.get(), SOMAXCONN) != 0) {
         throw std::system_error(errno, std::generic_category(), "cannot listen on " + endpoint.text());
     }
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -44,7 +44,8 @@
     }
 };
 
-Fd listen_on(const Endpoint& endpoint);  // throws std::system_error
+// Throws std::system_error. `shared`: other processes of this user may listen there too.
+Fd listen_on(const Endpoint& endpoint, bool shared = false);
 Fd accept_from(const Fd& listener);      // invalid, with errno, where there is none
 Fd connect_to(const Endpoint& endpoint); // may be under way still; invalid, with errno, if refused at once
 Endpoint local_address(const Fd& fd);
--- a/src/north/front.cpp
+++ b/src/north/front.cpp
@@ -60,6 +60,7 @@
     bool idle() const { return rests() && !connection_.has_hung_up(); }
     // Who gives way first: silent newcomers, and then whoever has been idle longest.
     auto standing() const { return std::pair(!new_, idle_since_); }
+    bool is_new() const { return new_; }
     void close() {
         timer_.disarm();
         connection_.close();
@@ -211,18 +212,17 @@
 };
 
 Front::Front(net::Loop& loop, const config::Settings& settings, core::Host& host,
-             std::size_t most_connections, std::function<bool()> ready)
+             std::size_t most_connections, std::function<bool()> ready, net::Fd listener)
     : loop_(loop), settings_(settings), host_(host), most_connections_(most_connections),
-      ready_(std::move(ready)), listener_(net::listen_on(settings.listen)),
-      pause_(loop.wheel(), [this] { listen(true); }), send_away_(loop.wheel(), [this] { send_away(); }) {
-    listen(true);
-}
+      ready_(std::move(ready)),
+      listener_(listener.valid() ? std::move(listener) : net::listen_on(settings.listen, true)),
+      pause_(loop.wheel(), [this] { listen(true); }), send_away_(loop.wheel(), [this] { send_away(); }) {}
 
 Front::~Front() { listen(false); }
 
 void Front::listen(bool on) {
     if (!listener_.valid()) return;
-    on ? loop_.watch(listener_.get(), POLLIN, *this) : loop_.forget(listener_.get());
+    on&& accepting_ ? loop_.watch(listener_.get(), POLLIN, *this) : loop_.forget(listener_.get());
 }
 
 // Out of descriptors, a connection that waits at the listener would wake poll for ever: look away for a
@@ -274,6 +274,11 @@
     clients_.erase(found);
 }
 
+void Front::accept(bool on) {
+    accepting_ = on;
+    listen(on);
+}
+
 void Front::drain() { draining_ = true; }
 
 void Front::lame_duck(bool on) {
@@ -305,10 +310,14 @@
 void Front::leave(net::Time end) {
     draining_ = true;
     // What waits there has been accepted by this machine.
-    for (auto before = counters_.accepted; listener_.valid(); before = counters_.accepted) {
+    for (auto before = counters_.accepted; listener_.valid() && accepting_; before = counters_.accepted) {
         on_ready(POLLIN);
         if (counters_.accepted == before) break;
     }
+    stop_accepting(end);
+}
+
+void Front::stop_accepting(net::Time end) {
     leaving_ = true;
     left_at_ = loop_.now();
     end_ = end;
@@ -317,6 +326,15 @@
     listener_.reset();
 }
 
+// A connection that is new stays for its first request, which may be on its way.
+void Front::hand_on(net::Time end) {
+    draining_ = finishing_ = true;
+    stop_accepting(end);
+    each_client([this](ClientConnection& client) {
+        if (client.idle() && !client.is_new()) drop(client);
+    });
+}
+
 void Front::finish() {
     finishing_ = true;
     each_client([this](ClientConnection& client) { client.idle() ? drop(client) : client.cut_short(); });
--- a/src/north/front.h
+++ b/src/north/front.h
@@ -20,9 +20,10 @@
 
 class Front final : private net::Pollable {
   public:
-    // `ready` says whether there are workers to serve with.
+    // `ready` says whether there are workers to serve with. Nothing is accepted from a listener that another
+    // run has handed over until `accept`.
     Front(net::Loop& loop, const config::Settings& settings, core::Host& host, std::size_t most_connections,
-          std::function<bool()> ready);
+          std::function<bool()> ready, net::Fd listener = {});
     ~Front() override;
 
     void drain(); // not ready any more, but takes in what comes
@@ -30,14 +31,19 @@
     // order.
     void lame_duck(bool on);
     void limit(std::size_t connections) { most_connections_ = connections; }
+    void accept(bool on);
+    const net::Fd& listener() const { return listener_; }
     // Accepts no more connections. Clients go on using those they have: what can end before `end` is still
     // taken in on them.
     void leave(net::Time end);
+    // Another run has the listener now: closes what is idle, and the rest after its answer.
+    void hand_on(net::Time end);
     // Closes what is idle and the rest after its answer; what came after `leave` does not wait for its own.
     void finish();
     net::Endpoint address() const { return net::local_address(listener_); }
     bool empty() const { return clients_.empty(); }
     std::size_t size() const { return clients_.size(); }
+    std::size_t most() const { return most_connections_; }
     const FrontCounters& counters() const { return counters_; }
 
   private:
@@ -47,6 +53,7 @@
     void listen(bool on);
     void drop(ClientConnection& client);
     bool close_one_idle();
+    void stop_accepting(net::Time end);
     void look_away();               // from the listener, for a while
     net::Duration lame_for() const; // how long the lame duck has been on; negative while it is off
     void send_away();               // what a lame duck no longer holds
@@ -60,7 +67,7 @@
     net::Fd listener_;
     net::Timer pause_; // of accepting, when descriptors run out
     std::unordered_map<ClientConnection*, std::shared_ptr<ClientConnection>> clients_;
-    bool draining_ = false, leaving_ = false, finishing_ = false;
+    bool accepting_ = false, draining_ = false, leaving_ = false, finishing_ = false;
     net::Time left_at_{0}, end_{0};
     std::optional<net::Time> lame_since_;
     net::Timer send_away_;
--- a/src/relay/pool.cpp
+++ b/src/relay/pool.cpp
@@ -276,6 +276,14 @@
     }
 }
 
+void Pool::limit(std::size_t connections) {
+    limits_.connections = connections;
+    while (size_ > connections && !idle_.empty()) {
+        ++counters_.evicted;
+        drop(*idle_.front());
+    }
+}
+
 void Pool::close_unlisted() {
     const Channels idle = idle_;
     for (const auto& channel : idle) {
--- a/src/relay/pool.h
+++ b/src/relay/pool.h
@@ -38,10 +38,11 @@
                const core::Message& message) override;
     void cancel(core::JobId job, core::Index attempt) override;
     void close_idle(core::WorkerId worker) override;
-    void limit(std::size_t connections) { limits_.connections = connections; }
-    void close_unlisted(); // idle connections to workers that drain, are gone or have moved
+    void limit(std::size_t connections); // idle ones beyond it are closed
+    void close_unlisted();               // idle connections to workers that drain, are gone or have moved
 
     std::size_t size() const { return size_; }
+    std::size_t most() const { return limits_.connections; }
     const PoolCounters& counters() const { return counters_; }
 
   private:
--- /dev/null
+++ b/src/upgrade/succession.cpp
@@ -0,0 +1,236 @@
+#include "upgrade/succession.h"
+
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/un.h>
+
+#include <spdlog/spdlog.h>
+
+#include <cerrno>
+#include <cstdint>
+#include <cstdio>
+#include <cstring>
+#include <utility>
+
+namespace willowrill::upgrade {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto tell_pause = 100ms; // between two words on what is held
+constexpr char serving = 's';
+
+sockaddr_un address_of(const std::string& path) {
+    sockaddr_un out{};
+    out.sun_family = AF_UNIX;
+    path.copy(out.sun_path, sizeof out.sun_path - 1);
+    return out;
+}
+
+net::Fd unix_socket() { return net::Fd(::socket(AF_UNIX, SOCK_SEQPACKET | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)); }
+
+// Another user's process must neither get the listener nor give us one.
+bool is_ours(const net::Fd& fd) {
+    ucred peer{};
+    socklen_t size = sizeof peer;
+    return ::getsockopt(fd.get(), SOL_SOCKET, SO_PEERCRED, &peer, &size) == 0 && peer.uid == ::geteuid();
+}
+
+bool listens_at(const net::Fd& fd, const net::Endpoint& endpoint) {
+    int listens = 0;
+    socklen_t size = sizeof listens;
+    return ::getsockopt(fd.get(), SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) == 0 && listens != 0 &&
+           net::local_address(fd) == endpoint;
+}
+
+// A word of one number, with a descriptor beside it or none.
+bool send_word(const net::Fd& to, std::uint32_t number, int descriptor) {
+    iovec bytes{.iov_base = &number, .iov_len = sizeof number};
+    alignas(cmsghdr) char control[CMSG_SPACE(sizeof descriptor)]{};
+    msghdr message{};
+    message.msg_iov = &bytes;
+    message.msg_iovlen = 1;
+    if (descriptor >= 0) {
+        message.msg_control = control;
+        message.msg_controllen = sizeof control;
+        cmsghdr* head = CMSG_FIRSTHDR(&message);
+        head->cmsg_level = SOL_SOCKET;
+        head->cmsg_type = SCM_RIGHTS;
+        head->cmsg_len = CMSG_LEN(sizeof descriptor);
+        std::memcpy(CMSG_DATA(head), &descriptor, sizeof descriptor);
+    }
+    return ::sendmsg(to.get(), &message, MSG_NOSIGNAL) == static_cast<ssize_t>(sizeof number);
+}
+
+bool receive_word(const net::Fd& from, std::uint32_t& number, net::Fd& descriptor) {
+    iovec bytes{.iov_base = &number, .iov_len = sizeof number};
+    int got = -1;
+    alignas(cmsghdr) char control[CMSG_SPACE(sizeof got)]{};
+    msghdr message{};
+    message.msg_iov = &bytes;
+    message.msg_iovlen = 1;
+    message.msg_control = control;
+    message.msg_controllen = sizeof control;
+    const auto size = ::recvmsg(from.get(), &message, MSG_CMSG_CLOEXEC);
+    const cmsghdr* head = size > 0 ? CMSG_FIRSTHDR(&message) : nullptr;
+    if (head != nullptr && head->cmsg_type == SCM_RIGHTS && head->cmsg_len == CMSG_LEN(sizeof got)) {
+        std::memcpy(&got, CMSG_DATA(head), sizeof got);
+        descriptor = net::Fd(got);
+    }
+    return size == static_cast<ssize_t>(sizeof number);
+}
+
+} // namespace
+
+std::optional<std::string> door_path(const char* folder, const net::Endpoint& listen) {
+    if (folder == nullptr || *folder == '\0') return std::nullopt;
+    std::string path = std::string(folder) + "/willowrill-" + listen.text();
+    // While it is made, the socket has a longer name.
+    if (path.size() + 4 >= sizeof(sockaddr_un::sun_path)) {
+        spdlog::warn("upgrade: the path of TMPDIR is too long for a socket; no listener is handed over");
+        return std::nullopt;
+    }
+    return path;
+}
+
+std::optional<Inheritance> inherit(const std::string& path, const net::Endpoint& listen,
+                                   net::Duration at_most) {
+    Inheritance out;
+    out.link = unix_socket();
+    const sockaddr_un address = address_of(path);
+    // Refused by a stale file, which the door of this run will replace.
+    if (!out.link.valid() ||
+        ::connect(out.link.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
+        !is_ours(out.link))
+        return std::nullopt;
+    pollfd answer{.fd = out.link.get(), .events = POLLIN, .revents = 0};
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(at_most);
+    std::uint32_t held = 0;
+    if (::poll(&answer, 1, static_cast<int>(wait.count())) != 1 ||
+        !receive_word(out.link, held, out.listener) || !listens_at(out.listener, listen)) {
+        spdlog::warn("upgrade: the run that holds the address does not hand it over");
+        return std::nullopt;
+    }
+    out.held = held;
+    return out;
+}
+
+Succession::Succession(net::Loop& loop, std::optional<std::string> path,
+                       std::optional<Inheritance> inheritance, Run& run)
+    : loop_(loop), path_(std::move(path)), run_(run), tell_(loop.wheel(), [this] { tell_held(); }) {
+    door_.action = [this] { on_knock(); };
+    before_.action = [this] { on_news_from_predecessor(); };
+    after_.action = [this] { on_news_from_successor(); };
+    if (!inheritance) return;
+    before_.fd = std::move(inheritance->link);
+    neighbour_holds_ = inheritance->held;
+    watch(before_);
+}
+
+Succession::~Succession() {
+    close_door();
+    close(before_);
+    close(after_);
+}
+
+void Succession::watch(End& end) { loop_.watch(end.fd.get(), POLLIN, end); }
+
+void Succession::close(End& end) {
+    if (!end.fd.valid()) return;
+    loop_.forget(end.fd.get());
+    end.fd.reset();
+}
+
+void Succession::serve() {
+    if (before_.fd.valid()) {
+        [[maybe_unused]] const auto sent = ::send(before_.fd.get(), &serving, 1, MSG_NOSIGNAL);
+    }
+    open_door();
+}
+
+// Made under another name first: a successor that looks in meanwhile finds the old door or this one, and a
+// stale file is replaced.
+void Succession::open_door() {
+    if (!path_) return;
+    close(door_);
+    const std::string made = *path_ + ".new";
+    const sockaddr_un address = address_of(made);
+    ::unlink(made.c_str());
+    net::Fd fd = unix_socket();
+    const mode_t before = ::umask(0177);
+    const bool bound =
+        fd.valid() && ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+    ::umask(before);
+    struct stat made_file {};
+    if (!bound || ::listen(fd.get(), 4) != 0 || ::stat(made.c_str(), &made_file) != 0 ||
+        std::rename(made.c_str(), path_->c_str()) != 0) {
+        spdlog::warn("upgrade: no door for a successor: errno {}", errno);
+        return;
+    }
+    door_inode_ = made_file.st_ino;
+    door_.fd = std::move(fd);
+    watch(door_);
+}
+
+// The file may be a successor's by now.
+void Succession::close_door() {
+    struct stat file {};
+    if (door_.fd.valid() && ::stat(path_->c_str(), &file) == 0 && file.st_ino == door_inode_)
+        ::unlink(path_->c_str());
+    close(door_);
+}
+
+void Succession::on_knock() {
+    net::Fd fd(::accept4(door_.fd.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (!fd.valid() || !is_ours(fd) || !run_.listener().valid()) return;
+    if (after_.fd.valid()) { // the last one that asks is the successor
+        close(after_);
+        if (std::exchange(after_serves_, false)) run_.on_successor(false);
+    }
+    after_.fd = std::move(fd);
+    watch(after_);
+    run_.on_neighbour(); // gives up what it can first
+    told_ = run_.held();
+    spdlog::info("upgrade: handing the listener to a successor, keeping {} descriptors", told_);
+    if (!send_word(after_.fd, static_cast<std::uint32_t>(told_), run_.listener().get()))
+        spdlog::warn("upgrade: the listener could not be handed over: errno {}", errno);
+    tell_.arm(loop_.now() + tell_pause);
+}
+
+void Succession::tell_held() {
+    if (!after_.fd.valid()) return;
+    run_.on_neighbour();
+    const std::size_t held = run_.held();
+    if (held != told_ && send_word(after_.fd, static_cast<std::uint32_t>(held), -1)) told_ = held;
+    tell_.arm(loop_.now() + tell_pause);
+}
+
+void Succession::on_news_from_predecessor() {
+    std::uint32_t held = 0;
+    net::Fd none;
+    if (receive_word(before_.fd, held, none)) {
+        neighbour_holds_ = held;
+    } else {
+        spdlog::info("upgrade: the predecessor is gone");
+        close(before_);
+        neighbour_holds_ = 0;
+    }
+    run_.on_neighbour();
+}
+
+void Succession::on_news_from_successor() {
+    char word = 0;
+    if (::recv(after_.fd.get(), &word, 1, 0) == 1 && word == serving) {
+        spdlog::info("upgrade: the successor serves");
+        after_serves_ = true;
+        return run_.on_successor(true);
+    }
+    spdlog::warn("upgrade: the successor is gone");
+    close(after_);
+    after_serves_ = false;
+    run_.on_neighbour();
+    run_.on_successor(false);
+    open_door(); // the file was the successor's
+}
+
+} // namespace willowrill::upgrade
--- /dev/null
+++ b/src/upgrade/succession.h
@@ -0,0 +1,76 @@
+// Two runs of one scheduler at an upgrade. The new run takes the listener over from the old one, so that no
+// connection that waits there is lost, and both stay within the limits of one.
+#pragma once
+
+#include "net/loop.h"
+#include "net/socket.h"
+
+#include <cstddef>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace willowrill::upgrade {
+
+// Where a run of the scheduler at this address waits for its successor. None without a folder, or where the
+// path would be too long for a socket.
+std::optional<std::string> door_path(const char* folder, const net::Endpoint& listen);
+
+// What a predecessor hands over.
+struct Inheritance {
+    net::Fd listener, link;
+    std::size_t held = 0; // descriptors that it keeps for itself
+};
+
+// Asks the run that waits there. One that has died or does not answer within `at_most` hands over nothing.
+std::optional<Inheritance> inherit(const std::string& path, const net::Endpoint& listen,
+                                   net::Duration at_most);
+
+class Succession {
+  public:
+    // The run that this is part of.
+    class Run {
+      public:
+        virtual ~Run() = default;
+        virtual const net::Fd& listener() const = 0;
+        virtual std::size_t held() const = 0; // descriptors that it needs at most while another run lives
+        virtual void on_neighbour() = 0;      // another run came or went, or holds less
+        virtual void on_successor(bool serves) = 0; // it accepts from now on, or is gone
+    };
+
+    Succession(net::Loop& loop, std::optional<std::string> path, std::optional<Inheritance> inheritance,
+               Run& run);
+    ~Succession();
+
+    void serve(); // tells the predecessor, and waits for a successor
+    bool shared() const { return before_.fd.valid() || after_.fd.valid(); } // another run lives
+    bool succeeded() const { return after_serves_; }
+    std::size_t neighbour_holds() const { return neighbour_holds_; } // that of a predecessor
+
+  private:
+    struct End final : net::Pollable {
+        void on_ready(short) override { action(); }
+        net::Fd fd{};
+        std::function<void()> action{};
+    };
+
+    void open_door();
+    void close_door();
+    void watch(End& end);
+    void close(End& end);
+    void on_knock();
+    void on_news_from_predecessor();
+    void on_news_from_successor();
+    void tell_held();
+
+    net::Loop& loop_;
+    std::optional<std::string> path_;
+    Run& run_;
+    End door_, before_, after_;
+    ino_t door_inode_ = 0;
+    bool after_serves_ = false;
+    std::size_t neighbour_holds_ = 0, told_ = 0;
+    net::Timer tell_;
+};
+
+} // namespace willowrill::upgrade
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -28,6 +28,7 @@
           host(settings.decisions, settings.max_open, 1U << 20U, pool, watch),
           front(loop, settings, host, most_clients, [] { return true; }) {
         pool.set_host(host);
+        front.accept(true);
         auto news = list.read(list_text(41));
         news->kind = willowrill::ListNews::Kind::remembered;
         host.list_news(std::move(*news));
@@ -346,6 +347,27 @@
     CHECK(rig.settle([&] { return rig.front.empty(); }));
 }
 
+TEST_CASE("with the listener handed on, idle connections go at once and the others after their answer") {
+    Rig rig;
+    const auto idle = rig.client("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n");
+    const auto busy = rig.client(Rig::job("a"));
+    REQUIRE(rig.worker_has(0, "\r\n\r\nhi"));
+    rig.settle([&] { return idle->has("200"); });
+    const auto fresh = rig.client(""); // its first request is on its way
+    rig.settle([&] { return rig.front.size() == 3; });
+    rig.front.accept(false);
+    rig.front.hand_on(rig.loop.now() + 60s);
+    CHECK(rig.settle([&] { return idle->closed; }));
+    fresh->connection.write(Rig::job("b"));
+    REQUIRE(rig.worker_has(1, "X-Request-ID: b"));
+    for (const std::size_t peer : {0, 1})
+        rig.worker.peers[peer]->connection.write(Rig::done(peer == 0 ? "a" : "b", "result"));
+    CHECK(rig.settle([&] { return busy->closed && fresh->closed; }));
+    for (const Peer* peer : {busy.get(), fresh.get()})
+        CHECK((peer->has("Connection: close\r\n") && peer->has("result")));
+    CHECK(rig.settle([&] { return rig.front.empty(); }));
+}
+
 TEST_CASE("leaving: a job that would not be done in time is sent elsewhere at once") {
     Rig rig;
     const auto client = rig.client("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n");
