Do not take a held job, once sent, for one that waits where nothing is told of starts

Cause, by a trace of the beliefs: Impl::review in src/rules.cpp. A job once held has a look pending; after its send that look found it 'unheard' after progress_period + 4 ticks = 20 ms, marked it stuck, and its worker counted as full to its end. At this site nothing is told before a job's end. The debug log now tells the load report of each attempt.

--- a/src/core/host.cpp
+++ b/src/core/host.cpp
@@ -128,10 +128,12 @@
     --entry.holds;
     --out_;
     ++counters_.outcomes[static_cast<std::size_t>(outcome)];
-    spdlog::debug("message {} attempt {} at worker {} after {} ms: {}", entry.message.id, attempt,
-                  ended.worker,
+    const willowrill::Report told = report.value_or(willowrill::Report{});
+    spdlog::debug("message {} attempt {} at worker {} after {} ms: {}; load {:.2f}, free slots {:.2f}",
+                  entry.message.id, attempt, ended.worker,
                   std::chrono::duration_cast<std::chrono::milliseconds>(now - ended.sent).count(),
-                  outcome_names[static_cast<std::size_t>(outcome)]);
+                  outcome_names[static_cast<std::size_t>(outcome)], told.utilisation.value_or(-1),
+                  told.free_slots.value_or(-1));
     // What a worker has done goes to the client at once; the module hears of it with the next batch.
     Client* client = outcome == willowrill::Outcome::served ? close(job, End::served) : nullptr;
     tell(job, willowrill::AttemptEnded{.job = job,
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -280,7 +280,9 @@
             return;
         }
         Attempt& last = job.attempts.back();
-        const bool unheard = last.out && !last.started && !last.cancelled;
+        // Where workers tell nothing of a job before its end, silence does not mean that it waits.
+        const bool tells = settings.tells_start || settings.progress_period > 0ns;
+        const bool unheard = tells && last.out && !last.started && !last.cancelled;
         if (!unheard || now - last.sent < start_notice(job)) return;
         if (!std::exchange(last.stuck, true)) workers[last.worker].stuck_slots += job.in.slots;
         // It waits in a queue there: where it may, it moves to a worker with room.
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -92,6 +92,19 @@
     CHECK(sent == 1);
 }
 
+// A job that had been held, once sent, was taken for one that waits at its worker, as nothing is told of a
+// start at this site: the worker counted as full, and busy fleets were given one job a worker.
+TEST_CASE("where workers do not tell of starts, a job that was held does not make its worker full") {
+    Fleet fleet(1);
+    REQUIRE(fleet.at(10ms, {Fleet::job(0, 4)}) == 1);
+    REQUIRE(fleet.at(20ms, {fleet.served(0, 0, 5)}) == 0);
+    REQUIRE(fleet.at(30ms, {Fleet::job(1, 4)}) == 1);
+    REQUIRE(fleet.at(40ms, {Fleet::job(2, 2)}) == 0); // held
+    REQUIRE(fleet.at(50ms, {fleet.served(1, 0, 5)}) == 1);
+    fleet.at(2s, {Woken{}});
+    CHECK(fleet.at(2010ms, {Fleet::job(3)}) == 1);
+}
+
 // A worker whose reports had stopped went on telling that it was idle, and each repeat cleared its X.
 TEST_CASE("a report that is repeated for long is no fresh one") {
     Fleet fleet(2);
