Count a worker's room in the slots sent, not in X with its tier's factor

Cause: pick_with_room in src/rules.cpp took L + X for slots in use, and X grows by up to four slots a slot sent, so such a worker was full after one job until its next report.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -52,6 +52,7 @@
     // PLUD
     double load = 0;        // L: last reported load, in shares of its slots
     double degradation = 0; // X
+    double sent_slots = 0;  // what X stands for, in slots: sent since the last fresh report
     Time reported_at{-1};   // when L came; negative for never
     std::optional<Report> last_report{};
     Time changed_at{0};     // when it came first
@@ -246,7 +247,7 @@
         if (now - w.changed_at > from_seconds(blind_s)) return;
         w.load = std::max(0.0, load - finished_slots * per_slot);
         mean_load += mean_gain * (w.load - mean_load);
-        w.degradation = 0;
+        w.degradation = w.sent_slots = 0;
         w.reported_at = now;
     }
 
@@ -331,7 +332,7 @@
         if (anywhere && need >= no_room && (allowance < 1 || no_room <= 0)) return none;
         const WorkerId to = pick(job);
         const double room = 1 + allowance + tiny;
-        if (to != none && load_of(workers[to], need) + need / slots_of(workers[to]) <= room) return to;
+        if (to != none && has_room(workers[to], need, room)) return to;
         if (anywhere) no_room = to == none ? 0 : std::min(no_room, need);
         return none;
     }
@@ -364,18 +365,26 @@
     // A worker that has nothing of ours and has not reported for long is taken to have room for one job.
     // Else, where the first reports come from a busy fleet, all unknown workers count as full by the mean,
     // nothing is sent, no report comes, and the belief lasts for good.
-    double load_of(const Worker& w, double more = 0) const {
-        const double load = believed_load(w);
+    double load_of(const Worker& w, double more) const { return load_of(w, more, w.degradation); }
+
+    // Being of a far tier makes a worker come later, not smaller: room is counted in the slots that were
+    // sent.
+    bool has_room(const Worker& w, double need, double room) const {
+        return load_of(w, need, w.sent_slots / slots_of(w)) + need / slots_of(w) <= room;
+    }
+
+    double load_of(const Worker& w, double more, double x) const {
+        const double load = believed_load(w, x);
         const bool blind =
             w.own_slots <= 0 && (w.reported_at < 0ns || seconds(now - w.reported_at) > blind_s);
         return blind ? std::min(load, std::max(0.0, 1 - more / slots_of(w))) : load;
     }
 
-    double believed_load(const Worker& w) const {
+    double believed_load(const Worker& w, double x) const {
         const double age = seconds(now - w.reported_at);
         const double faded =
             mean_load + (w.reported_at < 0ns ? 0 : (w.load - mean_load) * fade_s / (fade_s + age));
-        const double load = std::max(faded + w.degradation, w.own_slots / slots_of(w));
+        const double load = std::max(faded + x, w.own_slots / slots_of(w));
         return w.stuck_slots > 0 ? std::max(1.0, load) + w.stuck_slots / slots_of(w) : load;
     }
 
@@ -446,6 +455,7 @@
         Job& job = jobs[id];
         Worker& w = workers[to];
         w.degradation += increment(w) * job.in.slots;
+        w.sent_slots += job.in.slots;
         w.own_slots += job.in.slots;
         if (is_cold(w)) w.cold_sends.emplace_back(now, work_of(job));
         job.attempts.push_back({.worker = to, .sent = now});
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -9,7 +9,7 @@
 using namespace std::chrono_literals;
 
 struct Fleet {
-    explicit Fleet(WorkerId count, Index kinds = 1, double stretch = 0) {
+    explicit Fleet(WorkerId count, Index kinds = 1, double stretch = 0, double crossing = 0) {
         Settings settings;
         settings.seed = 3;
         settings.kinds = kinds;
@@ -17,13 +17,15 @@
             {.effect = Effect::once, .aim = 10s, .aim_stretch = stretch, .give_up = 60s, .kind = 0}};
         settings.tick = 5ms;
         settings.max_attempts = 4;
+        settings.zones = 2;
+        settings.cross_zone_price = crossing;
         settings.takes_advice = true;
         settings.max_stay_away = 2s;
         settings.list_valid = 10s;
         dispatcher.emplace(settings);
         ListNews list{ListNews::Kind::complete, {}};
         for (WorkerId id = 0; id < count; ++id)
-            list.entries.push_back({.worker = id, .key = id});
+            list.entries.push_back({.worker = id, .key = id, .zone = crossing > 0 ? 1U : 0U});
         at(0s, {list});
     }
     // How many attempts go out; `to` is the last one's worker.
@@ -105,6 +107,16 @@
     CHECK(fleet.at(2010ms, {Fleet::job(3)}) == 1);
 }
 
+// X, with the tier's factor in it, was taken for slots in use: far workers were given one job for each
+// report.
+TEST_CASE("a worker in another zone has as much room as a near one") {
+    Fleet fleet(1, 1, 0, 0.02);
+    REQUIRE(fleet.at(10ms, {Fleet::job(0, 4)}) == 1);
+    REQUIRE(fleet.at(20ms, {fleet.served(0, 0, 4)}) == 0);
+    CHECK(fleet.at(30ms, {Fleet::job(1), Fleet::job(2), Fleet::job(3)}) == 3);
+    CHECK(fleet.at(40ms, {Fleet::job(4, 4)}) == 0);
+}
+
 // A worker whose reports had stopped went on telling that it was idle, and each repeat cleared its X.
 TEST_CASE("a report that is repeated for long is no fresh one") {
     Fleet fleet(2);
