Take a kind of worker for no smaller than others until it has reported 20 times

Seen: in the first seconds after each start record-events were refused after 0.31 s with hardly a job out. Cause: Impl::note_report in src/rules.cpp learns a kind's slots as the most free slots seen; first reports from busy workers show about one, so each worker counted as full. Ruled out: the upgrade (0 jobs lost at the door).

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -39,6 +39,7 @@
 constexpr double tiny = 1e-9;
 constexpr double unlimited = std::numeric_limits<double>::infinity();
 constexpr double hopeless_share = 0.8;  // share of the tolerable wait after which a job is given up
+constexpr int enough_reports = 20;      // of a kind, after which the most slots seen are all it has
 constexpr double wide_patience = 0.25;  // share of its aim after which a job of many slots goes with one
 constexpr double most_crowding = 0.35;  // but not if this share of small jobs finds no room at once
 constexpr double queue_allowance = 0.1; // load beyond full that a job accepts once it has waited its aim
@@ -124,7 +125,10 @@
         }
         for (const WorkerEntry& entry : news.entries) {
             if (workers.size() <= entry.worker) workers.resize(entry.worker + 1);
-            if (kind_slots.size() <= entry.kind) kind_slots.resize(entry.kind + 1, 0);
+            if (kind_slots.size() <= entry.kind) {
+                kind_slots.resize(entry.kind + 1, 0);
+                kind_reports.resize(entry.kind + 1, 0);
+            }
             Worker& w = workers[entry.worker];
             if (w.entry.up_since != entry.up_since) { // a new process: what was learnt is void
                 const double own = std::exchange(w, Worker{}).own_slots;
@@ -161,6 +165,7 @@
         // odd time, longer than the class's, may make all others look late.
         state.longest_left = std::max(state.longest_left, std::min(in.left, c.give_up));
         const Time asked_at = now - std::max(0ns, state.longest_left - in.left);
+        widest = std::max(widest, in.slots);
         Job& job = jobs[in.job];
         job = {.serial = ++last_serial, .live = true, .in = in, .asked_at = asked_at, .arrived = now};
         job.deadline = now + in.left - settings.tick;
@@ -235,10 +240,12 @@
             // What it has finished, it had slots for. (A first report from a busy worker shows few.)
             slots = std::max({slots, finished_slots, *report.free_slots + std::max(0.0, in_work)});
         }
-        const double per_slot = slots > 0 ? 1 / slots : default_step;
+        if (report.free_slots) ++kind_reports[w.entry.kind];
+        const double all = known_slots(w.entry.kind);
+        const double per_slot = all > 0 ? 1 / all : default_step;
         double load = report.utilisation.value_or(mean_load);
         // Utilisation ends at 1 and may lag behind the slots: take the fuller view, and add what waits.
-        if (report.free_slots && slots > 0) load = std::max(load, 1 - *report.free_slots / slots);
+        if (report.free_slots && all > 0) load = std::max(load, 1 - *report.free_slots / all);
         load += report.queued.value_or(0) * per_slot;
         // A worker whose reports have stopped repeats its last one for good: the same figures, noise and all,
         // for longer than any report lives are not news.
@@ -352,8 +359,15 @@
         return seconds(now - job.asked_at) > hopeless_share * spare;
     }
 
+    // The first reports of a kind may all come from busy workers and show few slots. Until there are enough,
+    // it is taken to have as many as any other kind, and as the widest job needs.
+    double known_slots(Index kind) const {
+        if (kind_slots[kind] <= 0 || kind_reports[kind] >= enough_reports) return kind_slots[kind];
+        return std::max(widest, *std::ranges::max_element(kind_slots));
+    }
+
     double slots_of(const Worker& w) const {
-        const double slots = kind_slots[w.entry.kind];
+        const double slots = known_slots(w.entry.kind);
         return (slots > 0 ? slots : 1 / default_step) * warmth(w, now);
     }
 
@@ -650,8 +664,10 @@
     std::vector<ClassState> classes;
     std::vector<TokenBucket> tenants;
     std::vector<Worker> workers;
-    std::vector<WorkerId> ready; // in the order of their keys
-    std::vector<double> kind_slots;
+    std::vector<WorkerId> ready;    // in the order of their keys
+    std::vector<double> kind_slots; // the most seen
+    std::vector<int> kind_reports;  // how often
+    double widest = 0;              // the most slots that a job has needed
     std::vector<Job> jobs;
     std::vector<JobId> waiting;
     std::vector<double> no_room; // by kind of worker needed, 0 for any: slots for which there is no room now
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -107,6 +107,15 @@
     CHECK(fleet.at(2010ms, {Fleet::job(3)}) == 1);
 }
 
+// After each start the first reports, from busy workers, showed one free slot, and small jobs were refused.
+TEST_CASE("until a kind has reported often, it is taken to run the widest job that has come") {
+    Fleet fleet(2);
+    REQUIRE(fleet.at(10ms, {Fleet::job(0, 4)}) == 1);
+    REQUIRE(fleet.at(20ms, {Fleet::job(1)}) == 1);
+    REQUIRE(fleet.at(30ms, {fleet.served(1, 0.3, 1)}) == 0);
+    CHECK(fleet.at(40ms, {Fleet::job(2), Fleet::job(3)}) == 2);
+}
+
 // X, with the tier's factor in it, was taken for slots in use: far workers were given one job for each
 // report.
 TEST_CASE("a worker in another zone has as much room as a near one") {
