Keep a message that is open in one run out of the other at an upgrade

Seen: nothing lost yet; two runs each knew only their own ids, so one message could have been served twice. Each run now tells the other, over the upgrade's socket, the hashes of the ids it opens and closes.

--- a/src/core/host.cpp
+++ b/src/core/host.cpp
@@ -30,11 +30,13 @@
 
 bool Host::take_in(Message message, Client& client, JobId& job) {
     const std::size_t bytes = small_parts + copies * message.body.size();
-    if (open_ >= max_open_ || bytes_ + bytes > most_bytes_ || !ids_.insert(message.id).second) {
+    if (open_ >= max_open_ || bytes_ + bytes > most_bytes_ || holds(message.id) ||
+        !ids_.insert(message.id).second) {
         ++counters_.turned_away;
         turn_away(message.job_class);
         return false;
     }
+    if (neighbour_ != nullptr) neighbour_->opened(message.id);
     if (free_.empty()) {
         job = static_cast<JobId>(entries_.size());
         entries_.emplace_back();
@@ -194,6 +196,7 @@
     Entry& entry = entries_[job];
     if (!entry.used || !entry.answered || entry.holds > 0) return;
     ids_.erase(entry.message.id);
+    if (neighbour_ != nullptr) neighbour_->closed(entry.message.id);
     bytes_ -= entry.bytes;
     entry = {};
     free_.push_back(job);
--- a/src/core/host.h
+++ b/src/core/host.h
@@ -59,6 +59,15 @@
     virtual void fetch() = 0;
 };
 
+// Another run of this scheduler, at an upgrade: a message open in one is not taken by the other.
+class Neighbour {
+  public:
+    virtual ~Neighbour() = default;
+    virtual void opened(const std::string& id) = 0;
+    virtual void closed(const std::string& id) = 0;
+    virtual bool holds(const std::string& id) const = 0;
+};
+
 struct Counters {
     std::uint64_t taken_in = 0, turned_away = 0, left = 0;          // messages
     std::uint64_t served = 0, refused = 0, failed = 0, overdue = 0; // final answers; overdue ones by the host
@@ -82,7 +91,11 @@
     // False: the id is in use, or no message more can be held. The client must outlive the message or call
     // `client_left`.
     bool take_in(Message message, Client& client, JobId& job);
-    bool holds(const std::string& id) const { return ids_.contains(id); }
+    bool holds(const std::string& id) const {
+        return ids_.contains(id) || (neighbour_ != nullptr && neighbour_->holds(id));
+    }
+    const std::unordered_set<std::string>& ids() const { return ids_; } // not free yet
+    void set_neighbour(Neighbour& neighbour) { neighbour_ = &neighbour; }
     void limit(std::size_t most_bytes) { most_bytes_ = most_bytes; }
     // A message that was never taken in is answered with a refusal.
     void turn_away(Index job_class) { ++tallies_[job_class].refused; }
@@ -138,6 +151,7 @@
     std::size_t max_open_, most_bytes_, bytes_ = 0;
     Relays& relays_;
     Inventory& inventory_;
+    Neighbour* neighbour_ = nullptr;
     std::deque<Entry> entries_; // a deque, as references must outlive the arrival of others
     std::vector<JobId> free_, touched_;
     std::unordered_set<std::string> ids_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -64,6 +64,7 @@
           signals_(loop_, {SIGTERM, SIGINT, SIGUSR1, SIGHUP}, [this](int signal) { on_signal(signal); }),
           succession_(loop_, std::move(door), std::move(inheritance), *this) {
         pool_.set_host(host_);
+        host_.set_neighbour(succession_);
         if (settings_.mgmt) desk_.emplace(loop_, *settings_.mgmt, static_cast<mgmt::Service&>(*this));
         if (!settings_.known.empty()) {
             if (auto news = list_.read(settings_.known)) {
@@ -121,6 +122,7 @@
         host_.limit(config::message_memory(share));
     }
 
+    const std::unordered_set<std::string>& ids() const override { return host_.ids(); }
     const net::Fd& listener() const override { return front_.listener(); }
     std::size_t held() const override {
         const std::size_t clients =
--- a/src/upgrade/succession.cpp
+++ b/src/upgrade/succession.cpp
@@ -6,11 +6,14 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstdint>
 #include <cstdio>
 #include <cstring>
+#include <span>
 #include <utility>
+#include <vector>
 
 namespace willowrill::upgrade {
 namespace {
@@ -18,7 +21,6 @@
 using namespace std::chrono_literals;
 
 constexpr auto tell_pause = 100ms; // between two words on what is held
-constexpr char serving = 's';
 
 sockaddr_un address_of(const std::string& path) {
     sockaddr_un out{};
@@ -43,9 +45,24 @@
            net::local_address(fd) == endpoint;
 }
 
-// A word of one number, with a descriptor beside it or none.
-bool send_word(const net::Fd& to, std::uint32_t number, int descriptor) {
-    iovec bytes{.iov_base = &number, .iov_len = sizeof number};
+enum class Kind : std::uint32_t { held, serves, opened, closed };
+struct Word {
+    std::uint64_t value = 0; // descriptors, or the hash of an id
+    Kind kind{};
+    std::uint32_t unused = 0;
+};
+constexpr std::size_t most_words = 256; // in a packet
+
+std::uint64_t hash(const std::string& id) { // the same in both runs, whatever they were built with
+    std::uint64_t out = 0xcbf29ce484222325ULL;
+    for (const char c : id)
+        out = (out ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
+    return out;
+}
+
+// A packet, with a descriptor beside it or none. Nobody waits for a run that does not read.
+bool send_words(const net::Fd& to, std::span<const Word> words, int descriptor = -1) {
+    iovec bytes{.iov_base = const_cast<Word*>(words.data()), .iov_len = words.size_bytes()};
     alignas(cmsghdr) char control[CMSG_SPACE(sizeof descriptor)]{};
     msghdr message{};
     message.msg_iov = &bytes;
@@ -59,11 +76,13 @@
         head->cmsg_len = CMSG_LEN(sizeof descriptor);
         std::memcpy(CMSG_DATA(head), &descriptor, sizeof descriptor);
     }
-    return ::sendmsg(to.get(), &message, MSG_NOSIGNAL) == static_cast<ssize_t>(sizeof number);
+    return ::sendmsg(to.get(), &message, MSG_NOSIGNAL) == static_cast<ssize_t>(words.size_bytes());
 }
 
-bool receive_word(const net::Fd& from, std::uint32_t& number, net::Fd& descriptor) {
-    iovec bytes{.iov_base = &number, .iov_len = sizeof number};
+// Nothing: there is none, the other side is gone, or what came is none of ours.
+std::vector<Word> receive_words(const net::Fd& from, net::Fd& descriptor, bool& gone) {
+    std::vector<Word> words(most_words);
+    iovec bytes{.iov_base = words.data(), .iov_len = words.size() * sizeof(Word)};
     int got = -1;
     alignas(cmsghdr) char control[CMSG_SPACE(sizeof got)]{};
     msghdr message{};
@@ -72,12 +91,14 @@
     message.msg_control = control;
     message.msg_controllen = sizeof control;
     const auto size = ::recvmsg(from.get(), &message, MSG_CMSG_CLOEXEC);
+    gone = size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
     const cmsghdr* head = size > 0 ? CMSG_FIRSTHDR(&message) : nullptr;
     if (head != nullptr && head->cmsg_type == SCM_RIGHTS && head->cmsg_len == CMSG_LEN(sizeof got)) {
         std::memcpy(&got, CMSG_DATA(head), sizeof got);
         descriptor = net::Fd(got);
     }
-    return size == static_cast<ssize_t>(sizeof number);
+    words.resize(size > 0 ? static_cast<std::size_t>(size) / sizeof(Word) : 0);
+    return words;
 }
 
 } // namespace
@@ -105,13 +126,14 @@
         return std::nullopt;
     pollfd answer{.fd = out.link.get(), .events = POLLIN, .revents = 0};
     const auto wait = std::chrono::ceil<std::chrono::milliseconds>(at_most);
-    std::uint32_t held = 0;
+    bool gone = false;
+    std::vector<Word> words;
     if (::poll(&answer, 1, static_cast<int>(wait.count())) != 1 ||
-        !receive_word(out.link, held, out.listener) || !listens_at(out.listener, listen)) {
+        (words = receive_words(out.link, out.listener, gone)).empty() || !listens_at(out.listener, listen)) {
         spdlog::warn("upgrade: the run that holds the address does not hand it over");
         return std::nullopt;
     }
-    out.held = held;
+    out.held = words.front().value;
     return out;
 }
 
@@ -139,12 +161,12 @@
     if (!end.fd.valid()) return;
     loop_.forget(end.fd.get());
     end.fd.reset();
+    end.ids.clear();
 }
 
 void Succession::serve() {
-    if (before_.fd.valid()) {
-        [[maybe_unused]] const auto sent = ::send(before_.fd.get(), &serving, 1, MSG_NOSIGNAL);
-    }
+    const Word serves{.kind = Kind::serves};
+    if (before_.fd.valid()) send_words(before_.fd, {&serves, 1});
     open_door();
 }
 
@@ -192,39 +214,74 @@
     run_.on_neighbour(); // gives up what it can first
     told_ = run_.held();
     spdlog::info("upgrade: handing the listener to a successor, keeping {} descriptors", told_);
-    if (!send_word(after_.fd, static_cast<std::uint32_t>(told_), run_.listener().get()))
+    const Word held{.value = told_, .kind = Kind::held};
+    if (!send_words(after_.fd, {&held, 1}, run_.listener().get()))
         spdlog::warn("upgrade: the listener could not be handed over: errno {}", errno);
+    std::vector<Word> open;
+    for (const std::string& id : run_.ids())
+        open.push_back({.value = hash(id), .kind = Kind::opened});
+    for (std::span<const Word> left = open; !left.empty();) {
+        const std::size_t count = std::min(left.size(), most_words);
+        send_words(after_.fd, left.first(count));
+        left = left.subspan(count);
+    }
     tell_.arm(loop_.now() + tell_pause);
 }
 
+void Succession::tell(const std::string& id, bool open) {
+    const Word word{.value = hash(id), .kind = open ? Kind::opened : Kind::closed};
+    for (const End* end : {&before_, &after_}) {
+        if (end->fd.valid()) send_words(end->fd, {&word, 1});
+    }
+}
+
+bool Succession::holds(const std::string& id) const {
+    return shared() && (before_.ids.contains(hash(id)) || after_.ids.contains(hash(id)));
+}
+
 void Succession::tell_held() {
     if (!after_.fd.valid()) return;
     run_.on_neighbour();
     const std::size_t held = run_.held();
-    if (held != told_ && send_word(after_.fd, static_cast<std::uint32_t>(held), -1)) told_ = held;
+    const Word word{.value = held, .kind = Kind::held};
+    if (held != told_ && send_words(after_.fd, {&word, 1})) told_ = held;
     tell_.arm(loop_.now() + tell_pause);
 }
 
-void Succession::on_news_from_predecessor() {
-    std::uint32_t held = 0;
+// What both sides tell of their messages is taken in here; the rest is left to the caller.
+std::optional<std::uint64_t> Succession::read(End& end, std::uint32_t wanted, bool& gone) {
     net::Fd none;
-    if (receive_word(before_.fd, held, none)) {
-        neighbour_holds_ = held;
-    } else {
+    std::optional<std::uint64_t> found;
+    for (const auto& [value, kind, unused] : receive_words(end.fd, none, gone)) {
+        if (kind == Kind::opened) end.ids.insert(value);
+        if (kind == Kind::closed) end.ids.erase(value);
+        if (static_cast<std::uint32_t>(kind) == wanted) found = value;
+    }
+    return found;
+}
+
+void Succession::on_news_from_predecessor() {
+    bool gone = false;
+    if (const auto held = read(before_, static_cast<std::uint32_t>(Kind::held), gone)) {
+        neighbour_holds_ = *held;
+    } else if (gone) {
         spdlog::info("upgrade: the predecessor is gone");
         close(before_);
         neighbour_holds_ = 0;
+    } else {
+        return;
     }
     run_.on_neighbour();
 }
 
 void Succession::on_news_from_successor() {
-    char word = 0;
-    if (::recv(after_.fd.get(), &word, 1, 0) == 1 && word == serving) {
+    bool gone = false;
+    if (read(after_, static_cast<std::uint32_t>(Kind::serves), gone)) {
         spdlog::info("upgrade: the successor serves");
         after_serves_ = true;
         return run_.on_successor(true);
     }
+    if (!gone) return;
     spdlog::warn("upgrade: the successor is gone");
     close(after_);
     after_serves_ = false;
--- a/src/upgrade/succession.h
+++ b/src/upgrade/succession.h
@@ -2,6 +2,7 @@
 // connection that waits there is lost, and both stay within the limits of one.
 #pragma once
 
+#include "core/host.h"
 #include "net/loop.h"
 #include "net/socket.h"
 
@@ -9,6 +10,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <unordered_set>
 
 namespace willowrill::upgrade {
 
@@ -26,7 +28,7 @@
 std::optional<Inheritance> inherit(const std::string& path, const net::Endpoint& listen,
                                    net::Duration at_most);
 
-class Succession {
+class Succession final : public core::Neighbour {
   public:
     // The run that this is part of.
     class Run {
@@ -34,24 +36,30 @@
         virtual ~Run() = default;
         virtual const net::Fd& listener() const = 0;
         virtual std::size_t held() const = 0; // descriptors that it needs at most while another run lives
-        virtual void on_neighbour() = 0;      // another run came or went, or holds less
+        virtual const std::unordered_set<std::string>& ids() const = 0; // of messages
+        virtual void on_neighbour() = 0;            // another run came or went, or holds less
         virtual void on_successor(bool serves) = 0; // it accepts from now on, or is gone
     };
 
     Succession(net::Loop& loop, std::optional<std::string> path, std::optional<Inheritance> inheritance,
                Run& run);
-    ~Succession();
+    ~Succession() override;
 
     void serve(); // tells the predecessor, and waits for a successor
     bool shared() const { return before_.fd.valid() || after_.fd.valid(); } // another run lives
     bool succeeded() const { return after_serves_; }
     std::size_t neighbour_holds() const { return neighbour_holds_; } // that of a predecessor
 
+    void opened(const std::string& id) override { tell(id, true); }
+    void closed(const std::string& id) override { tell(id, false); }
+    bool holds(const std::string& id) const override;
+
   private:
     struct End final : net::Pollable {
         void on_ready(short) override { action(); }
         net::Fd fd{};
         std::function<void()> action{};
+        std::unordered_set<std::uint64_t> ids{}; // of messages there, as hashes
     };
 
     void open_door();
@@ -61,7 +69,9 @@
     void on_knock();
     void on_news_from_predecessor();
     void on_news_from_successor();
+    std::optional<std::uint64_t> read(End& end, std::uint32_t wanted, bool& gone);
     void tell_held();
+    void tell(const std::string& id, bool open);
 
     net::Loop& loop_;
     std::optional<std::string> path_;
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -31,11 +31,13 @@
           succession(loop, door, std::move(from), *this) {}
     const net::Fd& listener() const override { return fd; }
     std::size_t held() const override { return holds; }
+    const std::unordered_set<std::string>& ids() const override { return open; }
     void on_neighbour() override { ++changes; }
     void on_successor(bool serves) override { successor = serves; }
 
     net::Fd fd;
     std::size_t holds = 100;
+    std::unordered_set<std::string> open;
     int changes = 0;
     std::optional<bool> successor;
     Succession succession;
@@ -60,6 +62,7 @@
     const net::Endpoint address = net::local_address(old_run->fd);
     CHECK_FALSE(upgrade::inherit(door, address, 10s)); // nobody waits behind a stale file
     old_run->succession.serve();
+    old_run->open = {"a"};
     struct stat file {};
     REQUIRE(::stat(door.c_str(), &file) == 0);
     CHECK((file.st_mode & 0777) == 0600);
@@ -74,11 +77,19 @@
     new_run.succession.serve();
     CHECK(settle(loop, [&] { return old_run->succession.succeeded(); }));
     CHECK(old_run->successor == true);
+    CHECK(settle(loop, [&] { return new_run.succession.holds("a"); })); // open before the new run came
+    old_run->succession.closed("a");
+    old_run->succession.opened("b");
+    new_run.succession.opened("c");
+    CHECK(settle(loop, [&] { return new_run.succession.holds("b") && old_run->succession.holds("c"); }));
+    CHECK_FALSE(new_run.succession.holds("a"));
+    CHECK_FALSE(new_run.succession.holds("c")); // its own
     old_run->holds = 60;
     CHECK(settle(loop, [&] { return new_run.succession.neighbour_holds() == 60; }));
     old_run.reset(); // and its copy of the listener with it
     CHECK(settle(loop, [&] { return !new_run.succession.shared(); }));
     CHECK(new_run.succession.neighbour_holds() == 0);
+    CHECK_FALSE(new_run.succession.holds("b"));
     CHECK(net::accept_from(new_run.fd).valid());
     CHECK(std::filesystem::exists(door)); // it is the new run's by now
 }
