Read an operators' file, and bring the packages for shared counts: cells, members, datagrams

Need: installations whose schedulers may talk want use by tenant over the fleet, and a file of their own to set it in. Change: src/site (YAML, each error with line, key, found and allowed), CLI11's command line, a log of JSON lines; pure packages counts (cells with versions, bounds, folding), members (SWIM), mesh (FlatBuffers, seal, node), state (files replaced whole); src/lab runs instances in virtual time. The program uses none of it but the file and the log.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -3,17 +3,19 @@
 #include "core/host.h"
 #include "inventory/list.h"
 #include "inventory/watch.h"
+#include "log/log.h"
 #include "mgmt/desk.h"
 #include "net/loop.h"
 #include "net/signals.h"
 #include "north/front.h"
 #include "relay/pool.h"
+#include "site/site.h"
 #include "upgrade/succession.h"
 
 #include <sys/resource.h>
 
+#include <CLI/CLI.hpp>
 #include <spdlog/cfg/env.h>
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -262,23 +264,68 @@
 } // namespace
 } // namespace willowrill
 
-int main() {
-    spdlog::set_default_logger(spdlog::stderr_logger_st("willowrill"));
-    spdlog::cfg::load_env_levels(); // SPDLOG_LEVEL=debug tells of every attempt
-    spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
+namespace {
+
+constexpr const char* version = WILLOWRILL_VERSION;
+
+struct Options {
+    std::string site_file, log_format;
+    bool check = false;
+};
+
+// Says in one line each what is wrong with the operators' file; 0 where it is good.
+int check(const std::string& file) {
+    try {
+        willowrill::site::read(file);
+        std::cout << file << ": good\n";
+        return 0;
+    } catch (const willowrill::site::SiteError& error) {
+        for (const willowrill::site::Problem& problem : error.problems())
+            std::cerr << problem.text() << '\n';
+        return 1;
+    }
+}
+
+int serve(const Options& options) {
+    namespace site = willowrill::site;
+    std::optional<willowrill::net::HeldSignals> held(std::in_place, {SIGTERM, SIGINT, SIGUSR1, SIGHUP});
+    auto settings = willowrill::config::read([](const char* name) { return std::getenv(name); });
+    const site::Site at_site = options.site_file.empty() ? site::Site() : site::read(options.site_file);
+    if (!at_site.log.level.empty()) spdlog::set_level(spdlog::level::from_str(at_site.log.level));
+    spdlog::cfg::load_env_levels(); // SPDLOG_LEVEL=debug tells of every attempt, whatever the file says
+    const bool json = options.log_format.empty() ? at_site.log.format == site::LogFormat::json
+                                                 : options.log_format == "json";
+    if (json) willowrill::log::set_up(true, at_site.instance.empty() ? settings.name : at_site.instance);
+    auto door = willowrill::upgrade::door_path(std::getenv("TMPDIR"), settings.listen);
+    std::optional<willowrill::upgrade::Inheritance> inheritance;
+    if (door) inheritance = willowrill::upgrade::inherit(*door, settings.listen, willowrill::handover_time);
+    willowrill::Program program(std::move(settings), std::move(door), std::move(inheritance));
+    held.reset();
+    program.run();
+    return 0;
+}
+
+} // namespace
+
+int main(int count, char** arguments) {
+    willowrill::log::set_up(false, "");
+    CLI::App app("willowrilld, a job scheduler. What the platform tells it comes from the environment\n"
+                 "(PROXY_CONFIG and others, see the README); without arguments it serves with that alone.");
+    Options options;
+    app.add_option("--config", options.site_file, "the operators' file (YAML, see deploy/willowrill.yaml)")
+        ->option_text("FILE");
+    app.add_option("--log-format", options.log_format,
+                   "text, or json: one object a line; goes before the file's")
+        ->check(CLI::IsMember({"text", "json"}))
+        ->option_text("text|json");
+    app.add_flag("--check", options.check, "read the operators' file, say what is wrong with it, and end")
+        ->needs("--config");
+    app.set_version_flag("--version", version, "print the version and end");
+    CLI11_PARSE(app, count, arguments);
     try {
-        std::optional<willowrill::net::HeldSignals> held(std::in_place, {SIGTERM, SIGINT, SIGUSR1, SIGHUP});
-        auto settings = willowrill::config::read([](const char* name) { return std::getenv(name); });
-        auto door = willowrill::upgrade::door_path(std::getenv("TMPDIR"), settings.listen);
-        std::optional<willowrill::upgrade::Inheritance> inheritance;
-        if (door)
-            inheritance = willowrill::upgrade::inherit(*door, settings.listen, willowrill::handover_time);
-        willowrill::Program program(std::move(settings), std::move(door), std::move(inheritance));
-        held.reset();
-        program.run();
+        return options.check ? check(options.site_file) : serve(options);
     } catch (const std::exception& error) {
         std::cerr << "willowrill: " << error.what() << '\n';
         return 1;
     }
-    return 0;
 }
--- /dev/null
+++ b/src/mesh/frame.h
@@ -0,0 +1,45 @@
+// The frames that instances exchange, as values, and their form on the wire. Decoding takes bytes from
+// anywhere: what is not a frame is told apart by cause and has no effect.
+#pragma once
+
+#include "counts/wire.h"
+#include "members/members.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace willowrill::mesh {
+
+using Bytes = std::vector<unsigned char>;
+using Time = std::chrono::nanoseconds;
+
+using Wants = std::vector<counts::Want>;
+using Body = std::variant<members::Message, counts::Digest, Wants, counts::Delta>;
+
+struct Frame {
+    std::uint64_t life = 0, count = 0; // of the sender; its datagrams' count ascends
+    Time sent{0};                      // by its clock
+    Body body{};
+};
+
+// Of a datagram on the wire, all of it; below what any path carries unbroken.
+inline constexpr std::size_t largest_datagram = 1200;
+
+Bytes encode(const Frame& frame);
+std::optional<Frame> decode(std::span<const unsigned char> bytes); // nothing: malformed
+
+// What survives a restart.
+struct Snapshot {
+    std::string instance{};
+    std::uint64_t number = 0;
+    Time saved{0};
+    std::vector<counts::Delta> deltas{};
+};
+Bytes encode(const Snapshot& snapshot);
+std::optional<Snapshot> decode_snapshot(std::span<const unsigned char> bytes);
+
+} // namespace willowrill::mesh
--- /dev/null
+++ b/src/mesh/mesh.cpp
@@ -0,0 +1,222 @@
+#include "mesh/mesh.h"
+
+#include "log/log.h"
+
+#include <arpa/inet.h>
+#include <sodium.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <system_error>
+#include <utility>
+
+namespace willowrill::mesh {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int datagrams_a_round = 64; // messages of clients wait no longer than these take
+constexpr int buffer_bytes = 1 << 20; // a fleet's answers come in bursts
+constexpr auto linger = 300ms;        // after the last words, for those who ask for what they lack
+
+net::Fd udp_socket(const net::Endpoint& endpoint) {
+    net::Fd fd(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (!fd.valid() ||
+        ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&endpoint.address), sizeof endpoint.address) != 0)
+        throw std::system_error(errno, std::generic_category(),
+                                "cannot take datagrams at " + endpoint.text());
+    ::setsockopt(fd.get(), SOL_SOCKET, SO_RCVBUF, &buffer_bytes, sizeof buffer_bytes);
+    ::setsockopt(fd.get(), SOL_SOCKET, SO_SNDBUF, &buffer_bytes, sizeof buffer_bytes);
+    return fd;
+}
+
+members::Address address_of(const net::Endpoint& endpoint) {
+    return {ntohl(endpoint.address.sin_addr.s_addr), ntohs(endpoint.address.sin_port)};
+}
+
+std::vector<Key> keys_of(const site::Mesh& mesh) {
+    std::vector<Key> out;
+    for (const site::Key& key : mesh.keys)
+        out.push_back({static_cast<std::uint32_t>(key.id), key.secret});
+    return out;
+}
+
+NodeSettings settings_of(const site::Site& site) {
+    const site::Mesh& mesh = *site.mesh;
+    NodeSettings out;
+    out.payload = largest_datagram - Sealer::overhead;
+    out.bytes_per_second = mesh.bytes_per_second;
+    out.members = {.period = mesh.probe_period,
+                   .timeout = mesh.probe_timeout,
+                   .indirect = mesh.indirect,
+                   .suspicion = mesh.suspicion,
+                   .forget_after = mesh.forget_after,
+                   .most_members = mesh.most_members,
+                   .seeds = {}};
+    for (const net::Endpoint& seed : mesh.seeds)
+        out.members.seeds.push_back(address_of(seed));
+    out.interval = 1h;
+    if (!site.counts) return out;
+    const site::Counts& counts = *site.counts;
+    out.counts = true;
+    out.interval = counts.interval;
+    out.rate = counts.rate;
+    out.burst = counts.burst;
+    out.limits = {.tenants = counts.most_tenants,
+                  .lives = counts.most_lives,
+                  .max_skew = counts.max_skew,
+                  .fold_after = counts.fold_after};
+    return out;
+}
+
+std::uint64_t random_seed() {
+    std::uint64_t out = 0;
+    ::randombytes_buf(&out, sizeof out);
+    return out;
+}
+
+std::string_view state_name(members::State state) {
+    using members::State;
+    return state == State::alive     ? "alive"
+           : state == State::suspect ? "suspect"
+           : state == State::dead    ? "dead"
+                                     : "left";
+}
+
+} // namespace
+
+Mesh::Mesh(net::Loop& loop, const site::Site& site, std::string instance)
+    : loop_(loop), settings_(*site.mesh),
+      snapshot_every_(site.counts ? site.counts->snapshot_every : Time(0)), counts_(site.counts.has_value()),
+      socket_(udp_socket(settings_.listen)), sealer_(keys_of(settings_)), replay_(4 * settings_.most_members),
+      timer_(loop.wheel(), [this] { on_timer(); }), save_timer_(loop.wheel(), [this] { save(); }),
+      gone_timer_(loop.wheel(), [this] {
+          if (gone_) gone_();
+      }) {
+    std::optional<Snapshot> former;
+    if (counts_ && !site.state_dir.empty()) {
+        snapshots_.emplace(site.state_dir, instance);
+        std::string note;
+        former = snapshots_->load(note);
+        if (!note.empty())
+            log::event(spdlog::level::warn, "counts.state_put_aside", {{"why", note}}, "counts: " + note);
+    }
+    const net::Time now = loop_.now();
+    const std::uint64_t last = former && former->instance == instance ? former->number : 0;
+    const std::uint64_t number = counts::next_number(now, static_cast<std::uint32_t>(random_seed()), last);
+    members::Address own = address_of(settings_.advertise);
+    if (own.port == 0)
+        own.port = address_of(address()).port; // any free port: for tests, and for one instance alone
+    node_ = std::make_unique<Node>(settings_of(site), std::move(instance), number, own, random_seed(), now);
+    if (former) {
+        for (const counts::Delta& delta : former->deltas)
+            node_->book().load(delta, now);
+        log::event(
+            spdlog::level::info, "counts.state_read", {{"lives", std::uint64_t{node_->book().lives() - 1}}},
+            "counts: " + std::to_string(node_->book().lives() - 1) + " lives read from the last snapshot");
+    }
+    loop_.watch(socket_.get(), POLLIN, *this);
+    node_->start(now);
+    flush();
+    if (snapshots_) save_timer_.arm(now + snapshot_every_);
+}
+
+Mesh::~Mesh() { loop_.forget(socket_.get()); }
+
+void Mesh::set(const site::Site& site) {
+    settings_ = *site.mesh;
+    sealer_ = Sealer(keys_of(settings_));
+    if (site.counts) snapshot_every_ = site.counts->snapshot_every;
+    node_->set(settings_of(site));
+    arm();
+}
+
+void Mesh::on_ready(short) {
+    std::array<unsigned char, 2048> buffer{};
+    for (int i = 0; i < datagrams_a_round; ++i) {
+        sockaddr_in from{};
+        socklen_t size = sizeof from;
+        const auto got = ::recvfrom(socket_.get(), buffer.data(), buffer.size(), 0,
+                                    reinterpret_cast<sockaddr*>(&from), &size);
+        if (got < 0) break; // nothing more; what else may be wrong shows at the next one
+        ++counters_.received;
+        counters_.received_bytes += static_cast<std::uint64_t>(got);
+        take({buffer.data(), static_cast<std::size_t>(got)},
+             {ntohl(from.sin_addr.s_addr), ntohs(from.sin_port)});
+    }
+    flush();
+}
+
+void Mesh::take(std::span<const unsigned char> datagram, members::Address from) {
+    if (!settings_.networks.contains(from.host)) return drop(Dropped::foreign_network);
+    const Sealer::Opened opened = sealer_.open(datagram);
+    if (!opened.good) return drop(opened.cause);
+    const auto frame = decode(opened.plain);
+    if (!frame) return drop(Dropped::malformed);
+    if (frame->life == node_->members().self().id.life) return drop(Dropped::own);
+    // A window of each sender refuses what comes twice. One that has just started has none: there, the time
+    // does.
+    const net::Time now = loop_.now();
+    if (frame->sent < now - settings_.max_age || frame->sent > now + settings_.max_age)
+        return drop(Dropped::too_old);
+    if (!replay_.take(frame->life, frame->count)) return drop(Dropped::replayed);
+    node_->receive(now, from, *frame);
+}
+
+void Mesh::flush() {
+    for (Outgoing& out : node_->sends()) {
+        const Bytes plain = encode(out.frame);
+        const Bytes sealed = sealer_.seal(plain);
+        sockaddr_in to{};
+        to.sin_family = AF_INET;
+        to.sin_addr.s_addr = htonl(out.to.host);
+        to.sin_port = htons(out.to.port);
+        if (sealed.size() > largest_datagram || !settings_.networks.contains(out.to.host) ||
+            ::sendto(socket_.get(), sealed.data(), sealed.size(), 0, reinterpret_cast<const sockaddr*>(&to),
+                     sizeof to) < 0) {
+            ++counters_.unsent; // as good as lost on its way, which everything here stands
+            continue;
+        }
+        ++counters_.sent;
+        counters_.sent_bytes += sealed.size();
+    }
+    for (const members::Change& change : node_->changes()) {
+        const std::string_view state = state_name(change.member.state);
+        log::event(spdlog::level::info, "members.changed",
+                   {{"member", change.member.id.name},
+                    {"life", change.member.id.life},
+                    {"state", state},
+                    {"was", change.was ? state_name(*change.was) : "unknown"}},
+                   "members: " + change.member.id.name + " is " + std::string(state));
+    }
+    arm();
+}
+
+void Mesh::arm() { timer_.arm(std::max(node_->next(), loop_.now())); }
+
+void Mesh::on_timer() {
+    node_->tick(loop_.now());
+    flush();
+}
+
+void Mesh::save() {
+    const net::Time now = loop_.now();
+    save_timer_.arm(now + snapshot_every_);
+    if (const auto failure = snapshots_->failure())
+        log::event(spdlog::level::err, "counts.state_not_written", {{"why", *failure}},
+                   "counts: " + *failure);
+    counts::Book& book = node_->book();
+    book.seal(now);
+    snapshots_->save({book.self().instance, book.self().number, now, book.save(1U << 16U)});
+}
+
+void Mesh::leave(std::function<void()> gone) {
+    gone_ = std::move(gone);
+    node_->leave(loop_.now());
+    flush();
+    if (snapshots_) save();
+    save_timer_.disarm();
+    gone_timer_.arm(loop_.now() + linger);
+}
+
+} // namespace willowrill::mesh
--- /dev/null
+++ b/src/mesh/mesh.h
@@ -0,0 +1,68 @@
+// The carrier of a node: one UDP socket on the loop, timers on the wheel, the seal, and snapshots. What is
+// malformed, forged, replayed or foreign ends here, counted by cause.
+#pragma once
+
+#include "mesh/node.h"
+#include "mesh/seal.h"
+#include "mesh/snapshots.h"
+#include "net/loop.h"
+#include "net/socket.h"
+#include "site/site.h"
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace willowrill::mesh {
+
+struct MeshCounters {
+    std::uint64_t received = 0, received_bytes = 0, sent = 0, sent_bytes = 0;
+    std::uint64_t unsent = 0; // the system had no room for them, or no way there
+    std::array<std::uint64_t, causes> dropped{};
+};
+
+class Mesh final : private net::Pollable {
+  public:
+    // Throws std::system_error where the address cannot be had. `instance` is the name among the instances.
+    Mesh(net::Loop& loop, const site::Site& site, std::string instance);
+    ~Mesh() override;
+
+    void
+    set(const site::Site& site); // keys, networks, times and bytes a second; the rest waits for a restart
+
+    // The last words; goes on to answer for a moment, until `gone` says so.
+    void leave(std::function<void()> gone);
+
+    Node& node() { return *node_; }
+    const Node& node() const { return *node_; }
+    const MeshCounters& counters() const { return counters_; }
+    net::Endpoint address() const { return net::local_address(socket_); }
+    std::uint64_t snapshots_written() const { return snapshots_ ? snapshots_->written() : 0; }
+
+  private:
+    void on_ready(short events) override;
+    void take(std::span<const unsigned char> datagram, members::Address from);
+    void drop(Dropped cause) { ++counters_.dropped[static_cast<std::size_t>(cause)]; }
+    void on_timer();
+    void flush(); // what the node wants sent, and told
+    void arm();
+    void save();
+
+    net::Loop& loop_;
+    site::Mesh settings_;
+    Time snapshot_every_{0};
+    bool counts_ = false;
+    net::Fd socket_;
+    Sealer sealer_;
+    Replay replay_;
+    std::optional<Snapshots> snapshots_;
+    std::unique_ptr<Node> node_;
+    net::Timer timer_, save_timer_, gone_timer_;
+    std::function<void()> gone_;
+    MeshCounters counters_;
+};
+
+} // namespace willowrill::mesh
--- /dev/null
+++ b/src/mesh/node.h
@@ -0,0 +1,75 @@
+// One instance among the others: membership and counts put together, and when who is told what. Pure, like
+// both of them: `mesh` gives it sockets and a key, the laboratory a network in virtual time.
+#pragma once
+
+#include "counts/book.h"
+#include "members/members.h"
+#include "mesh/frame.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace willowrill::mesh {
+
+struct NodeSettings {
+    members::Settings members;
+    bool counts = false;
+    counts::Limits limits;
+    Time interval{0};                  // between two exchanges that this instance begins
+    std::uint64_t rate = 0, burst = 0; // declared
+    std::uint64_t bytes_per_second = 0;
+    std::size_t payload = 0; // bytes that a frame may have, encoded
+};
+
+struct Outgoing {
+    members::Address to;
+    Frame frame;
+};
+
+struct NodeStatistics {
+    std::uint64_t exchanges = 0, answered = 0; // begun here; digests answered
+    std::uint64_t frames_held_back = 0;        // of counts, for want of bytes a second
+};
+
+class Node {
+  public:
+    Node(NodeSettings settings, std::string instance, std::uint64_t number, members::Address address,
+         std::uint64_t seed, Time now);
+
+    void start(Time now);
+    void tick(Time now);
+    Time next() const; // when `tick` is due
+    void receive(Time now, members::Address from, const Frame& frame);
+    void leave(Time now); // the last words: all counts as they stand now, and that this life is over
+
+    // What the calls above want sent, and what they saw change, since these were last asked for.
+    std::vector<Outgoing> sends();
+    std::vector<members::Change> changes();
+
+    void set(NodeSettings settings); // what a reload may change; the limits of the book stay
+    counts::Book& book() { return book_; }
+    const counts::Book& book() const { return book_; }
+    const members::Swim& members() const { return swim_; }
+    const NodeStatistics& statistics() const { return statistics_; }
+
+  private:
+    void collect(members::Actions& actions);
+    void exchange(Time now);
+    void say(members::Address to, Body body, Time now);
+    bool afford(Time now, std::size_t bytes);
+    void new_life_if_rivalled(Time now);
+
+    NodeSettings settings_;
+    members::Swim swim_;
+    counts::Book book_;
+    pcg32 random_;
+    Time next_exchange_{0}, next_fold_{0}, filled_{0};
+    double budget_ = 0; // bytes
+    std::uint64_t count_ = 0;
+    std::vector<Outgoing> sends_;
+    std::vector<members::Change> changes_;
+    NodeStatistics statistics_;
+};
+
+} // namespace willowrill::mesh
--- /dev/null
+++ b/src/state/store.cpp
@@ -0,0 +1,164 @@
+#include "state/store.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstdio>
+#include <cstring>
+#include <utility>
+
+namespace willowrill::state {
+namespace {
+
+constexpr std::array<unsigned char, 8> magic{'W', 'L', 'W', 'S', 'T', 'A', 'T', 'E'};
+constexpr std::size_t head = magic.size() + 4 + 8 + 8;
+
+class File { // closes itself
+  public:
+    File(const std::string& path, int flags) : fd_(::open(path.c_str(), flags | O_CLOEXEC, 0600)) {}
+    ~File() {
+        if (fd_ >= 0) ::close(fd_);
+    }
+    File(const File&) = delete;
+    File& operator=(const File&) = delete;
+    int get() const { return fd_; }
+
+  private:
+    int fd_;
+};
+
+template <class Number> void put(Bytes& out, Number number) {
+    for (std::size_t i = 0; i < sizeof number; ++i)
+        out.push_back(static_cast<unsigned char>(number >> (8 * i)));
+}
+
+template <class Number> Number get(std::span<const unsigned char> from) {
+    Number out = 0;
+    for (std::size_t i = 0; i < sizeof out; ++i)
+        out |= static_cast<Number>(from[i]) << (8 * i);
+    return out;
+}
+
+int sync_path(const std::string& path, int flags) {
+    const File file(path, flags);
+    return file.get() >= 0 && ::fsync(file.get()) == 0 ? 0 : errno;
+}
+
+} // namespace
+
+int Disk::write(const std::string& path, std::span<const unsigned char> bytes) {
+    const File file(path, O_WRONLY | O_CREAT | O_TRUNC);
+    if (file.get() < 0) return errno;
+    while (!bytes.empty()) {
+        const auto done = ::write(file.get(), bytes.data(), bytes.size());
+        if (done < 0 && errno == EINTR) continue;
+        if (done <= 0) return done < 0 ? errno : EIO;
+        bytes = bytes.subspan(static_cast<std::size_t>(done));
+    }
+    return 0;
+}
+
+int Disk::sync(const std::string& path) { return sync_path(path, O_RDONLY); }
+int Disk::sync_folder(const std::string& path) { return sync_path(path, O_RDONLY | O_DIRECTORY); }
+
+int Disk::rename(const std::string& from, const std::string& to) {
+    return std::rename(from.c_str(), to.c_str()) == 0 ? 0 : errno;
+}
+
+int Disk::read(const std::string& path, Bytes& into, std::size_t most) {
+    const File file(path, O_RDONLY);
+    struct stat about {};
+    if (file.get() < 0 || ::fstat(file.get(), &about) != 0) return errno;
+    if (!S_ISREG(about.st_mode)) return EINVAL;
+    if (static_cast<std::size_t>(about.st_size) > most) return EFBIG;
+    into.resize(static_cast<std::size_t>(about.st_size));
+    std::size_t have = 0;
+    while (have < into.size()) {
+        const auto got = ::read(file.get(), into.data() + have, into.size() - have);
+        if (got < 0 && errno == EINTR) continue;
+        if (got < 0) return errno;
+        if (got == 0) break;
+        have += static_cast<std::size_t>(got);
+    }
+    into.resize(have);
+    return 0;
+}
+
+const char* name_of(Found found) {
+    static constexpr std::array<const char*, 6> names{"whole", "none", "torn", "foreign", "newer", "unread"};
+    return names.at(static_cast<std::size_t>(found));
+}
+
+Bytes pack(std::span<const unsigned char> content, std::uint32_t format) {
+    Bytes out(magic.begin(), magic.end());
+    out.reserve(head + content.size());
+    put(out, format);
+    put(out, static_cast<std::uint64_t>(content.size()));
+    put(out, static_cast<std::uint64_t>(XXH3_64bits_withSeed(content.data(), content.size(), format)));
+    out.insert(out.end(), content.begin(), content.end());
+    return out;
+}
+
+Found unpack(std::span<const unsigned char> file, std::uint32_t format,
+             std::span<const unsigned char>& content) {
+    const std::size_t there = std::min(file.size(), magic.size());
+    if (there == 0 ||
+        !std::equal(file.begin(), file.begin() + static_cast<std::ptrdiff_t>(there), magic.begin()))
+        return Found::foreign;
+    if (file.size() < head) return Found::torn;
+    const auto stated = get<std::uint32_t>(file.subspan(magic.size()));
+    if (stated > format) return Found::newer;
+    if (stated == 0) return Found::torn;
+    content = file.subspan(head);
+    if (get<std::uint64_t>(file.subspan(magic.size() + 4)) != content.size()) return Found::torn;
+    const std::uint64_t sum = XXH3_64bits_withSeed(content.data(), content.size(), stated);
+    return get<std::uint64_t>(file.subspan(magic.size() + 12)) == sum ? Found::whole : Found::torn;
+}
+
+Store::Store(std::string folder, std::string name, std::uint32_t format, Disk& disk)
+    : folder_(std::move(folder)), path_(folder_ + "/" + name), format_(format), disk_(disk) {}
+
+std::optional<std::string> Store::save(std::span<const unsigned char> content) {
+    const std::string temporary = path_ + ".new";
+    const auto failed = [](const std::string& what, int error) {
+        return "cannot " + what + ": " + std::strerror(error);
+    };
+    if (const int error = disk_.write(temporary, pack(content, format_)))
+        return failed("write " + temporary, error);
+    // Before the rename: else the name could reach the disk before what it names.
+    if (const int error = disk_.sync(temporary)) return failed("sync " + temporary, error);
+    if (const int error = disk_.rename(temporary, path_)) return failed("rename " + temporary, error);
+    if (const int error = disk_.sync_folder(folder_)) return failed("sync " + folder_, error);
+    return std::nullopt;
+}
+
+Store::Loaded Store::load() {
+    Loaded out;
+    Bytes file;
+    if (const int error = disk_.read(path_, file, most_bytes)) {
+        out.found = error == ENOENT ? Found::none : Found::unread;
+        if (error != ENOENT) out.note = path_ + " cannot be read: " + std::strerror(error);
+        return out;
+    }
+    std::span<const unsigned char> content;
+    out.found = unpack(file, format_, content);
+    if (out.found == Found::whole) {
+        out.content.assign(content.begin(), content.end());
+        return out;
+    }
+    const std::string aside = path_ + ".aside";
+    const int error = disk_.rename(path_, aside);
+    out.note = path_ + " is " + name_of(out.found) + " (" + std::to_string(file.size()) + " bytes); " +
+               (error == 0 ? "put aside as " + aside
+                           : "it cannot be put aside: " + std::string(std::strerror(error)));
+    return out;
+}
+
+} // namespace willowrill::state
--- /dev/null
+++ b/src/state/store.h
@@ -0,0 +1,68 @@
+// One file that is replaced whole: written to a temporary name, synced, renamed, and the folder synced.
+// Whatever moment the process or the machine dies at, the next one reads the former content or the new one,
+// never a mixture; what is damaged all the same is told from what was never ours, and put aside rather than
+// destroyed.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace willowrill::state {
+
+using Bytes = std::vector<unsigned char>;
+
+// The system calls, one by one, so that tests can fail or end at each. Results as errno; 0 is success.
+class Disk {
+  public:
+    virtual ~Disk() = default;
+    virtual int write(const std::string& path, std::span<const unsigned char> bytes); // creates or empties it
+    virtual int sync(const std::string& path);
+    virtual int rename(const std::string& from, const std::string& to);
+    virtual int sync_folder(const std::string& path);
+    virtual int read(const std::string& path, Bytes& into, std::size_t most);
+};
+
+enum class Found : std::uint8_t {
+    whole,
+    none,    // there is no file
+    torn,    // ours, but its length or checksum does not fit
+    foreign, // not ours, or empty
+    newer,   // of a later version of the program
+    unread   // the system says no
+};
+const char* name_of(Found found);
+
+// Magic, format, length and checksum stand before the content.
+Bytes pack(std::span<const unsigned char> content, std::uint32_t format);
+Found unpack(std::span<const unsigned char> file, std::uint32_t format,
+             std::span<const unsigned char>& content);
+
+class Store {
+  public:
+    static constexpr std::size_t most_bytes = 1U << 30U;
+
+    Store(std::string folder, std::string name, std::uint32_t format, Disk& disk);
+
+    // An error in one sentence for the operators, or nothing. The former content stays readable until the new
+    // one is.
+    std::optional<std::string> save(std::span<const unsigned char> content);
+    struct Loaded {
+        Found found{};
+        Bytes content;
+        std::string note; // for the operators: what was wrong, and where the file is now
+    };
+    // What is of no use is renamed, and the place is free.
+    Loaded load();
+
+    const std::string& path() const { return path_; }
+
+  private:
+    std::string folder_, path_;
+    std::uint32_t format_;
+    Disk& disk_;
+};
+
+} // namespace willowrill::state
--- /dev/null
+++ b/tests/members/members_test.cpp
@@ -0,0 +1,178 @@
+// Membership on the laboratory's network: the very code, in virtual time.
+#include "lab/world.h"
+
+#include <doctest/doctest.h>
+
+namespace willowrill::members {
+namespace {
+
+using namespace std::chrono_literals;
+using lab::World;
+
+World::Options options(std::uint64_t seed, double loss = 0) {
+    World::Options out;
+    out.link = {.loss = loss, .delay_least = 1ms, .delay_most = 20ms};
+    out.node.members = {.period = 1s, .timeout = 200ms, .forget_after = 3600s, .seeds = {}};
+    out.node.interval = 3600s;
+    out.seed = seed;
+    return out;
+}
+
+State state_at(World& world, std::size_t reader, std::size_t subject) {
+    const Member& self = world.node(subject).members().self();
+    const auto& others = world.node(reader).members().others();
+    const auto found = others.find(self.id);
+    return found == others.end() ? State::left : found->second.state;
+}
+
+void start(World& world, std::size_t size) {
+    for (std::size_t i = 0; i < size; ++i)
+        world.add();
+    REQUIRE(world.run_until_done([&] { return world.all_see(size); }, 100ms, 60s));
+}
+
+TEST_CASE("those that start find one another by a seed") {
+    for (const std::size_t size : {2, 5, 40}) {
+        World world(options(size));
+        start(world, size);
+    }
+}
+
+TEST_CASE("a silent death is found by all, within the periods that suspicion takes") {
+    World world(options(1));
+    start(world, 10);
+    world.kill(4);
+    CHECK(world.run_until_done([&] { return world.all_see(9); }, 100ms, 60s));
+    CHECK(world.node(0).members().statistics().refuted == 0);
+}
+
+TEST_CASE("one that leaves is never suspected") {
+    World world(options(2));
+    start(world, 10);
+    world.leave(3);
+    world.run_for(300ms);
+    world.kill(3);
+    CHECK(world.run_until_done([&] { return world.all_see(9); }, 50ms, 10s));
+    std::uint64_t suspected = 0;
+    for (std::size_t i = 0; i < 10; ++i)
+        if (world.up(i)) suspected += world.node(i).members().statistics().suspected;
+    CHECK(suspected == 0);
+}
+
+TEST_CASE("under heavy loss nobody who lives stays dead") {
+    World world(options(3, 0.2));
+    start(world, 12);
+    world.run_for(300s);
+    world.set_link({.delay_least = 1ms, .delay_most = 20ms});
+    CHECK(world.run_until_done([&] { return world.all_see(12); }, 1s, 120s));
+}
+
+TEST_CASE("a false suspicion is refuted: one that is cut from its prober alone is reached through others") {
+    World world(options(4));
+    start(world, 6);
+    world.cut(0, 1, true);
+    world.cut(1, 0, true);
+    world.run_for(120s);
+    for (std::size_t i = 2; i < 6; ++i)
+        CHECK(state_at(world, i, 1) == State::alive);
+    std::uint64_t indirect = 0;
+    for (std::size_t i = 0; i < 6; ++i)
+        indirect += world.node(i).members().statistics().indirect_probes;
+    CHECK(indirect > 0);
+    CHECK(state_at(world, 0, 1) == State::alive);
+}
+
+TEST_CASE("one that was cut off, and taken for dead, refutes that when it is back") {
+    World world(options(5));
+    start(world, 5);
+    world.cut_off(2, true);
+    world.run_for(120s);
+    CHECK(state_at(world, 0, 2) == State::dead);
+    world.cut_off(2, false);
+    CHECK(world.run_until_done([&] { return world.all_see(5); }, 1s, 60s));
+    CHECK(world.node(2).members().statistics().refuted > 0);
+}
+
+TEST_CASE("two halves that lost each other become one again") {
+    World world(options(6));
+    start(world, 8);
+    for (std::size_t a = 0; a < 4; ++a) {
+        for (std::size_t b = 4; b < 8; ++b) {
+            world.cut(a, b, true);
+            world.cut(b, a, true);
+        }
+    }
+    world.run_for(180s);
+    CHECK(world.all_see(4));
+    for (std::size_t a = 0; a < 8; ++a)
+        for (std::size_t b = 0; b < 8; ++b)
+            world.cut(a, b, false);
+    CHECK(world.run_until_done([&] { return world.all_see(8); }, 1s, 120s));
+}
+
+TEST_CASE("a restart under the same name is told from its former life, at once") {
+    World world(options(7));
+    start(world, 5);
+    const Id former = world.node(3).members().self().id;
+    world.kill(3);
+    world.restart(3, false);
+    world.run_for(5s);
+    CHECK(world.all_see(5));
+    const auto& others = world.node(0).members().others();
+    REQUIRE(others.contains(former));
+    CHECK(others.at(former).state == State::dead);
+    CHECK_FALSE(world.node(0).members().someone_away());
+}
+
+TEST_CASE("two instances of one name are both members, and that is said") {
+    World world(options(8));
+    start(world, 4);
+    world.add("i2");
+    world.run_for(30s);
+    CHECK(world.all_see(5));
+    CHECK(world.node(0).members().statistics().conflicts > 0);
+}
+
+TEST_CASE("a member that is away counts as away until it is forgotten") {
+    auto settings = options(9);
+    settings.node.members.forget_after = 60s;
+    World world(settings);
+    start(world, 4);
+    CHECK_FALSE(world.node(0).members().someone_away());
+    world.kill(1);
+    world.run_for(40s);
+    CHECK(world.node(0).members().someone_away());
+    world.run_for(120s);
+    CHECK_FALSE(world.node(0).members().someone_away());
+    CHECK(world.node(0).members().others().size() == 2);
+}
+
+TEST_CASE("news from outside cannot grow the view past its bound, nor be against the rules") {
+    Swim swim({.period = 1s, .timeout = 100ms, .most_members = 10, .seeds = {}}, {"self", 1}, {1, 1}, 1, 0s);
+    Message message{.kind = Kind::sync};
+    for (std::uint32_t i = 0; i < 100; ++i)
+        message.news.push_back({{"m" + std::to_string(i), i + 1}, {i + 2, 1}});
+    message.news.push_back({{"", 1}, {1, 1}});
+    message.news.push_back({{"x", 0}, {1, 1}});
+    message.news.push_back({{std::string(100, 'x'), 1}, {1, 1}});
+    Actions out;
+    swim.receive(0s, {2, 1}, message, out);
+    CHECK(swim.others().size() == 9);
+    CHECK(swim.statistics().over_limit == 91);
+}
+
+TEST_CASE("one that is told of its own death raises its incarnation above it") {
+    Swim swim({.period = 1s, .timeout = 100ms, .seeds = {}}, {"self", 1}, {1, 1}, 1, 0s);
+    Actions out;
+    swim.receive(0s, {2, 1},
+                 {.kind = Kind::ping, .sequence = 5, .news = {{{"self", 1}, {1, 1}, State::dead, 7}}}, out);
+    CHECK(swim.self().incarnation == 8);
+    REQUIRE(out.sends.size() == 1);
+    CHECK(out.sends[0].message.kind == Kind::ack);
+    CHECK(out.sends[0].message.sequence == 5);
+    REQUIRE(out.sends[0].message.news.size() == 1);
+    CHECK(out.sends[0].message.news[0].incarnation == 8);
+}
+
+} // namespace
+} // namespace willowrill::members
