--- a/src/core/host.cpp
+++ b/src/core/host.cpp
@@ -33,7 +33,7 @@
     if (open_ >= max_open_ || bytes_ + bytes > most_bytes_ || holds(message.id) ||
         !ids_.insert(message.id).second) {
         ++counters_.turned_away;
-        turn_away(message.job_class);
+        turn_away(message.job_class, message.tenant);
         return false;
     }
     if (neighbour_ != nullptr) neighbour_->opened(message.id);
@@ -69,6 +69,11 @@
     events_.push_back(std::move(event));
 }
 
+void Host::turn_away(Index job_class, Index tenant) {
+    ++tallies_[job_class].refused;
+    if (ledger_ != nullptr) ledger_->ended(job_class, tenant, Ledger::Ending::refused);
+}
+
 // Exactly one final answer: whoever ends a message gets its client from here, and only the first one does.
 Client* Host::close(JobId job, End end) {
     Entry& entry = entries_[job];
@@ -78,6 +83,7 @@
     if (end == End::served) ++tally.served;
     if (end == End::refused) ++tally.refused;
     if (end == End::failed) ++tally.failed;
+    if (ledger_ != nullptr) ledger_->ended(entry.message.job_class, entry.message.tenant, end);
     spdlog::debug("message {} over after {} attempts", entry.message.id, entry.attempts.size());
     --open_;
     touched_.push_back(job);
--- a/src/core/host.h
+++ b/src/core/host.h
@@ -68,6 +68,15 @@
     virtual bool holds(const std::string& id) const = 0;
 };
 
+// Keeps account of how messages ended, as their clients saw it: one call for each, from the one place where
+// that is known. It must not throw, and be quick.
+class Ledger {
+  public:
+    enum class Ending { served, refused, failed, left };
+    virtual ~Ledger() = default;
+    virtual void ended(Index job_class, Index tenant, Ending ending) = 0; // tenant: `none` where unknown
+};
+
 struct Counters {
     std::uint64_t taken_in = 0, turned_away = 0, left = 0;          // messages
     std::uint64_t served = 0, refused = 0, failed = 0, overdue = 0; // final answers; overdue ones by the host
@@ -96,9 +105,10 @@
     }
     const std::unordered_set<std::string>& ids() const { return ids_; } // not free yet
     void set_neighbour(Neighbour& neighbour) { neighbour_ = &neighbour; }
+    void set_ledger(Ledger& ledger) { ledger_ = &ledger; }
     void limit(std::size_t most_bytes) { most_bytes_ = most_bytes; }
     // A message that was never taken in is answered with a refusal.
-    void turn_away(Index job_class) { ++tallies_[job_class].refused; }
+    void turn_away(Index job_class, Index tenant);
     void client_left(JobId job);
     void overdue(JobId job); // the deadline passes and the module has not answered: fails it
     // The program ends before the message can: refused if no attempt of it may have run, else failed.
@@ -139,7 +149,7 @@
         std::size_t holds = 0; // attempts out, and events that the module has not seen
     };
 
-    enum class End { served, refused, failed, left };
+    using End = Ledger::Ending;
     Client* close(JobId job, End end); // the one place where a message ends
     void tell(JobId job, willowrill::Event event);
     void release(JobId job);
@@ -152,6 +162,7 @@
     Relays& relays_;
     Inventory& inventory_;
     Neighbour* neighbour_ = nullptr;
+    Ledger* ledger_ = nullptr;
     std::deque<Entry> entries_; // a deque, as references must outlive the arrival of others
     std::vector<JobId> free_, touched_;
     std::unordered_set<std::string> ids_;
--- a/src/counts/book.h
+++ b/src/counts/book.h
@@ -39,8 +39,8 @@
 
 struct Totals {
     std::vector<Total> rows{}; // by tenant, class and outcome; those at 0 are left out
-    Duration age{0};         // since the longest silent of the lives that may still count was heard
-    std::uint64_t slack = 0; // high - low, the same for each row
+    Duration age{0};           // since the longest silent of the lives that may still count was heard
+    std::uint64_t slack = 0;   // high - low, the same for each row
     std::size_t instances = 0, lives = 0;
 };
 
--- /dev/null
+++ b/src/fleet/fleet.cpp
@@ -0,0 +1,169 @@
+#include "fleet/fleet.h"
+
+#include "log/log.h"
+
+#include <arpa/inet.h>
+#include <prometheus/metric_family.h>
+#include <prometheus/text_serializer.h>
+
+#include <array>
+#include <limits>
+#include <string_view>
+#include <utility>
+
+namespace willowrill::fleet {
+namespace {
+
+using log::json_text;
+using prometheus::MetricType;
+
+constexpr counts::Series unknown = std::numeric_limits<counts::Series>::max();
+constexpr std::array<std::string_view, counts::outcomes> outcome_names{"served", "refused", "failed", "left"};
+constexpr std::array<std::string_view, 4> state_names{"alive", "suspect", "dead", "left"};
+
+std::string text(members::Address address) {
+    in_addr host{htonl(address.host)};
+    std::array<char, INET_ADDRSTRLEN> out{};
+    ::inet_ntop(AF_INET, &host, out.data(), out.size());
+    return std::string(out.data()) + ":" + std::to_string(address.port);
+}
+
+std::string member_json(const members::Member& member) {
+    return "{\"name\":" + json_text(member.id.name) + ",\"life\":" + std::to_string(member.id.life) +
+           ",\"address\":" + json_text(text(member.address)) + ",\"state\":\"" +
+           std::string(state_names.at(static_cast<std::size_t>(member.state))) +
+           "\",\"incarnation\":" + std::to_string(member.incarnation) + "}";
+}
+
+class Figures {
+  public:
+    // A figure with one value, or with one for each value of a label.
+    void add(const std::string& name, const std::string& help, MetricType type, double value,
+             std::vector<prometheus::ClientMetric::Label> labels = {}) {
+        if (families_.empty() || families_.back().name != "willowrill_" + name)
+            families_.push_back({.name = "willowrill_" + name, .help = help, .type = type, .metric = {}});
+        prometheus::ClientMetric metric;
+        metric.label = std::move(labels);
+        (type == MetricType::Counter ? metric.counter.value : metric.gauge.value) = value;
+        families_.back().metric.push_back(std::move(metric));
+    }
+    std::string text() const { return prometheus::TextSerializer().Serialize(families_); }
+
+  private:
+    std::vector<prometheus::MetricFamily> families_;
+};
+
+double number(std::uint64_t value) { return static_cast<double>(value); }
+
+} // namespace
+
+Fleet::Fleet(net::Loop& loop, const site::Site& site, const config::Settings& settings, bool wait)
+    : loop_(loop), names_(settings.names), counts_(site.counts.has_value()),
+      mesh_(loop, site, site.instance.empty() ? settings.name : site.instance, wait),
+      series_(names_.classes.size() * (names_.tenants.size() + 1), unknown) {}
+
+void Fleet::ended(Index job_class, Index tenant, Ending ending) {
+    if (!counts_) return;
+    const std::size_t tenants = names_.tenants.size();
+    const std::size_t column = tenant < tenants ? tenant : tenants;
+    counts::Series& series = series_[job_class * (tenants + 1) + column];
+    counts::Book& book = mesh_.node().book();
+    if (series == unknown)
+        series = book.series(column < tenants ? std::string_view(names_.tenants[column]) : no_tenant,
+                             names_.classes[job_class]);
+    constexpr std::array<counts::Outcome, counts::outcomes> outcomes{
+        counts::Outcome::served, counts::Outcome::refused, counts::Outcome::failed, counts::Outcome::left};
+    book.count(series, outcomes.at(static_cast<std::size_t>(ending)));
+}
+
+std::string Fleet::counts_json() const {
+    if (!counts_) return "";
+    const counts::Totals totals = mesh_.node().book().totals(loop_.now());
+    std::string out =
+        "{\"instance\":" + json_text(mesh_.node().book().self().instance) +
+        ",\"instances\":" + std::to_string(totals.instances) + ",\"lives\":" + std::to_string(totals.lives) +
+        ",\"age_ms\":" + std::to_string(std::chrono::ceil<std::chrono::milliseconds>(totals.age).count()) +
+        ",\"slack\":" + std::to_string(totals.slack) + ",\"totals\":[";
+    for (const counts::Total& row : totals.rows) {
+        if (out.back() != '[') out += ',';
+        out += "\n{\"tenant\":" + json_text(row.tenant) + ",\"class\":" + json_text(row.job_class) +
+               ",\"outcome\":\"" + std::string(outcome_names.at(static_cast<std::size_t>(row.outcome))) +
+               "\",\"low\":" + std::to_string(row.low) + ",\"estimate\":" + std::to_string(row.estimate) +
+               ",\"high\":" + std::to_string(row.high) + "}";
+    }
+    return out + "]}\n";
+}
+
+std::string Fleet::members_json() const {
+    const members::Swim& members = mesh_.node().members();
+    std::string out = "{\"self\":" + member_json(members.self()) + ",\"members\":[";
+    for (const auto& [id, member] : members.others())
+        out += (out.back() == '[' ? "\n" : ",\n") + member_json(member);
+    return out + "]}\n";
+}
+
+std::string Fleet::figures() const {
+    Figures out;
+    const mesh::MeshCounters& mesh = mesh_.counters();
+    for (std::size_t cause = 0; cause < mesh::causes; ++cause) {
+        out.add("mesh_dropped_datagrams_total", "Datagrams dropped unread or without effect, by cause.",
+                MetricType::Counter, number(mesh.dropped[cause]),
+                {{"cause", mesh::name_of(static_cast<mesh::Dropped>(cause))}});
+    }
+    const auto counter = [&](const std::string& name, const std::string& help, std::uint64_t value) {
+        out.add(name, help, MetricType::Counter, number(value));
+    };
+    const auto gauge = [&](const std::string& name, const std::string& help, double value) {
+        out.add(name, help, MetricType::Gauge, value);
+    };
+    counter("mesh_received_datagrams_total", "Datagrams received, dropped ones too.", mesh.received);
+    counter("mesh_received_bytes_total", "Bytes of these.", mesh.received_bytes);
+    counter("mesh_sent_datagrams_total", "Datagrams sent.", mesh.sent);
+    counter("mesh_sent_bytes_total", "Bytes of these.", mesh.sent_bytes);
+    counter("mesh_unsent_datagrams_total", "Datagrams that the system did not take.", mesh.unsent);
+    const mesh::Node& node = mesh_.node();
+    counter("mesh_held_back_total", "Messages of counts held back by bytes_per_second.",
+            node.statistics().frames_held_back);
+    std::array<std::size_t, 4> states{};
+    ++states[static_cast<std::size_t>(node.members().self().state)];
+    for (const auto& [id, member] : node.members().others())
+        ++states.at(static_cast<std::size_t>(member.state));
+    for (std::size_t i = 0; i < states.size(); ++i) {
+        out.add("members", "Instances known, this one too, by state.", MetricType::Gauge, number(states[i]),
+                {{"state", std::string(state_names[i])}});
+    }
+    const members::Statistics& members = node.members().statistics();
+    counter("members_probes_failed_total", "Probes that nobody answered.", members.probes_failed);
+    counter("members_refuted_total", "Times this instance was suspected and said otherwise.",
+            members.refuted);
+    counter("members_conflicts_total", "News of two living instances with one name.", members.conflicts);
+    if (!counts_) return out.text();
+    const counts::Book& book = node.book();
+    const counts::Statistics& counts = book.statistics();
+    const counts::Totals totals = book.totals(loop_.now());
+    gauge("counts_age_seconds", "Age of the oldest news of an instance that may still count.",
+          std::chrono::duration<double>(totals.age).count());
+    gauge("counts_slack_jobs", "By how much each total's high lies above its low.", number(totals.slack));
+    gauge("counts_lives", "Lives of instances that are known and not folded.", number(totals.lives));
+    gauge("counts_memory_bytes", "Memory of the counts, about.", number(book.bytes()));
+    counter("counts_cells_applied_total", "Cells of others that were news.", counts.cells_applied);
+    counter("counts_cells_known_total", "Cells of others that were known already.", counts.cells_known);
+    for (const auto& [cause, value] :
+         {std::pair{"gap", counts.sections_gap}, std::pair{"unknown_life", counts.sections_unknown},
+          std::pair{"bad", counts.sections_bad}}) {
+        out.add("counts_sections_refused_total", "Parts of counts not taken over, by cause.",
+                MetricType::Counter, number(value), {{"cause", cause}});
+    }
+    counter("counts_over_limit_total", "Lives, tenants or classes beyond the limits.", counts.over_limit);
+    counter("counts_over_rate_total", "Times this instance counted more than it declares.", counts.over_rate);
+    counter("counts_skewed_clocks_total", "Instances found with a clock ahead by more than max_skew.",
+            counts.skewed);
+    counter("counts_folds_total", "Times that former lives of this instance were folded.", counts.folds);
+    counter("counts_raised_total", "Folded cells raised as a returning instance knew more.", counts.raised);
+    counter("counts_folded_returned_total", "Folded lives that were brought back, and not taken in.",
+            counts.folded_returned);
+    counter("counts_snapshots_written_total", "Snapshots on disk, complete.", mesh_.snapshots_written());
+    return out.text();
+}
+
+} // namespace willowrill::fleet
--- /dev/null
+++ b/src/fleet/fleet.h
@@ -0,0 +1,42 @@
+// This scheduler as one of a fleet: its messages' ends go into the shared counts, and operators are told of
+// the fleet. Knows the host by `core::Ledger`, and nothing of clients or workers.
+#pragma once
+
+#include "config/settings.h"
+#include "core/host.h"
+#include "mesh/mesh.h"
+#include "site/site.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace willowrill::fleet {
+
+// Jobs whose client names no known tenant.
+inline constexpr std::string_view no_tenant = "(none)";
+
+class Fleet final : public core::Ledger {
+  public:
+    // `site.mesh` is set. `wait`: see `mesh::Mesh`. Throws std::system_error.
+    Fleet(net::Loop& loop, const site::Site& site, const config::Settings& settings, bool wait);
+
+    void ended(Index job_class, Index tenant, Ending ending) override;
+
+    std::string counts_json() const; // empty: counts are off
+    std::string members_json() const;
+    std::string figures() const; // in the Prometheus text format
+
+    void set(const site::Site& site) { mesh_.set(site); }
+    void leave(std::function<void()> gone) { mesh_.leave(std::move(gone)); }
+    mesh::Mesh& mesh() { return mesh_; }
+
+  private:
+    net::Loop& loop_;
+    config::Names names_;
+    bool counts_;
+    mesh::Mesh mesh_;
+    std::vector<counts::Series> series_; // by class and tenant, the unknown one last; made when first counted
+};
+
+} // namespace willowrill::fleet
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -85,13 +85,13 @@
         std::optional<mesh::Snapshot> saved{};
         Time ahead{0};
         Traffic traffic{}; // sent
-        Time tick_at{0}; // the one that is in the queue
+        Time tick_at{0};   // the one that is in the queue
     };
     struct Event {
         Time at{0};
         std::uint64_t order = 0; // of those at the same time
         std::uint32_t to = 0, from = 0;
-        std::uint64_t start = 0;                  // of the receiver: what was for a life that is over is lost
+        std::uint64_t start = 0; // of the receiver: what was for a life that is over is lost
         std::shared_ptr<const mesh::Frame> frame{}; // none: a tick
         bool operator>(const Event& other) const {
             return at != other.at ? at > other.at : order > other.order;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,7 @@
 // The scheduler: reads what it is told, puts the parts together, and ends in good order.
 #include "config/settings.h"
 #include "core/host.h"
+#include "fleet/fleet.h"
 #include "inventory/list.h"
 #include "inventory/watch.h"
 #include "log/log.h"
@@ -47,13 +48,13 @@
 
 class Program final : private mgmt::Service, private upgrade::Succession::Run {
   public:
-    Program(config::Settings settings, std::optional<std::string> door,
+    Program(config::Settings settings, site::Site at_site, std::optional<std::string> door,
             std::optional<upgrade::Inheritance> inheritance)
-        : settings_(std::move(settings)), settings_in_file_(settings_), list_(settings_.names),
-          pool_(loop_, list_, settings_.report_fields,
-                {.connections = per_side(settings_),
-                 .idle = settings_.connection_idle,
-                 .connect_timeout = settings_.connect_timeout}),
+        : settings_(std::move(settings)), settings_in_file_(settings_), site_(std::move(at_site)),
+          list_(settings_.names), pool_(loop_, list_, settings_.report_fields,
+                                        {.connections = per_side(settings_),
+                                         .idle = settings_.connection_idle,
+                                         .connect_timeout = settings_.connect_timeout}),
           watch_(loop_, settings_.discovery, settings_.decisions.list_valid, list_,
                  [this](auto news) { on_list(std::move(news)); }),
           host_(settings_.decisions, settings_.max_open, config::message_memory(settings_), pool_, watch_),
@@ -67,6 +68,9 @@
           succession_(loop_, std::move(door), std::move(inheritance), *this) {
         pool_.set_host(host_);
         host_.set_neighbour(succession_);
+        // A former run at an upgrade still has the address among the instances.
+        if (site_.mesh) fleet_.emplace(loop_, site_, settings_, succession_.shared());
+        if (fleet_) host_.set_ledger(*fleet_);
         if (settings_.mgmt) desk_.emplace(loop_, *settings_.mgmt, static_cast<mgmt::Service&>(*this));
         if (!settings_.known.empty()) {
             if (auto news = list_.read(settings_.known)) {
@@ -81,6 +85,10 @@
 
     void run() {
         loop_.at_round_end([this] { on_round_end(); });
+        if (desk_) {
+            log::event(spdlog::level::info, "mgmt.open", {{"address", desk_->address().text()}},
+                       "operators' calls at " + desk_->address().text());
+        }
         spdlog::info("{} serves on {}, discovery at {}", settings_.name, front_.address().text(),
                      settings_.discovery.text());
         if (succession_.shared()) {
@@ -156,13 +164,23 @@
         }
         if (next) next_batch_.arm(*next);
         if (!serving_ && !stopping_ && !list_.empty() && !fresh_.armed()) serve();
-        if (stopping_ && !leave_.armed() && front_.empty() && host_.open() == 0) loop_.stop();
+        if (stopping_ && !leave_.armed() && front_.empty() && host_.open() == 0) end();
+    }
+
+    // All messages have ended, and are counted: the other instances hear the last of it.
+    void end() {
+        if (std::exchange(ending_, true)) return;
+        if (!fleet_) return loop_.stop();
+        fleet_->leave([this] { loop_.stop(); });
     }
 
     // Takes the file over whole or not at all. What the parts were built from stays until a restart.
     void reload() {
         ++reloads_;
         try {
+            // Both files are read before either is taken over.
+            std::optional<site::Site> site_now;
+            if (!site_.file.empty()) site_now = site::read(site_.file);
             const config::Settings before = std::exchange(
                 settings_in_file_, config::read([](const char* name) { return std::getenv(name); }));
             const config::Settings& now = settings_in_file_;
@@ -174,11 +192,28 @@
                 now.file_name != before.file_name || now.file_mgmt != before.file_mgmt)
                 spdlog::warn(
                     "the configuration's name, listen, mgmt or settings differ: a restart takes them over");
+            if (site_now) reload_site(std::move(*site_now));
         } catch (const std::exception& error) {
             spdlog::error("the configuration stays as it was: {}", error.what());
         }
     }
 
+    void reload_site(site::Site now) {
+        std::string later;
+        for (const std::string& key : site::needs_restart(site_, now))
+            later += (later.empty() ? "" : ", ") + key;
+        if (!later.empty()) {
+            log::event(spdlog::level::warn, "site.needs_restart", {{"keys", later}},
+                       "the operators' file stays as it was, as a restart is needed for: " + later);
+            return;
+        }
+        if (!now.log.level.empty()) spdlog::set_level(spdlog::level::from_str(now.log.level));
+        if (fleet_) fleet_->set(now);
+        site_ = std::move(now);
+        log::event(spdlog::level::info, "site.read_again", {{"file", site_.file}},
+                   "operators' file read again");
+    }
+
     void on_signal(int signal) {
         if (signal == SIGUSR1) return print_counters();
         if (signal == SIGHUP) return reload();
@@ -199,6 +234,12 @@
 
     bool can_serve() const override { return serving_ && !list_.empty() && !stopping_; }
     void lame_duck(bool on) override { front_.lame_duck(on); }
+    std::optional<Report> report(std::string_view path) const override {
+        if (path == "/_counts") return Report{"application/json", fleet_ ? fleet_->counts_json() : ""};
+        if (path == "/_members") return Report{"application/json", fleet_ ? fleet_->members_json() : ""};
+        return std::nullopt;
+    }
+    std::string further_figures() const override { return fleet_ ? fleet_->figures() : ""; }
     mgmt::Figures figures() const override {
         mgmt::Figures out{.classes = {},
                           .attempts = pool_.counters().written,
@@ -246,6 +287,7 @@
 
     const config::Settings settings_;   // as at the start; the parts refer to them
     config::Settings settings_in_file_; // as last read
+    site::Site site_;                   // the operators' file, as last taken over
     net::Loop loop_;
     inventory::List list_;
     relay::Pool pool_;
@@ -256,8 +298,9 @@
     net::Time end_{0}; // of what is taken in late
     net::Signals signals_;
     upgrade::Succession succession_;
+    std::optional<fleet::Fleet> fleet_;
     std::optional<mgmt::Desk> desk_;
-    bool serving_ = false, stopping_ = false;
+    bool serving_ = false, stopping_ = false, ending_ = false;
     std::uint64_t reloads_ = 0;
 };
 
@@ -290,7 +333,7 @@
     namespace site = willowrill::site;
     std::optional<willowrill::net::HeldSignals> held(std::in_place, {SIGTERM, SIGINT, SIGUSR1, SIGHUP});
     auto settings = willowrill::config::read([](const char* name) { return std::getenv(name); });
-    const site::Site at_site = options.site_file.empty() ? site::Site() : site::read(options.site_file);
+    site::Site at_site = options.site_file.empty() ? site::Site() : site::read(options.site_file);
     if (!at_site.log.level.empty()) spdlog::set_level(spdlog::level::from_str(at_site.log.level));
     spdlog::cfg::load_env_levels(); // SPDLOG_LEVEL=debug tells of every attempt, whatever the file says
     const bool json = options.log_format.empty() ? at_site.log.format == site::LogFormat::json
@@ -299,7 +342,8 @@
     auto door = willowrill::upgrade::door_path(std::getenv("TMPDIR"), settings.listen);
     std::optional<willowrill::upgrade::Inheritance> inheritance;
     if (door) inheritance = willowrill::upgrade::inherit(*door, settings.listen, willowrill::handover_time);
-    willowrill::Program program(std::move(settings), std::move(door), std::move(inheritance));
+    willowrill::Program program(std::move(settings), std::move(at_site), std::move(door),
+                                std::move(inheritance));
     held.reset();
     program.run();
     return 0;
--- a/src/members/members.cpp
+++ b/src/members/members.cpp
@@ -313,7 +313,8 @@
     ++periods_;
     next_period_ = std::max(next_period_ + settings_.period, now + settings_.period / 2);
     probe(now, out);
-    if (periods_ % reach_periods == 1) reach_out(now, out);
+    // One that knows nobody has nothing else to do: its first word may have been lost.
+    if (periods_ % reach_periods == 1 || alive() == 1) reach_out(now, out);
     if (periods_ % settings_.sync_periods == 0) {
         if (const auto peer = random_alive())
             send(*peer, {.kind = Kind::sync_request, .sequence = ++sequence_}, out);
--- a/src/members/members.h
+++ b/src/members/members.h
@@ -57,7 +57,7 @@
 struct Message {
     Kind kind = Kind::ping;
     std::uint32_t sequence = 0;
-    std::uint64_t life = 0;   // that a ping is meant for; 0: whoever is there
+    std::uint64_t life = 0;     // that a ping is meant for; 0: whoever is there
     Address subject{};          // of a ping_request
     std::vector<Member> news{}; // piggy-backed, or the members of a sync
 };
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -17,14 +17,19 @@
 
 constexpr int datagrams_a_round = 64; // messages of clients wait no longer than these take
 constexpr int buffer_bytes = 1 << 20; // a fleet's answers come in bursts
+constexpr auto open_pause = 200ms;    // between two looks whether a former run has let go of the address
 constexpr auto linger = 300ms;        // after the last words, for those who ask for what they lack
 
+// Invalid, with errno, where the address cannot be had.
 net::Fd udp_socket(const net::Endpoint& endpoint) {
     net::Fd fd(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-    if (!fd.valid() ||
-        ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&endpoint.address), sizeof endpoint.address) != 0)
-        throw std::system_error(errno, std::generic_category(),
-                                "cannot take datagrams at " + endpoint.text());
+    if (fd.valid() && ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&endpoint.address),
+                             sizeof endpoint.address) != 0) {
+        const int error = errno;
+        fd.reset();
+        errno = error;
+    }
+    if (!fd.valid()) return fd;
     ::setsockopt(fd.get(), SOL_SOCKET, SO_RCVBUF, &buffer_bytes, sizeof buffer_bytes);
     ::setsockopt(fd.get(), SOL_SOCKET, SO_SNDBUF, &buffer_bytes, sizeof buffer_bytes);
     return fd;
@@ -85,50 +90,71 @@
 
 } // namespace
 
-Mesh::Mesh(net::Loop& loop, const site::Site& site, std::string instance)
+Mesh::Mesh(net::Loop& loop, const site::Site& site, std::string instance, bool wait)
     : loop_(loop), settings_(*site.mesh),
-      snapshot_every_(site.counts ? site.counts->snapshot_every : Time(0)), counts_(site.counts.has_value()),
-      socket_(udp_socket(settings_.listen)), sealer_(keys_of(settings_)), replay_(4 * settings_.most_members),
-      timer_(loop.wheel(), [this] { on_timer(); }), save_timer_(loop.wheel(), [this] { save(); }),
-      gone_timer_(loop.wheel(), [this] {
-          if (gone_) gone_();
-      }) {
-    std::optional<Snapshot> former;
-    if (counts_ && !site.state_dir.empty()) {
+      snapshot_every_(site.counts ? site.counts->snapshot_every : Time(0)), sealer_(keys_of(settings_)),
+      replay_(4 * settings_.most_members), timer_(loop.wheel(), [this] { on_timer(); }),
+      save_timer_(loop.wheel(), [this] { save(); }), gone_timer_(loop.wheel(),
+                                                                 [this] {
+                                                                     if (gone_) gone_();
+                                                                 }),
+      open_timer_(loop.wheel(), [this] { open(true); }) {
+    std::uint64_t last = 0;
+    if (site.counts && !site.state_dir.empty()) {
         snapshots_.emplace(site.state_dir, instance);
         std::string note;
-        former = snapshots_->load(note);
+        const auto former = snapshots_->load(note);
         if (!note.empty())
             log::event(spdlog::level::warn, "counts.state_put_aside", {{"why", note}}, "counts: " + note);
+        if (former && former->instance == instance) last = former->number;
     }
     const net::Time now = loop_.now();
-    const std::uint64_t last = former && former->instance == instance ? former->number : 0;
     const std::uint64_t number = counts::next_number(now, static_cast<std::uint32_t>(random_seed()), last);
-    members::Address own = address_of(settings_.advertise);
-    if (own.port == 0)
-        own.port = address_of(address()).port; // any free port: for tests, and for one instance alone
-    node_ = std::make_unique<Node>(settings_of(site), std::move(instance), number, own, random_seed(), now);
-    if (former) {
-        for (const counts::Delta& delta : former->deltas)
-            node_->book().load(delta, now);
-        log::event(
-            spdlog::level::info, "counts.state_read", {{"lives", std::uint64_t{node_->book().lives() - 1}}},
-            "counts: " + std::to_string(node_->book().lives() - 1) + " lives read from the last snapshot");
+    node_ = std::make_unique<Node>(settings_of(site), std::move(instance), number,
+                                   address_of(settings_.advertise), random_seed(), now);
+    open(wait);
+}
+
+bool Mesh::open(bool wait) {
+    socket_ = udp_socket(settings_.listen);
+    const net::Time now = loop_.now();
+    if (!socket_.valid()) {
+        if (!wait || errno != EADDRINUSE)
+            throw std::system_error(errno, std::generic_category(),
+                                    "cannot take datagrams at " + settings_.listen.text());
+        open_timer_.arm(now + open_pause);
+        return false;
+    }
+    // Only now: a former run may have written more until just now.
+    if (snapshots_) {
+        std::string note;
+        if (const auto former = snapshots_->load(note)) {
+            for (const counts::Delta& delta : former->deltas)
+                node_->book().load(delta, now);
+            const std::uint64_t lives = node_->book().lives() - 1;
+            log::event(spdlog::level::info, "counts.state_read", {{"lives", lives}},
+                       "counts: " + std::to_string(lives) + " lives read from the last snapshot");
+        }
+        save_timer_.arm(now + snapshot_every_);
     }
     loop_.watch(socket_.get(), POLLIN, *this);
+    log::event(spdlog::level::info, "mesh.open", {{"address", address().text()}},
+               "mesh: datagrams at " + address().text());
     node_->start(now);
     flush();
-    if (snapshots_) save_timer_.arm(now + snapshot_every_);
+    return true;
 }
 
-Mesh::~Mesh() { loop_.forget(socket_.get()); }
+Mesh::~Mesh() {
+    if (socket_.valid()) loop_.forget(socket_.get());
+}
 
 void Mesh::set(const site::Site& site) {
     settings_ = *site.mesh;
     sealer_ = Sealer(keys_of(settings_));
     if (site.counts) snapshot_every_ = site.counts->snapshot_every;
     node_->set(settings_of(site));
-    arm();
+    if (is_open()) arm();
 }
 
 void Mesh::on_ready(short) {
@@ -212,10 +238,13 @@
 
 void Mesh::leave(std::function<void()> gone) {
     gone_ = std::move(gone);
-    node_->leave(loop_.now());
-    flush();
-    if (snapshots_) save();
-    save_timer_.disarm();
+    open_timer_.disarm();
+    if (is_open()) { // else another run of this instance has its place, its file too
+        node_->leave(loop_.now());
+        flush();
+        if (snapshots_) save();
+        save_timer_.disarm();
+    }
     gone_timer_.arm(loop_.now() + linger);
 }
 
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -27,7 +27,9 @@
 class Mesh final : private net::Pollable {
   public:
     // Throws std::system_error where the address cannot be had. `instance` is the name among the instances.
-    Mesh(net::Loop& loop, const site::Site& site, std::string instance);
+    // `wait`: a former run of this instance still has the address; it is taken over when that one is gone,
+    // and until then this one counts without a word to anyone.
+    Mesh(net::Loop& loop, const site::Site& site, std::string instance, bool wait = false);
     ~Mesh() override;
 
     void
@@ -40,10 +42,12 @@
     const Node& node() const { return *node_; }
     const MeshCounters& counters() const { return counters_; }
     net::Endpoint address() const { return net::local_address(socket_); }
+    bool is_open() const { return socket_.valid(); }
     std::uint64_t snapshots_written() const { return snapshots_ ? snapshots_->written() : 0; }
 
   private:
     void on_ready(short events) override;
+    bool open(bool wait);
     void take(std::span<const unsigned char> datagram, members::Address from);
     void drop(Dropped cause) { ++counters_.dropped[static_cast<std::size_t>(cause)]; }
     void on_timer();
@@ -54,13 +58,12 @@
     net::Loop& loop_;
     site::Mesh settings_;
     Time snapshot_every_{0};
-    bool counts_ = false;
     net::Fd socket_;
     Sealer sealer_;
     Replay replay_;
     std::optional<Snapshots> snapshots_;
     std::unique_ptr<Node> node_;
-    net::Timer timer_, save_timer_, gone_timer_;
+    net::Timer timer_, save_timer_, gone_timer_, open_timer_;
     std::function<void()> gone_;
     MeshCounters counters_;
 };
--- a/src/mgmt/desk.cpp
+++ b/src/mgmt/desk.cpp
@@ -55,7 +55,8 @@
         const net::http::Head& head = parser_.head();
         if (head.minor >= 1 && head.find("host") == nullptr) return answer(400, "Host is missing\n");
         const std::string_view path = std::string_view(head.target).substr(0, head.target.find('?'));
-        const bool reads = path == "/_ready" || path == "/_vars";
+        const auto report = desk_.service_.report(path);
+        const bool reads = report || path == "/_ready" || path == "/_vars";
         const bool on = path == "/_lameduck/on";
         if (!reads && !on && path != "/_lameduck/off") return answer(404, "no such call\n");
         const std::string method = reads ? "GET" : "POST";
@@ -65,8 +66,12 @@
             const bool yes = desk_.service_.can_serve();
             return answer(yes ? 200 : 503, yes ? "ready\n" : "not ready\n");
         }
+        if (report) {
+            if (report->text.empty()) return answer(404, "this is off; the operators' file turns it on\n");
+            return answer(200, report->text, {{"Content-Type", std::string(report->type)}});
+        }
         if (path == "/_vars") {
-            return answer(200, to_text(desk_.service_.figures()),
+            return answer(200, to_text(desk_.service_.figures()) + desk_.service_.further_figures(),
                           {{"Content-Type", "text/plain; version=0.0.4; charset=utf-8"}});
         }
         spdlog::info("mgmt: lame duck {}", on ? "on" : "off");
--- a/src/mgmt/desk.h
+++ b/src/mgmt/desk.h
@@ -9,6 +9,9 @@
 #include <cstdint>
 #include <list>
 #include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
 
 namespace willowrill::mgmt {
 
@@ -18,6 +21,14 @@
     virtual bool can_serve() const = 0;
     virtual Figures figures() const = 0;
     virtual void lame_duck(bool on) = 0; // asked again, it changes nothing
+    // Further calls by GET, such as `/_counts`: nothing where there is no such call, `text` empty where it is
+    // off.
+    struct Report {
+        std::string_view type;
+        std::string text;
+    };
+    virtual std::optional<Report> report(std::string_view) const { return std::nullopt; }
+    virtual std::string further_figures() const { return ""; } // behind the others at /_vars
 };
 
 struct DeskCounters {
--- a/src/north/front.cpp
+++ b/src/north/front.cpp
@@ -150,7 +150,7 @@
         const bool ending = front_.leaving_ &&
                             front_.loop_.now() + 2 * front_.host_.usual_time(message.job_class) > front_.end_;
         if (ending || front_.lame_for() > lame_jobs) {
-            front_.host_.turn_away(message.job_class);
+            front_.host_.turn_away(message.job_class, message.tenant);
             return answer(503, {{"Connection", "close"}}, "going away, try elsewhere\n");
         }
         if (front_.host_.holds(message.id)) return reject({409, "the X-Request-ID is in use"});
--- a/src/site/site.h
+++ b/src/site/site.h
@@ -47,7 +47,7 @@
     std::uint64_t indirect = 0;  // members asked to probe where a direct probe fails
     std::uint64_t suspicion = 0; // periods, times the logarithm of the fleet's size
     Span forget_after{0};        // a dead member is known that long
-    Span max_age{0}; // a datagram sent longer ago, by the two clocks, is dropped
+    Span max_age{0};             // a datagram sent longer ago, by the two clocks, is dropped
     std::uint64_t most_members = 0;
 };
 
--- /dev/null
+++ b/tests/fleet/fleet_test.cpp
@@ -0,0 +1,174 @@
+// Five real schedulers on loopback, and a network between them that loses a fifth. All waits are bounded; the
+// bound only ends a test that has failed.
+#include "lab/fleet.h"
+
+#include <doctest/doctest.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+
+namespace willowrill::lab {
+namespace {
+
+using namespace std::chrono_literals;
+
+class Folder {
+  public:
+    Folder() {
+        std::string name = "/tmp/willowrill-fleet-XXXXXX";
+        if (::mkdtemp(name.data()) != nullptr) path = name;
+    }
+    ~Folder() { std::filesystem::remove_all(path); }
+    std::string path;
+};
+
+struct Rig {
+    explicit Rig(std::size_t size, bool with_state = false)
+        : fleet(loop, {.program = WILLOWRILLD, .folder = folder.path, .with_state = with_state}) {
+        fleet.proxy().loss = 0.2;
+        fleet.proxy().duplicate = 0.05;
+        fleet.proxy().delay_most = 30ms;
+        for (std::size_t i = 0; i < size; ++i)
+            fleet.start(i);
+        for (std::size_t i = 0; i < size; ++i)
+            REQUIRE(until([&] { return fleet.ready(i); }));
+    }
+    template <class Done> bool until(Done done, net::Duration at_most = 60s) {
+        const net::Time end = loop.now() + at_most;
+        while (!done()) {
+            if (loop.now() > end) return false;
+            loop.run_once(5ms);
+        }
+        return true;
+    }
+    void jobs(std::size_t count, std::size_t instances) {
+        for (std::size_t i = 0; i < count; ++i) {
+            fleet.send(i % instances, i % 3 == 0 ? "a" : i % 3 == 1 ? "b" : "c");
+            if (i % 10 == 9) REQUIRE(until([&] { return fleet.waiting() == 0; }));
+        }
+        REQUIRE(until([&] { return fleet.waiting() == 0; }));
+    }
+    // Whether that instance's word holds, and whether it has caught up with the truth.
+    bool knows_all(std::size_t at) {
+        const auto told = fleet.told(at);
+        bool all = true;
+        for (const char* tenant : {"a", "b", "c"}) {
+            const auto found = told.find(tenant);
+            const Told one = found == told.end() ? Told{} : found->second;
+            CHECK(one.low <= fleet.truth(tenant));
+            all = all && one.low == fleet.truth(tenant);
+        }
+        return all;
+    }
+    bool knows_members(std::size_t at, std::size_t alive) {
+        const std::string text = fleet.ask(at, "/_members");
+        std::size_t found = 0;
+        for (std::size_t from = text.find("\"alive\""); from != std::string::npos;
+             from = text.find("\"alive\"", from + 1))
+            ++found;
+        return found == alive;
+    }
+
+    Folder folder;
+    net::Loop loop;
+    LiveFleet fleet;
+};
+
+TEST_CASE("five schedulers, a fifth lost: all come to the truth; the one cut off, too, once it is back") {
+    Rig rig(5);
+    for (std::size_t i = 0; i < 5; ++i)
+        REQUIRE(rig.until([&] { return rig.knows_members(i, 5); }));
+    rig.jobs(150, 5);
+    CHECK(rig.fleet.failed() == 0);
+    for (std::size_t i = 0; i < 5; ++i)
+        CHECK(rig.until([&] { return rig.knows_all(i); }));
+    rig.fleet.proxy().cut_off(4, true);
+    rig.jobs(150, 5); // it counts on
+    CHECK_FALSE(rig.knows_all(0));
+    for (std::size_t i = 0; i < 5; ++i) {
+        for (const auto& [tenant, told] : rig.fleet.told(i))
+            CHECK(told.high >= rig.fleet.truth(tenant));
+    }
+    rig.fleet.proxy().cut_off(4, false);
+    for (std::size_t i = 0; i < 5; ++i)
+        CHECK(rig.until([&] { return rig.knows_all(i); }));
+}
+
+TEST_CASE("SIGTERM loses nothing that was counted; a kill loses nothing that is in the snapshot") {
+    Rig rig(3, true);
+    for (std::size_t i = 0; i < 3; ++i)
+        REQUIRE(rig.until([&] { return rig.knows_members(i, 3); }));
+    rig.jobs(30, 3);
+    rig.fleet.process(1).signal(SIGTERM);
+    REQUIRE(rig.until([&] { return rig.fleet.process(1).ended().has_value(); }));
+    CHECK(rig.fleet.process(1).ended() == 0);
+    CHECK(rig.until([&] { return rig.knows_all(0); }));
+    rig.fleet.start(1);
+    REQUIRE(rig.until([&] { return rig.fleet.ready(1); }));
+    CHECK(rig.fleet.process(1).log().find("lives read from the last snapshot") != std::string::npos);
+    CHECK(rig.until([&] { return rig.knows_all(1); }));
+    rig.jobs(30, 3);
+    for (std::size_t i = 0; i < 3; ++i)
+        CHECK(rig.until([&] { return rig.knows_all(i); }));
+    // All know; whatever dies now, and however many at once, comes back with it.
+    REQUIRE(
+        rig.until([&, before = rig.loop.now()] { return rig.loop.now() - before > 1s; })); // some snapshots
+    for (std::size_t i = 0; i < 3; ++i)
+        rig.fleet.kill(i);
+    for (std::size_t i = 0; i < 3; ++i)
+        rig.fleet.start(i);
+    for (std::size_t i = 0; i < 3; ++i)
+        REQUIRE(rig.until([&] { return rig.fleet.ready(i); }));
+    for (std::size_t i = 0; i < 3; ++i)
+        CHECK(rig.until([&] { return rig.knows_all(i); }));
+}
+
+TEST_CASE("keys change under load: one after the other takes both, seals with the new one, drops the old") {
+    Rig rig(3);
+    for (std::size_t i = 0; i < 3; ++i)
+        REQUIRE(rig.until([&] { return rig.knows_members(i, 3); }));
+    const auto step = [&](const std::vector<std::pair<int, std::string>>& keys) {
+        for (std::size_t i = 0; i < 3; ++i) {
+            const std::string before = rig.fleet.process(i).log();
+            rig.fleet.write_site(i, keys);
+            rig.fleet.process(i).signal(SIGHUP);
+            REQUIRE(rig.until([&] {
+                return rig.fleet.process(i).log().find("file read again", before.size()) != std::string::npos;
+            }));
+            rig.jobs(12, 3);
+        }
+    };
+    step({{1, "1.key"}, {2, "2.key"}}); // takes both
+    step({{2, "2.key"}, {1, "1.key"}}); // seals with the new one
+    step({{2, "2.key"}});
+    for (std::size_t i = 0; i < 3; ++i)
+        CHECK(rig.until([&] { return rig.knows_all(i); }));
+    for (std::size_t i = 0; i < 3; ++i) {
+        const std::string figures = rig.fleet.ask(i, "/_vars");
+        CHECK(figures.find("willowrill_mesh_dropped_datagrams_total{cause=\"unknown_key\"} 0\n") !=
+              std::string::npos);
+        CHECK(figures.find("willowrill_mesh_dropped_datagrams_total{cause=\"forged\"} 0\n") !=
+              std::string::npos);
+        CHECK(figures.find("scheduler_requests{class=\"once\",outcome=\"served\"} ") != std::string::npos);
+    }
+}
+
+TEST_CASE("SIGHUP with a bad operators' file leaves all as it was") {
+    Rig rig(1);
+    rig.fleet.write("site0.yaml", "mesh:\n  listen: nowhere\n");
+    rig.fleet.process(0).signal(SIGHUP);
+    REQUIRE(
+        rig.until([&] { return rig.fleet.process(0).log().find("stays as it was") != std::string::npos; }));
+    CHECK(rig.fleet.process(0).log().find("site0.yaml:2: mesh.") != std::string::npos);
+    rig.jobs(3, 1);
+    CHECK(rig.knows_all(0));
+    rig.fleet.write("site0.yaml", "log:\n  format: text\n");
+    rig.fleet.process(0).signal(SIGHUP);
+    REQUIRE(rig.until(
+        [&] { return rig.fleet.process(0).log().find("a restart is needed for: ") != std::string::npos; }));
+    CHECK(rig.fleet.told(0).size() == 3);
+}
+
+} // namespace
+} // namespace willowrill::lab
--- /dev/null
+++ b/tests/state/store_test.cpp
@@ -0,0 +1,148 @@
+#include "state/store.h"
+
+#include <doctest/doctest.h>
+
+#include <cerrno>
+#include <map>
+#include <memory>
+
+namespace willowrill::state {
+namespace {
+
+Bytes bytes(const std::string& text) { return {text.begin(), text.end()}; }
+
+// A disk in memory that tells what was written from what would survive the loss of power, and dies at a
+// chosen call.
+struct Fake final : Disk {
+    struct Death {};
+    struct Content {
+        Bytes now, on_disk;
+    };
+
+    bool dies() { return ++calls == die_at; }
+    int fails() { return calls == fail_at ? EIO : 0; }
+
+    int write(const std::string& path, std::span<const unsigned char> data) override {
+        const bool dead = dies();
+        auto& file = names[path];
+        if (!file) file = std::make_shared<Content>();
+        // A death in the middle of a write leaves some of it.
+        const std::size_t done = dead ? data.size() / 2 : data.size();
+        file->now.assign(data.begin(), data.begin() + static_cast<std::ptrdiff_t>(done));
+        if (dead) throw Death();
+        return fails();
+    }
+    int sync(const std::string& path) override {
+        if (dies()) throw Death();
+        if (fails()) return EIO;
+        names.at(path)->on_disk = names.at(path)->now;
+        return 0;
+    }
+    int rename(const std::string& from, const std::string& to) override {
+        if (dies()) throw Death();
+        if (fails()) return EIO;
+        names[to] = names.at(from);
+        names.erase(from);
+        return 0;
+    }
+    int sync_folder(const std::string&) override {
+        if (dies()) throw Death();
+        if (fails()) return EIO;
+        names_on_disk = names;
+        return 0;
+    }
+    int read(const std::string& path, Bytes& into, std::size_t) override {
+        if (!names.contains(path)) return ENOENT;
+        into = names.at(path)->now;
+        return 0;
+    }
+    // `names_survive`: the system wrote the folder's names by itself before the power went.
+    void lose_power(bool names_survive) {
+        if (!names_survive) names = names_on_disk;
+        for (auto& [name, file] : names)
+            file->now = file->on_disk;
+    }
+
+    int calls = 0, die_at = -1, fail_at = -1;
+    std::map<std::string, std::shared_ptr<Content>> names, names_on_disk;
+};
+
+TEST_CASE("what was saved is read, and again after the loss of power") {
+    Fake disk;
+    Store store("/d", "f", 1, disk);
+    CHECK(store.load().found == Found::none);
+    CHECK_FALSE(store.save(bytes("one")));
+    disk.lose_power(false);
+    const auto loaded = store.load();
+    CHECK(loaded.found == Found::whole);
+    CHECK(loaded.content == bytes("one"));
+}
+
+TEST_CASE("a death between any two calls, with or without power, leaves the old or the new, whole") {
+    for (const bool power_lost : {false, true}) {
+        for (const bool names_survive : {false, true}) {
+            for (int at = 1; at <= 4; ++at) {
+                CAPTURE(at);
+                Fake disk;
+                Store store("/d", "f", 1, disk);
+                REQUIRE_FALSE(store.save(bytes("old")));
+                disk.calls = 0;
+                disk.die_at = at;
+                CHECK_THROWS_AS(store.save(bytes("new one")), Fake::Death);
+                disk.die_at = -1;
+                if (power_lost) disk.lose_power(names_survive);
+                const auto loaded = store.load();
+                REQUIRE(loaded.found == Found::whole);
+                CHECK((loaded.content == bytes("old") || loaded.content == bytes("new one")));
+                CHECK_FALSE(store.save(bytes("next"))); // what the dead one left is in nobody's way
+                CHECK(store.load().content == bytes("next"));
+            }
+        }
+    }
+}
+
+TEST_CASE("a call that fails is told in a sentence, and the old stays") {
+    for (int at = 1; at <= 3; ++at) {
+        Fake disk;
+        Store store("/d", "f", 1, disk);
+        REQUIRE_FALSE(store.save(bytes("old")));
+        disk.calls = 0;
+        disk.fail_at = at;
+        const auto failed = store.save(bytes("new"));
+        REQUIRE(failed);
+        CHECK(failed->find("/d") != std::string::npos);
+        CHECK(store.load().content == bytes("old"));
+    }
+}
+
+TEST_CASE("torn, foreign and newer files are told apart, put aside and named") {
+    const Bytes good = pack(bytes("content"), 1);
+    const auto found = [](const Bytes& file) {
+        std::span<const unsigned char> content;
+        return unpack(file, 1, content);
+    };
+    CHECK(found(good) == Found::whole);
+    for (std::size_t size = 1; size < good.size(); ++size)
+        CHECK(found(Bytes(good.begin(), good.begin() + static_cast<std::ptrdiff_t>(size))) == Found::torn);
+    for (std::size_t at = 8; at < good.size(); ++at) {
+        Bytes flipped = good;
+        flipped[at] ^= 1U;
+        const Found what = found(flipped);
+        CHECK((what == Found::torn || what == Found::newer));
+    }
+    CHECK(found({}) == Found::foreign);
+    CHECK(found(bytes("{\"json\": true, \"long enough for a head\": 1}")) == Found::foreign);
+    CHECK(found(pack(bytes("x"), 2)) == Found::newer);
+
+    Fake disk;
+    Store store("/d", "f", 1, disk);
+    disk.write("/d/f", bytes("something else"));
+    const auto loaded = store.load();
+    CHECK(loaded.found == Found::foreign);
+    CHECK(loaded.note.find("foreign") != std::string::npos);
+    CHECK(disk.names.contains("/d/f.aside")); // nothing is destroyed
+    CHECK(store.load().found == Found::none);
+}
+
+} // namespace
+} // namespace willowrill::state
