--- a/src/counts/book.cpp
+++ b/src/counts/book.cpp
@@ -200,7 +200,8 @@
     const Identity& identity = introduction.identity;
     const std::uint64_t key = identity.key();
     if (Life* known = find(key)) return known;
-    if (identity.instance.empty() || identity.number == 0) {
+    if (identity.instance.empty() || identity.number == 0 || identity.rate > largest_rate ||
+        identity.burst > largest_burst) {
         ++statistics_.sections_bad;
         return nullptr;
     }
@@ -300,7 +301,10 @@
             const Name& one = news.series[name].name;
             return !one.tenant.empty() && !one.job_class.empty() && ++known_series <= most_series;
         }
-        if (step.kind == Life::Kind::cell) return news.cells[cell].slot < known_series * slots_per_series;
+        if (step.kind == Life::Kind::cell) {
+            return news.cells[cell].slot < known_series * slots_per_series &&
+                   news.cells[cell].value <= largest_cell;
+        }
         if (step.kind != Life::Kind::mark) return true;
         const Mark& one = news.marks[mark];
         return one.kind == MarkKind::ended ||
@@ -426,7 +430,7 @@
 void Book::take_raise(const Raise& raise) {
     Life* life = find(raise.key);
     if (life == nullptr || !life->covers() || static_cast<std::size_t>(raise.outcome) >= outcomes ||
-        raise.name.tenant.empty() || raise.name.job_class.empty())
+        raise.value > largest_cell || raise.name.tenant.empty() || raise.name.job_class.empty())
         return;
     const std::uint32_t global = intern(raise.name.tenant, raise.name.job_class);
     const auto series = life->series_of(global);
@@ -540,13 +544,12 @@
     return &life != &lives_[own_] && !life.ended() && age(life, now) < limits_.fold_after;
 }
 
-Totals Book::totals(Time now) const {
+Totals Book::bounds(Time now) const {
     Totals out;
-    double expected = 0,
-           counted = 0; // of all lives: since they were heard, by their recent rates; and before
+    out.instances = chains_.size();
     for (const auto& [key, index] : by_key_) {
         const Life& life = lives_[index];
-        counted += static_cast<double>(life.counted());
+        out.counted += life.counted();
         ++out.lives;
         if (!may_count(life, now)) continue;
         const auto seconds = [](Duration span) { return std::chrono::duration<double>(span).count(); };
@@ -555,14 +558,20 @@
                      static_cast<std::uint64_t>(static_cast<double>(life.identity().rate) *
                                                 seconds(since + limits_.max_skew));
         out.age = std::max(out.age, since);
-        expected += life.recent_rate() * seconds(since);
+        out.expected += life.recent_rate() * seconds(since);
     }
-    out.instances = chains_.size();
+    return out;
+}
+
+Totals Book::totals(Time now) const {
+    Totals out = bounds(now);
     const std::vector<std::uint64_t> sums = fleet_sums();
     for (std::size_t i = 0; i < sums.size(); ++i) {
         if (sums[i] == 0) continue;
-        const double share = counted > 0 ? static_cast<double>(sums[i]) / counted : 0;
-        const auto more = std::min(static_cast<std::uint64_t>(share * expected), out.slack);
+        // What is expected of all lives, by this cell's share of what they have counted.
+        const double share =
+            static_cast<double>(sums[i]) / static_cast<double>(std::max(out.counted, sums[i]));
+        const auto more = std::min(static_cast<std::uint64_t>(share * out.expected), out.slack);
         const Name& name = names_[i / outcomes];
         out.rows.push_back({name.tenant, name.job_class, static_cast<Outcome>(i % outcomes), sums[i],
                             sums[i] + more, sums[i] + out.slack});
@@ -580,6 +589,17 @@
                : fleet_sums()[global->second * outcomes + static_cast<std::size_t>(outcome)];
 }
 
+bool Book::knows(const std::vector<Want>& versions) const {
+    auto mine = by_key_.begin();
+    for (const Want& want : versions) {
+        while (mine != by_key_.end() && mine->first < want.key)
+            ++mine;
+        if (mine == by_key_.end() || mine->first != want.key || lives_[mine->second].version() < want.version)
+            return false;
+    }
+    return true;
+}
+
 std::uint64_t Book::fingerprint() const {
     std::uint64_t out = 0; // a sum, as the order of the series differs from book to book
     const std::vector<std::uint64_t> sums = fleet_sums();
--- a/src/counts/book.h
+++ b/src/counts/book.h
@@ -42,6 +42,8 @@
     Duration age{0};           // since the longest silent of the lives that may still count was heard
     std::uint64_t slack = 0;   // high - low, the same for each row
     std::size_t instances = 0, lives = 0;
+    std::uint64_t counted = 0; // by the lives that are known and not folded
+    double expected = 0;       // by their recent rates, since they were heard
 };
 
 struct Statistics {
@@ -87,11 +89,15 @@
 
     // --- reading
     Totals totals(Time now) const;
+    Totals bounds(Time now) const; // the same without the rows, which take long to add up in a large fleet
     std::uint64_t low(std::string_view tenant, std::string_view job_class, Outcome outcome) const;
     const Identity& self() const { return lives_[own_].identity(); }
     const Statistics& statistics() const { return statistics_; }
     std::size_t bytes() const; // of memory, about
     std::size_t lives() const { return by_key_.size(); }
+    std::uint64_t version() const { return lives_[own_].version(); } // of what this instance has stated
+    // Whether it knows each of these lives up to the version given; ascending by key.
+    bool knows(const std::vector<Want>& versions) const;
     std::uint64_t fingerprint() const; // the same in two books that agree on every total
 
     // --- what survives a restart: everything, as deltas from nothing.
--- a/src/counts/life.cpp
+++ b/src/counts/life.cpp
@@ -14,8 +14,18 @@
 }
 
 std::uint32_t Life::place(Slot slot) {
-    if (places_[slot] == none) places_[slot] = add(Kind::cell, slot, 0);
-    return places_[slot];
+    const bool folded = slot % slots_per_series >= outcomes;
+    const std::size_t at = slot / slots_per_series * outcomes + slot % outcomes;
+    if (folded && folded_places_.size() <= at) folded_places_.resize(globals_.size() * outcomes, none);
+    std::uint32_t& place = (folded ? folded_places_ : places_)[at];
+    if (place == none) place = add(Kind::cell, slot, 0);
+    return place;
+}
+
+std::uint32_t Life::find(Slot slot) const {
+    const auto& places = slot % slots_per_series >= outcomes ? folded_places_ : places_;
+    const std::size_t at = slot / slots_per_series * outcomes + slot % outcomes;
+    return at < places.size() ? places[at] : none;
 }
 
 void Life::touch(std::uint32_t at, std::uint64_t version) {
@@ -70,7 +80,7 @@
 void Life::take_series(std::uint64_t version, std::uint32_t global) {
     add(Kind::series, static_cast<std::uint32_t>(globals_.size()), version);
     globals_.push_back(global);
-    places_.resize(globals_.size() * slots_per_series, none);
+    places_.resize(globals_.size() * outcomes, none);
 }
 
 void Life::take_cell(std::uint64_t version, Slot slot, std::uint64_t value) {
@@ -119,8 +129,9 @@
 }
 
 Life::Value Life::at(Slot slot) const {
-    if (slot >= places_.size() || places_[slot] == none) return {};
-    const Entry& entry = entries_[places_[slot]];
+    const std::uint32_t at = find(slot);
+    if (at == none) return {};
+    const Entry& entry = entries_[at];
     return {entry.value, entry.version};
 }
 
@@ -132,7 +143,7 @@
 
 std::size_t Life::bytes() const {
     return sizeof *this + identity_.instance.capacity() + entries_.capacity() * sizeof(Entry) +
-           (places_.capacity() + globals_.capacity()) * sizeof(std::uint32_t);
+           (places_.capacity() + folded_places_.capacity() + globals_.capacity()) * sizeof(std::uint32_t);
 }
 
 } // namespace willowrill::counts
--- a/src/counts/life.h
+++ b/src/counts/life.h
@@ -34,8 +34,8 @@
 
     // --- by the life itself
     void count(Series series, Outcome outcome) {
-        const Slot slot = slot_of(series, outcome);
-        const std::uint32_t at = places_[slot] != none ? places_[slot] : place(slot);
+        std::uint32_t at = places_[series * outcomes + static_cast<std::size_t>(outcome)];
+        if (at == none) at = place(slot_of(series, outcome));
         ++entries_[at].value;
         ++counted_;
         // Once in each interval: what was told must be told anew, what was not may still change.
@@ -87,6 +87,7 @@
     };
 
     std::uint32_t place(Slot slot); // of the cell, made where there is none
+    std::uint32_t find(Slot slot) const;
     void touch(std::uint32_t at, std::uint64_t version);
     std::uint32_t add(Kind kind, std::uint32_t what, std::uint64_t version);
 
@@ -99,7 +100,8 @@
     std::uint64_t counted_at_as_of_ = 0, counted_at_seal_ = 0;
     double allowance_ = 0; // of the declared bound, see `seal`
     std::vector<Entry> entries_;
-    std::vector<std::uint32_t> places_; // by slot; grown with the series
+    // By series and outcome, grown with the series; few lives have anything folded.
+    std::vector<std::uint32_t> places_, folded_places_;
     std::vector<std::uint32_t> globals_;
     std::vector<std::pair<std::uint64_t, std::uint64_t>> covers_; // version and number, ascending
     std::uint32_t folded_at_ = none;                              // the entry of the one `folded` mark
--- a/src/counts/wire.h
+++ b/src/counts/wire.h
@@ -30,6 +30,11 @@
     std::uint64_t key() const; // a hash of instance and number, by which the life is known in messages
 };
 
+// What a cell, and a declaration, may hold at most: with them no sum over any fleet leaves 64 bits. A section
+// or an introduction with more is against the rules.
+inline constexpr std::uint64_t largest_cell = std::uint64_t{1} << 44U;
+inline constexpr std::uint64_t largest_rate = 10'000'000, largest_burst = 100'000'000;
+
 // The start's time in milliseconds and 20 random bits, so that two instances of one name do not share a life;
 // above `last`, whatever the clock says.
 std::uint64_t next_number(Time now, std::uint32_t random, std::uint64_t last);
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -140,7 +140,7 @@
     if (!counts_) return out.text();
     const counts::Book& book = node.book();
     const counts::Statistics& counts = book.statistics();
-    const counts::Totals totals = book.totals(loop_.now());
+    const counts::Totals totals = book.bounds(loop_.now());
     gauge("counts_age_seconds", "Age of the oldest news of an instance that may still count.",
           std::chrono::duration<double>(totals.age).count());
     gauge("counts_slack_jobs", "By how much each total's high lies above its low.", number(totals.slack));
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -137,6 +137,7 @@
         events_.pop();
         now_ = event.at;
         Instance& one = instances_[event.to];
+        const auto begun = std::chrono::steady_clock::now();
         if (one.node == nullptr || one.starts != event.start) continue;
         if (event.frame == nullptr) {
             if (event.at != one.tick_at) continue;
@@ -146,6 +147,7 @@
             one.node->receive(now_of(event.to), instances_[event.from].address, *event.frame);
         }
         flush(event.to);
+        busy_ += std::chrono::steady_clock::now() - begun;
     }
     now_ = end;
 }
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -67,6 +67,8 @@
     mesh::Node& node(std::size_t at) { return *instances_[at].node; }
     std::size_t size() const { return instances_.size(); }
     const Traffic& traffic() const { return traffic_; }
+    // Real time that the instances' own code took so far, with the encoding of what they sent.
+    Time busy() const { return busy_; }
     const Traffic& traffic(std::size_t at) const { return instances_[at].traffic; }
     Time now() const { return now_; }
     Time now_of(std::size_t at) const { return now_ + instances_[at].ahead; }
@@ -114,6 +116,7 @@
     std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
     std::vector<std::uint64_t> truth_;
     Traffic traffic_;
+    Time busy_{0};
 };
 
 } // namespace willowrill::lab
--- a/src/members/members.cpp
+++ b/src/members/members.cpp
@@ -10,7 +10,7 @@
 constexpr std::size_t worst_health = 8;
 constexpr std::size_t confirmations = 3; // independent ones, with which a suspicion takes its shortest time
 constexpr std::size_t most_relayed = 256;
-constexpr std::size_t reach_periods = 5; // between two words to someone who is dead, or to a seed
+constexpr std::size_t seed_periods = 5; // between two words to a seed that is not known
 constexpr std::size_t longest_name = 64;
 
 std::size_t cost(const Member& member) { return Settings::cost + member.id.name.size(); }
@@ -313,8 +313,7 @@
     ++periods_;
     next_period_ = std::max(next_period_ + settings_.period, now + settings_.period / 2);
     probe(now, out);
-    // One that knows nobody has nothing else to do: its first word may have been lost.
-    if (periods_ % reach_periods == 1 || alive() == 1) reach_out(now, out);
+    reach_out(out);
     if (periods_ % settings_.sync_periods == 0) {
         if (const auto peer = random_alive())
             send(*peer, {.kind = Kind::sync_request, .sequence = ++sequence_}, out);
@@ -329,9 +328,10 @@
     return out;
 }
 
-// A word to one that is taken for dead, so that the halves of a fleet that was cut find each other again; and
-// to a seed of which no member is known, as it may have been down, or alone, when this instance started.
-void Swim::reach_out(Time, Actions& out) {
+// A word to one that is taken for dead, so that one that was cut off, or the halves of a fleet, are back
+// within a few periods; and now and then to a seed of which no member is known, as it may have been down when
+// this instance started.
+void Swim::reach_out(Actions& out) {
     const auto dead = choose(1, [&](const Member& member) {
         return member.state == State::dead && member.id.name != self_.id.name;
     });
@@ -341,6 +341,8 @@
         const Address to = dead.front()->address;
         send(to, std::move(ping), out);
     }
+    // One that knows nobody has nothing else to do: its first word may have been lost.
+    if (periods_ % seed_periods != 1 && alive() > 1) return;
     std::vector<Address> unknown;
     for (const Address& seed : settings_.seeds) {
         const bool is_known = seed == self_.address || std::ranges::any_of(view_, [&](const auto& one) {
@@ -427,7 +429,18 @@
         break;
     }
     case Kind::nack:
-        if (probe_.open && message.sequence == probe_.sequence) ++probe_.nacks;
+        if (!probe_.open || message.sequence != probe_.sequence) break;
+        ++probe_.nacks;
+        // Another life answers where the one probed was: that one is over, also where a clock that went back
+        // gave its successor the lower number.
+        if (const auto found = view_.find(probe_.target);
+            found != view_.end() && found->second.state != State::left && found->second.address == from &&
+            std::ranges::any_of(message.news, [&](const Member& there) {
+                return there.address == from && there.id != probe_.target;
+            })) {
+            probe_.open = false;
+            set_state(now, found->second, State::dead, found->second.incarnation, out);
+        }
         break;
     case Kind::ping_request: {
         if (relayed_.size() >= most_relayed) break;
--- a/src/members/members.h
+++ b/src/members/members.h
@@ -147,7 +147,7 @@
     void end_probe(Time now, Actions& out);
     void suspect(Time now, Member& member, std::uint64_t by, Actions& out);
     void forget(Time now);
-    void reach_out(Time now, Actions& out);
+    void reach_out(Actions& out);
     void sync_to(Address to, Actions& out);
     std::optional<Id> next_target();
     Duration suspicion_time() const;
--- a/src/mesh/frame.cpp
+++ b/src/mesh/frame.cpp
@@ -97,8 +97,17 @@
 
 // ---------------------------------------------------------------------------------------------- reading
 
+// Found by fuzzing: the verifier looks at where a vector begins, but not at whether its elements of eight
+// bytes lie where such may be read.
+template <class List> bool in_place(const List* list) {
+    return list == nullptr || reinterpret_cast<std::uintptr_t>(list->Data()) %
+                                      alignof(std::remove_pointer_t<decltype(list->Get(0))>) ==
+                                  0;
+}
+
 template <class List, class Take> bool each(const List* list, Take&& take) {
     if (list == nullptr) return true;
+    if (!in_place(list)) return false;
     for (flatbuffers::uoffset_t i = 0; i < list->size(); ++i)
         if (!take(list->Get(i))) return false;
     return true;
@@ -159,7 +168,8 @@
     const auto *keys = from.keys(), *versions = from.versions();
     const auto* before = from.before();
     if (keys == nullptr || versions == nullptr || before == nullptr || keys->size() != versions->size() ||
-        keys->size() != before->size() || from.latest() < 0)
+        keys->size() != before->size() || from.latest() < 0 || !in_place(keys) || !in_place(versions) ||
+        !in_place(before))
         return std::nullopt;
     out.keys.assign(keys->begin(), keys->end());
     out.versions.assign(versions->begin(), versions->end());
@@ -178,11 +188,11 @@
 
 std::optional<Wants> read(const wire::Wants& from) {
     Wants out;
-    each(from.wants(), [&](const wire::Want* one) {
+    const bool good = each(from.wants(), [&](const wire::Want* one) {
         out.push_back({one->key(), one->version(), one->unknown()});
         return true;
     });
-    return out;
+    return good ? std::optional(std::move(out)) : std::nullopt;
 }
 
 std::optional<members::Message> read(const wire::Membership& from) {
--- a/tests/counts/book_test.cpp
+++ b/tests/counts/book_test.cpp
@@ -278,6 +278,8 @@
     CHECK(bad([](Delta& d) { d.cells[0].after = 0; })); // not behind `from`
     CHECK(bad([](Delta& d) { d.cells[0].after = 9; })); // behind `to`
     CHECK(bad([](Delta& d) { d.cells.push_back(d.cells[0]); }));
+    // Found by fuzzing: sums of such values left 64 bits.
+    CHECK(bad([](Delta& d) { d.cells[0].value = largest_cell + 1; }));
     CHECK(bad([](Delta& d) { d.sections[0].cells = 2; }));
     CHECK(bad([](Delta& d) {
         d.sections[0].from = 7;
@@ -289,6 +291,18 @@
     CHECK(fleet.low(1, "a") == 6);
 }
 
+TEST_CASE(
+    "an instance that declares more than any may is not taken in") { // found by fuzzing: high left 64 bits
+    Fleet fleet(1);
+    Book loud(fleet.limits, {"loud", 1, ~std::uint64_t{0}, 1}, fleet.now);
+    loud.count(loud.series("a", "c"), Outcome::served);
+    loud.seal(fleet.now);
+    for (const Delta& delta : loud.save(datagram))
+        fleet.books[0]->apply(delta, fleet.now);
+    CHECK(fleet.books[0]->lives() == 1);
+    CHECK(fleet.books[0]->statistics().sections_bad == 1);
+}
+
 TEST_CASE("numbers of lives grow whatever the clock says") {
     const std::uint64_t first = next_number(1'700'000'000s, 5, 0);
     CHECK(next_number(1'600'000'000s, 6, first) > first);
