--- a/src/site/site.cpp
+++ b/src/site/site.cpp
@@ -107,7 +107,8 @@
         section.problem("listen",
                         "found the address 0.0.0.0, which peers cannot send to; name `advertise` too");
     if (section.has("listen") && mesh.advertise.address.sin_port == 0)
-        section.problem("advertise", "found no port, which peers need; name `advertise` with the one to send to");
+        section.problem("advertise",
+                        "found no port, which peers need; name `advertise` with the one to send to");
     for (const auto& [text, line] : section.texts("seeds")) {
         if (const auto seed = net::Endpoint::parse(text)) {
             mesh.seeds.push_back(*seed);
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -4,7 +4,9 @@
 
 #include <doctest/doctest.h>
 
+#include <array>
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 
@@ -154,6 +156,50 @@
     }
 }
 
+// What a command prints, and its exit code.
+std::pair<std::string, int> output_of(const std::string& command) {
+    std::string out;
+    FILE* pipe = ::popen((command + " 2>&1").c_str(), "r");
+    REQUIRE(pipe != nullptr);
+    std::array<char, 4096> buffer{};
+    for (std::size_t got = 0; (got = std::fread(buffer.data(), 1, buffer.size(), pipe)) > 0;)
+        out.append(buffer.data(), got);
+    const int status = ::pclose(pipe);
+    return {out, WEXITSTATUS(status)};
+}
+
+TEST_CASE("willowrillctl shows counts and members, and says by its exit code what is wrong") {
+    Rig rig(2);
+    for (std::size_t i = 0; i < 2; ++i)
+        REQUIRE(rig.until([&] { return rig.knows_members(i, 2); }));
+    rig.jobs(6, 2);
+    REQUIRE(rig.until([&] { return rig.knows_all(0); }));
+    const std::string at = " --address " + rig.fleet.mgmt(0).text();
+    const auto [counts, counts_code] = output_of(WILLOWRILLCTL " counts --tenant a" + at);
+    CHECK(counts_code == 0);
+    CHECK(counts.find("seen from i0: 2 instances") != std::string::npos);
+    CHECK(counts.find("a       once   served     2") != std::string::npos);
+    CHECK(counts.find("b       once") == std::string::npos);
+    const auto [members, members_code] = output_of(WILLOWRILLCTL " members" + at);
+    CHECK(members_code == 0);
+    CHECK(members.find("i0 *") != std::string::npos);
+    CHECK(members.find("i1") != std::string::npos);
+    rig.fleet.kill(1);
+    REQUIRE(rig.until([&] { return output_of(WILLOWRILLCTL " members" + at).second == 5; }));
+    rig.fleet.kill(0);
+    const auto [silence, silence_code] = output_of(WILLOWRILLCTL " counts" + at);
+    CHECK(silence_code == 3);
+    CHECK(silence.find("Connection refused") != std::string::npos);
+    CHECK(output_of(WILLOWRILLCTL " counts --address here").second == 2);
+    CHECK(output_of(WILLOWRILLCTL).second == 2);
+    CHECK(output_of(WILLOWRILLCTL " check " + rig.folder.path + "/site0.yaml").second == 0);
+    rig.fleet.write("bad.yaml", "mesk: 1\nlog: 2\n");
+    const auto [bad, bad_code] = output_of(WILLOWRILLCTL " check --json " + rig.folder.path + "/bad.yaml");
+    CHECK(bad_code == 1);
+    CHECK(bad.find("\"line\":1,\"key\":\"mesk\"") != std::string::npos);
+    CHECK(bad.find("\"line\":2,\"key\":\"log\"") != std::string::npos);
+}
+
 TEST_CASE("SIGHUP with a bad operators' file leaves all as it was") {
     Rig rig(1);
     rig.fleet.write("site0.yaml", "mesh:\n  listen: nowhere\n");
