--- a/src/counts/book.cpp
+++ b/src/counts/book.cpp
@@ -18,11 +18,7 @@
 
 Book::Book(Limits limits, Identity self, Time now) : limits_(limits) {
     limits_.lives = std::max<std::size_t>(limits_.lives, 2);
-    own_ = 0;
-    const std::uint64_t key = self.key();
-    chains_[self.instance].lives.emplace(self.number, own_);
-    lives_.emplace_back(std::move(self), key);
-    by_key_.emplace(key, own_);
+    own_ = add_life(std::move(self));
     seal(now);
 }
 
@@ -36,7 +32,7 @@
             ++statistics_.over_limit;
             return std::string(other);
         }
-        seen.emplace(text, seen.size());
+        seen.insert(text);
         return text;
     };
     const std::string tenant_name = within(tenants_, tenant, limits_.tenants, other_tenant);
@@ -196,6 +192,21 @@
     return found == by_key_.end() ? nullptr : &lives_[found->second];
 }
 
+// References to lives do not outlive it.
+Book::LifeIndex Book::add_life(Identity identity) {
+    if (free_.empty()) {
+        free_.push_back(static_cast<LifeIndex>(lives_.size()));
+        lives_.emplace_back(Identity{}, 0);
+    }
+    const LifeIndex index = free_.back();
+    free_.pop_back();
+    const std::uint64_t key = identity.key();
+    chains_[identity.instance].lives.emplace(identity.number, index);
+    lives_[index] = Life(std::move(identity), key);
+    by_key_.emplace(key, index);
+    return index;
+}
+
 Life* Book::introduce(const Introduction& introduction) {
     const Identity& identity = introduction.identity;
     const std::uint64_t key = identity.key();
@@ -214,16 +225,7 @@
         ++statistics_.over_limit;
         return nullptr;
     }
-    LifeIndex index = static_cast<LifeIndex>(lives_.size());
-    if (free_.empty()) {
-        lives_.emplace_back(identity, key);
-    } else {
-        index = free_.back();
-        free_.pop_back();
-        lives_[index] = Life(identity, key);
-    }
-    by_key_.emplace(key, index);
-    chains_[identity.instance].lives.emplace(identity.number, index);
+    const LifeIndex index = add_life(identity);
     if (identity.instance == self().instance) rival_ = std::max(rival_, identity.number);
     return &lives_[index];
 }
@@ -378,12 +380,7 @@
     std::vector<std::uint32_t> globals;
     for (Series series = 0; series < old.series_count(); ++series)
         globals.push_back(old.global(series));
-    const auto index = static_cast<LifeIndex>(lives_.size());
-    const std::uint64_t key = identity.key();
-    chains_[identity.instance].lives.emplace(number, index);
-    lives_.emplace_back(std::move(identity), key);
-    by_key_.emplace(key, index);
-    own_ = index;
+    own_ = add_life(std::move(identity));
     for (const std::uint32_t global : globals) // in the same order: what callers hold goes on to be right
         lives_[own_].add_series(global);
     ++statistics_.lives_begun;
--- a/src/counts/book.h
+++ b/src/counts/book.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace willowrill::counts {
@@ -113,6 +114,7 @@
     };
 
     Life* find(std::uint64_t key);
+    LifeIndex add_life(Identity identity);
     Life* introduce(const Introduction& introduction);
     struct News; // a section's part of a delta
     bool apply(const News& news, const Section& section, Life& life, Time now);
@@ -135,7 +137,7 @@
     std::unordered_map<std::string, Chain> chains_;
     std::vector<Name> names_; // by global series
     std::unordered_map<std::string, std::uint32_t> globals_;
-    std::unordered_map<std::string, std::size_t> tenants_, classes_;
+    std::unordered_set<std::string> tenants_, classes_;
     // By the folding life's key, and by global series and outcome; bounded by `Limits::raises`.
     std::map<std::pair<std::uint64_t, std::size_t>, std::uint64_t> raises_;
     std::uint64_t rival_ = 0;
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,5 +1,6 @@
 // For operators: checks their file, and asks a running scheduler for what it knows of the fleet.
 #include "ctl/call.h"
+#include "log/log.h"
 #include "site/site.h"
 
 #include <CLI/CLI.hpp>
@@ -35,16 +36,9 @@
         // The same words as in the text form, with the line and key apart.
         std::cout << "[";
         for (std::size_t i = 0; i < problems.size(); ++i) {
-            const auto quoted = [](const std::string& text) {
-                std::string out = "\"";
-                for (const char c : text)
-                    out += c == '"' || c == '\\' ? std::string("\\") + c
-                                                 : std::string(1, c < ' ' && c >= 0 ? ' ' : c);
-                return out + "\"";
-            };
-            std::cout << (i > 0 ? ",\n" : "\n") << "{\"file\":" << quoted(problems[i].file)
-                      << ",\"line\":" << problems[i].line << ",\"key\":" << quoted(problems[i].key)
-                      << ",\"problem\":" << quoted(problems[i].what) << "}";
+            std::cout << (i > 0 ? ",\n" : "\n") << "{\"file\":" << log::json_text(problems[i].file)
+                      << ",\"line\":" << problems[i].line << ",\"key\":" << log::json_text(problems[i].key)
+                      << ",\"problem\":" << log::json_text(problems[i].what) << "}";
         }
         std::cout << "]\n";
     } else {
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -2,7 +2,6 @@
 
 #include "log/log.h"
 
-#include <arpa/inet.h>
 #include <prometheus/metric_family.h>
 #include <prometheus/text_serializer.h>
 
@@ -19,19 +18,11 @@
 
 constexpr counts::Series unknown = std::numeric_limits<counts::Series>::max();
 constexpr std::array<std::string_view, counts::outcomes> outcome_names{"served", "refused", "failed", "left"};
-constexpr std::array<std::string_view, 4> state_names{"alive", "suspect", "dead", "left"};
-
-std::string text(members::Address address) {
-    in_addr host{htonl(address.host)};
-    std::array<char, INET_ADDRSTRLEN> out{};
-    ::inet_ntop(AF_INET, &host, out.data(), out.size());
-    return std::string(out.data()) + ":" + std::to_string(address.port);
-}
 
 std::string member_json(const members::Member& member) {
     return "{\"name\":" + json_text(member.id.name) + ",\"life\":" + std::to_string(member.id.life) +
-           ",\"address\":" + json_text(text(member.address)) + ",\"state\":\"" +
-           std::string(state_names.at(static_cast<std::size_t>(member.state))) +
+           ",\"address\":" + json_text(mesh::endpoint_of(member.address).text()) + ",\"state\":\"" +
+           std::string(members::name_of(member.state)) +
            "\",\"incarnation\":" + std::to_string(member.incarnation) + "}";
 }
 
@@ -130,7 +121,7 @@
         ++states.at(static_cast<std::size_t>(member.state));
     for (std::size_t i = 0; i < states.size(); ++i) {
         out.add("members", "Instances known, this one too, by state.", MetricType::Gauge, number(states[i]),
-                {{"state", std::string(state_names[i])}});
+                {{"state", std::string(members::name_of(static_cast<members::State>(i)))}});
     }
     const members::Statistics& members = node.members().statistics();
     counter("members_probes_failed_total", "Probes that nobody answered.", members.probes_failed);
--- a/src/lab/proxy.cpp
+++ b/src/lab/proxy.cpp
@@ -15,11 +15,8 @@
 } // namespace
 
 std::size_t Proxy::add() {
-    net::Fd fd(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-    const auto any = *net::Endpoint::parse("127.0.0.1:0");
-    if (!fd.valid() ||
-        ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&any.address), sizeof any.address) != 0)
-        throw std::system_error(errno, std::generic_category(), "cannot have a socket");
+    net::Fd fd = net::datagrams_at(*net::Endpoint::parse("127.0.0.1:0"));
+    if (!fd.valid()) throw std::system_error(errno, std::generic_category(), "cannot have a socket");
     doors_.push_back(std::make_unique<Door>(*this, std::move(fd)));
     loop_.watch(doors_.back()->socket.get(), POLLIN, *doors_.back());
     return doors_.size() - 1;
--- a/src/members/members.cpp
+++ b/src/members/members.cpp
@@ -1,6 +1,7 @@
 #include "members/members.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <utility>
 
@@ -17,6 +18,11 @@
 
 } // namespace
 
+std::string_view name_of(State state) {
+    static constexpr std::array<std::string_view, 4> names{"alive", "suspect", "dead", "left"};
+    return names.at(static_cast<std::size_t>(state));
+}
+
 Swim::Swim(Settings settings, Id self, Address address, std::uint64_t seed, Time now)
     : settings_(std::move(settings)), random_(seed), next_period_(now) {
     self_.id = std::move(self);
--- a/src/members/members.h
+++ b/src/members/members.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace willowrill::members {
@@ -38,6 +39,8 @@
     left     // it said so itself; final for this life
 };
 
+std::string_view name_of(State state);
+
 struct Member {
     Id id;
     Address address;
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -20,21 +20,6 @@
 constexpr auto open_pause = 200ms;    // between two looks whether a former run has let go of the address
 constexpr auto linger = 200ms;        // after the last words, for those who ask for what they lack
 
-// Invalid, with errno, where the address cannot be had.
-net::Fd udp_socket(const net::Endpoint& endpoint) {
-    net::Fd fd(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-    if (fd.valid() && ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&endpoint.address),
-                             sizeof endpoint.address) != 0) {
-        const int error = errno;
-        fd.reset();
-        errno = error;
-    }
-    if (!fd.valid()) return fd;
-    ::setsockopt(fd.get(), SOL_SOCKET, SO_RCVBUF, &buffer_bytes, sizeof buffer_bytes);
-    ::setsockopt(fd.get(), SOL_SOCKET, SO_SNDBUF, &buffer_bytes, sizeof buffer_bytes);
-    return fd;
-}
-
 members::Address address_of(const net::Endpoint& endpoint) {
     return {ntohl(endpoint.address.sin_addr.s_addr), ntohs(endpoint.address.sin_port)};
 }
@@ -80,16 +65,16 @@
     return out;
 }
 
-std::string_view state_name(members::State state) {
-    using members::State;
-    return state == State::alive     ? "alive"
-           : state == State::suspect ? "suspect"
-           : state == State::dead    ? "dead"
-                                     : "left";
-}
-
 } // namespace
 
+net::Endpoint endpoint_of(members::Address address) {
+    net::Endpoint out;
+    out.address.sin_family = AF_INET;
+    out.address.sin_addr.s_addr = htonl(address.host);
+    out.address.sin_port = htons(address.port);
+    return out;
+}
+
 Mesh::Mesh(net::Loop& loop, const site::Site& site, std::string instance, bool wait)
     : loop_(loop), settings_(*site.mesh),
       snapshot_every_(site.counts ? site.counts->snapshot_every : Time(0)), sealer_(keys_of(settings_)),
@@ -98,51 +83,56 @@
                                                                  [this] {
                                                                      if (gone_) gone_();
                                                                  }),
-      open_timer_(loop.wheel(), [this] { open(true); }) {
-    std::uint64_t last = 0;
-    if (site.counts && !site.state_dir.empty()) {
-        snapshots_.emplace(site.state_dir, instance);
-        std::string note;
-        const auto former = snapshots_->load(note);
-        if (!note.empty())
-            log::event(spdlog::level::warn, "counts.state_put_aside", {{"why", note}}, "counts: " + note);
-        if (former && former->instance == instance) last = former->number;
-    }
+      open_timer_(loop.wheel(), [this] { open(true, true); }) {
+    if (site.counts && !site.state_dir.empty()) snapshots_.emplace(site.state_dir, instance);
+    const auto former = load();
+    const std::uint64_t last = former && former->instance == instance ? former->number : 0;
     const net::Time now = loop_.now();
     const std::uint64_t number = counts::next_number(now, static_cast<std::uint32_t>(random_seed()), last);
     node_ = std::make_unique<Node>(settings_of(site), std::move(instance), number,
                                    address_of(settings_.advertise), random_seed(), now);
+    if (former) take_over(*former);
     open(wait);
 }
 
-bool Mesh::open(bool wait) {
-    socket_ = udp_socket(settings_.listen);
+std::optional<Snapshot> Mesh::load() {
+    if (!snapshots_) return std::nullopt;
+    std::string note;
+    auto former = snapshots_->load(note);
+    if (!note.empty())
+        log::event(spdlog::level::warn, "counts.state_put_aside", {{"why", note}}, "counts: " + note);
+    return former;
+}
+
+void Mesh::take_over(const Snapshot& former) {
+    for (const counts::Delta& delta : former.deltas)
+        node_->book().load(delta, loop_.now());
+    const std::uint64_t lives = node_->book().lives() - 1;
+    log::event(spdlog::level::info, "counts.state_read", {{"lives", lives}},
+               "counts: " + std::to_string(lives) + " lives read from the last snapshot");
+}
+
+void Mesh::open(bool wait, bool waited) {
+    socket_ = net::datagrams_at(settings_.listen);
     const net::Time now = loop_.now();
     if (!socket_.valid()) {
         if (!wait || errno != EADDRINUSE)
             throw std::system_error(errno, std::generic_category(),
                                     "cannot take datagrams at " + settings_.listen.text());
         open_timer_.arm(now + open_pause);
-        return false;
-    }
-    // Only now: a former run may have written more until just now.
-    if (snapshots_) {
-        std::string note;
-        if (const auto former = snapshots_->load(note)) {
-            for (const counts::Delta& delta : former->deltas)
-                node_->book().load(delta, now);
-            const std::uint64_t lives = node_->book().lives() - 1;
-            log::event(spdlog::level::info, "counts.state_read", {{"lives", lives}},
-                       "counts: " + std::to_string(lives) + " lives read from the last snapshot");
-        }
-        save_timer_.arm(now + snapshot_every_);
+        return;
     }
+    // A former run may have written more until just now.
+    if (waited)
+        if (const auto former = load()) take_over(*former);
+    if (snapshots_) save_timer_.arm(now + snapshot_every_);
+    ::setsockopt(socket_.get(), SOL_SOCKET, SO_RCVBUF, &buffer_bytes, sizeof buffer_bytes);
+    ::setsockopt(socket_.get(), SOL_SOCKET, SO_SNDBUF, &buffer_bytes, sizeof buffer_bytes);
     loop_.watch(socket_.get(), POLLIN, *this);
     log::event(spdlog::level::info, "mesh.open", {{"address", address().text()}},
                "mesh: datagrams at " + address().text());
     node_->start(now);
     flush();
-    return true;
 }
 
 Mesh::~Mesh() {
@@ -193,10 +183,7 @@
     for (Outgoing& out : node_->sends()) {
         const Bytes plain = encode(out.frame);
         const Bytes sealed = sealer_.seal(plain);
-        sockaddr_in to{};
-        to.sin_family = AF_INET;
-        to.sin_addr.s_addr = htonl(out.to.host);
-        to.sin_port = htons(out.to.port);
+        const sockaddr_in to = endpoint_of(out.to).address;
         if (sealed.size() > largest_datagram || !settings_.networks.contains(out.to.host) ||
             ::sendto(socket_.get(), sealed.data(), sealed.size(), 0, reinterpret_cast<const sockaddr*>(&to),
                      sizeof to) < 0) {
@@ -207,12 +194,12 @@
         counters_.sent_bytes += sealed.size();
     }
     for (const members::Change& change : node_->changes()) {
-        const std::string_view state = state_name(change.member.state);
+        const std::string_view state = members::name_of(change.member.state);
         log::event(spdlog::level::info, "members.changed",
                    {{"member", change.member.id.name},
                     {"life", change.member.id.life},
                     {"state", state},
-                    {"was", change.was ? state_name(*change.was) : "unknown"}},
+                    {"was", change.was ? members::name_of(*change.was) : "unknown"}},
                    "members: " + change.member.id.name + " is " + std::string(state));
     }
     arm();
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -24,6 +24,8 @@
     std::array<std::uint64_t, causes> dropped{};
 };
 
+net::Endpoint endpoint_of(members::Address address);
+
 class Mesh final : private net::Pollable {
   public:
     // Throws std::system_error where the address cannot be had. `instance` is the name among the instances.
@@ -47,7 +49,9 @@
 
   private:
     void on_ready(short events) override;
-    bool open(bool wait);
+    void open(bool wait, bool waited = false);
+    std::optional<Snapshot> load();
+    void take_over(const Snapshot& former);
     void take(std::span<const unsigned char> datagram, members::Address from);
     void drop(Dropped cause) { ++counters_.dropped[static_cast<std::size_t>(cause)]; }
     void on_timer();
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -54,20 +54,16 @@
         {to, {.life = swim_.self().id.life, .count = ++count_, .sent = now, .body = std::move(body)}});
 }
 
-void Node::collect(members::Actions& actions) {
+void Node::collect(members::Actions& actions, Time now) {
     for (members::Send& send : actions.sends)
-        sends_.push_back(
-            {send.to, {.life = swim_.self().id.life, .count = ++count_, .body = std::move(send.message)}});
+        say(send.to, std::move(send.message), now);
     std::ranges::move(actions.changes, std::back_inserter(changes_));
-    actions = {};
 }
 
 void Node::start(Time now) {
     members::Actions actions;
     swim_.start(now, actions);
-    collect(actions);
-    for (Outgoing& out : sends_)
-        out.frame.sent = now;
+    collect(actions, now);
 }
 
 Time Node::next() const {
@@ -76,10 +72,9 @@
 }
 
 void Node::tick(Time now) {
-    const std::size_t before = sends_.size();
     members::Actions actions;
     swim_.tick(now, actions);
-    collect(actions);
+    collect(actions, now);
     if (settings_.counts && now >= next_exchange_) {
         next_exchange_ = std::max(next_exchange_ + settings_.interval, now + settings_.interval / 2);
         exchange(now);
@@ -89,8 +84,6 @@
         book_.fold(now, swim_.someone_away());
         new_life_if_rivalled(now);
     }
-    for (std::size_t i = before; i < sends_.size(); ++i)
-        sends_[i].frame.sent = now;
 }
 
 void Node::exchange(Time now) {
@@ -112,7 +105,7 @@
     if (book_.self().number != own) { // the book began one, as it was taken for dead
         members::Actions actions;
         swim_.begin_life(book_.self().number, now, actions);
-        collect(actions);
+        collect(actions, now);
         return;
     }
     if (book_.rival() <= own) return;
@@ -124,15 +117,14 @@
     book_.begin_life(counts::next_number(now, random_(), book_.rival()), now);
     members::Actions actions;
     swim_.begin_life(book_.self().number, now, actions);
-    collect(actions);
+    collect(actions, now);
 }
 
 void Node::receive(Time now, members::Address from, const Frame& frame) {
-    const std::size_t before = sends_.size();
     if (const auto* message = std::get_if<members::Message>(&frame.body)) {
         members::Actions actions;
         swim_.receive(now, from, *message, actions);
-        collect(actions);
+        collect(actions, now);
     }
     if (!settings_.counts) return;
     const auto tell = [&](const std::vector<counts::Want>& wants) {
@@ -159,12 +151,9 @@
     }
     if (const auto* wants = std::get_if<Wants>(&frame.body)) tell(*wants);
     if (const auto* delta = std::get_if<counts::Delta>(&frame.body)) book_.apply(*delta, now);
-    for (std::size_t i = before; i < sends_.size(); ++i)
-        sends_[i].frame.sent = now;
 }
 
 void Node::leave(Time now) {
-    const std::size_t before = sends_.size();
     if (settings_.counts) {
         book_.end(now);
         // To three, so that a loss does not take the last counts with it. They ask for what they lack:
@@ -174,9 +163,7 @@
     }
     members::Actions actions;
     swim_.leave(now, actions);
-    collect(actions);
-    for (std::size_t i = before; i < sends_.size(); ++i)
-        sends_[i].frame.sent = now;
+    collect(actions, now);
 }
 
 } // namespace willowrill::mesh
--- a/src/mesh/node.h
+++ b/src/mesh/node.h
@@ -54,7 +54,7 @@
     const NodeStatistics& statistics() const { return statistics_; }
 
   private:
-    void collect(members::Actions& actions);
+    void collect(members::Actions& actions, Time now);
     void exchange(Time now);
     void say(members::Address to, Body body, Time now);
     bool afford(Time now, std::size_t bytes);
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -68,6 +68,16 @@
     return fd;
 }
 
+Fd datagrams_at(const Endpoint& endpoint) {
+    Fd fd(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (fd.valid() && ::bind(fd.get(), raw(endpoint), sizeof endpoint.address) != 0) {
+        const int error = errno;
+        fd.reset();
+        errno = error;
+    }
+    return fd;
+}
+
 Endpoint local_address(const Fd& fd) {
     Endpoint out;
     socklen_t size = sizeof out.address;
--- a/src/room/run_times.cpp
+++ b/src/room/run_times.cpp
@@ -31,9 +31,9 @@
 std::size_t RunTimes::width_of(double slots) { return slots <= 1 ? 0 : slots <= 2 ? 1 : slots <= 4 ? 2 : 3; }
 
 // Width `widths`: all of them; kind `kinds_`: all of them, for all widths alone.
-const RunTimes::Cell& RunTimes::cell(std::size_t job_class, std::size_t width, std::size_t kind) const {
+std::size_t RunTimes::place(std::size_t job_class, std::size_t width, std::size_t kind) const {
     const std::size_t begin = job_class * (widths * kinds_ + kinds_ + 1);
-    return cells_[begin + (kind == kinds_ ? widths * kinds_ + kinds_ : width * kinds_ + kind)];
+    return begin + (kind == kinds_ ? widths * kinds_ + kinds_ : width * kinds_ + kind);
 }
 
 // Old samples fade with each new one, so that what is slow today is not hidden by what was fast before.
@@ -50,7 +50,7 @@
     const std::size_t bin = bin_of(ran);
     for (const auto& [width, at] :
          {std::pair{width_of(slots), kind}, std::pair{widths, kind}, std::pair{widths, kinds_}})
-        add_to(const_cast<Cell&>(cell(job_class, width, at)), bin);
+        add_to(cells_[place(job_class, width, at)], bin);
 }
 
 const RunTimes::Cell* RunTimes::best(std::size_t job_class, double slots, std::size_t kind) const {
@@ -58,8 +58,8 @@
     kind = std::min(kind, kinds_ - 1);
     for (const auto& [width, at] :
          {std::pair{width_of(slots), kind}, std::pair{widths, kind}, std::pair{widths, kinds_}})
-        if (const Cell& one = cell(job_class, width, at); one.sum >= enough) return &one;
-    const Cell& all = cell(job_class, widths, kinds_);
+        if (const Cell& one = cells_[place(job_class, width, at)]; one.sum >= enough) return &one;
+    const Cell& all = cells_[place(job_class, widths, kinds_)];
     return all.sum > 0 ? &all : nullptr;
 }
 
--- a/src/room/run_times.h
+++ b/src/room/run_times.h
@@ -50,7 +50,7 @@
     static std::size_t bin_of(Duration span);
     static Duration upper_edge(std::size_t bin);
     static std::size_t width_of(double slots);
-    const Cell& cell(std::size_t job_class, std::size_t width, std::size_t kind) const;
+    std::size_t place(std::size_t job_class, std::size_t width, std::size_t kind) const; // of the cell
     const Cell* best(std::size_t job_class, double slots, std::size_t kind) const;
     void add_to(Cell& cell, std::size_t bin);
 
--- a/src/site/site.cpp
+++ b/src/site/site.cpp
@@ -118,7 +118,6 @@
         }
     }
     for (const auto& [text, line] : section.texts("networks")) {
-        mesh.networks_text += text + " ";
         if (!mesh.networks.add(text)) {
             problems.push_back(
                 {file, line, section.path_of("networks"),
--- a/src/site/site.h
+++ b/src/site/site.h
@@ -39,8 +39,7 @@
     net::Endpoint listen{};
     net::Endpoint advertise{}; // what peers are told to send to; `listen` where the file has none
     std::vector<net::Endpoint> seeds;
-    AddressSet networks; // datagrams from elsewhere are dropped
-    std::string networks_text;
+    AddressSet networks;   // datagrams from elsewhere are dropped
     std::vector<Key> keys; // one or two, the one to seal with first
     std::uint64_t bytes_per_second = 0;
     Span probe_period{0}, probe_timeout{0};
