Take an unseen worker's load from the mean of its kind and zone

Workers of the kind that crash-report needs were 55 to 70% busy, the others 15 to 20%, and record-event went to both alike; on the first it waited behind wide jobs (p90 1.0 s at a run time of 0.2 s).

Ruled out: holding in the scheduler (p90 of the time to the first attempt is 1 ms), lists (told alike to all).

At fault: believed_load and note_report, one mean_load for all, begun at a constant and moved by 0.05 a report. Now a mean by kind and zone, of which the first samples weigh more, drawn to the mean of all by as much as four samples.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -29,7 +29,8 @@
 constexpr double next_tier = 2;      // the paper's ratio of the next tier's I to the preferred one's
 constexpr double fade_s = 2;         // a report this old counts for half
 constexpr double blind_s = 2;        // without a report for so long, an idle worker's load is not known
-constexpr double mean_gain = 0.05;   // weight of a new sample in running means
+constexpr double mean_gain = 0.05;   // least weight of a new sample in running means
+constexpr double prior_samples = 4;  // what a mean of all counts for beside that of a group
 constexpr double cold_margin = 0.5;  // share of a cold worker's budget that is used
 constexpr double retry_ratio = 0.25; // further attempts that an arriving job allows
 constexpr double retry_burst = 20;   // and how many may be saved up
@@ -92,6 +93,12 @@
     Duration longest_left{0}; // what a first try is given
 };
 
+// A running mean whose first samples weigh more, as few come.
+struct Mean {
+    double value = 0.5, samples = 1;
+    void add(double x) { value += std::max(mean_gain, 1 / ++samples) * (x - value); }
+};
+
 struct TokenBucket {
     double tokens = 1;
     Time filled_at{0};
@@ -243,7 +250,7 @@
         if (report.free_slots) ++kind_reports[w.entry.kind];
         const double all = known_slots(w.entry.kind);
         const double per_slot = all > 0 ? 1 / all : default_step;
-        double load = report.utilisation.value_or(mean_load);
+        double load = report.utilisation.value_or(usual_load(w));
         // Utilisation ends at 1 and may lag behind the slots: take the fuller view, and add what waits.
         if (report.free_slots && all > 0) load = std::max(load, 1 - *report.free_slots / all);
         load += report.queued.value_or(0) * per_slot;
@@ -253,7 +260,8 @@
         w.last_report = report;
         if (now - w.changed_at > from_seconds(blind_s)) return;
         w.load = std::max(0.0, load - finished_slots * per_slot);
-        mean_load += mean_gain * (w.load - mean_load);
+        mean_load.add(w.load);
+        group_load(w).add(w.load);
         w.degradation = w.sent_slots = 0;
         w.reported_at = now;
     }
@@ -396,12 +404,25 @@
 
     double believed_load(const Worker& w, double x) const {
         const double age = seconds(now - w.reported_at);
-        const double faded =
-            mean_load + (w.reported_at < 0ns ? 0 : (w.load - mean_load) * fade_s / (fade_s + age));
+        const double usual = usual_load(w);
+        const double faded = usual + (w.reported_at < 0ns ? 0 : (w.load - usual) * fade_s / (fade_s + age));
         const double load = std::max(faded + x, w.own_slots / slots_of(w));
         return w.stuck_slots > 0 ? std::max(1.0, load) + w.stuck_slots / slots_of(w) : load;
     }
 
+    // Workers of one kind and zone are alike: with few reports for each, what is known of one holds for others.
+    Mean& group_load(const Worker& w) const {
+        const std::size_t group = std::size_t{w.entry.kind} * std::max<Index>(1, settings.zones) + w.entry.zone;
+        if (group_loads.size() <= group) group_loads.resize(group + 1, {.samples = 0});
+        return group_loads[group];
+    }
+
+    double usual_load(const Worker& w) const {
+        const Mean& group = group_load(w);
+        return (mean_load.value * prior_samples + group.value * group.samples) /
+               (prior_samples + group.samples);
+    }
+
     // I: the step that one slot adds, doubled for each reason why the worker is of the next tier.
     double increment(const Worker& w) const {
         double step = 1 / slots_of(w);
@@ -673,7 +694,8 @@
     std::vector<double> no_room; // by kind of worker needed, 0 for any: slots for which there is no room now
     std::priority_queue<Review, std::vector<Review>, std::greater<>> reviews;
     std::uint64_t last_serial = 0;
-    double mean_load = 0.5;
+    Mean mean_load;
+    mutable std::vector<Mean> group_loads; // by kind and zone
     double crowding = 0; // share of the jobs of one slot that found no room on arrival
     TokenBucket retries{.tokens = retry_burst};
     bool capacity_changed = false, watching = false, watch_failed = false;
