Give each job a chance at a cold worker, by this scheduler's share of what it bears

Now the chance follows from the share and the work that clients bring here; it makes the worker of the preferred tier, I leaves warmth out, and a cold worker of which nothing is heard counts as empty, as few others have the chance at the same time. Windows are no longer cut at the same instant everywhere.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -30,6 +30,7 @@
 constexpr double fade_s = 2;         // a report this old counts for half
 constexpr double blind_s = 2;        // without a report for so long, an idle worker's load is not known
 constexpr double mean_gain = 0.05;   // least weight of a new sample in running means
+constexpr double rate_s = 10;        // time over which the work that comes here is averaged
 constexpr double prior_samples = 4;  // what a mean of all counts for beside that of a group
 constexpr double cold_margin = 0.5;  // share of a cold worker's budget that is used
 constexpr double retry_ratio = 0.25; // further attempts that an arriving job allows
@@ -65,8 +66,6 @@
     Time full_until{0}, rest_until{0}, trusted_from{0};
     // cold start
     std::vector<std::pair<Time, double>> cold_sends;
-    std::int64_t turn = -1;
-    bool has_turn = false;
 };
 
 struct Attempt {
@@ -179,6 +178,7 @@
         const double worth = c.worth * (within_quota(in) ? 1 : settings.over_quota_worth);
         job.value = worth / (in.slots * (settings.worth_by_work ? 1 : state.run_s));
         retries.add(retry_ratio, retry_burst);
+        count_work(work_of(job));
         look_again(in.job, job.deadline);
         wait(in.job);
     }
@@ -374,11 +374,13 @@
         return std::max(widest, *std::ranges::max_element(kind_slots));
     }
 
-    double slots_of(const Worker& w) const {
+    double warm_slots(const Worker& w) const {
         const double slots = known_slots(w.entry.kind);
-        return (slots > 0 ? slots : 1 / default_step) * warmth(w, now);
+        return slots > 0 ? slots : 1 / default_step;
     }
 
+    double slots_of(const Worker& w) const { return warm_slots(w) * warmth(w, now); }
+
     // L + X, with three exceptions. L fades towards the mean of the loads seen: an old report says little,
     // and a worker once seen as busy must come up again. A report that left before the last sends arrived
     // clears X all the same, so the sum is never less than what this dispatcher itself has out there. And
@@ -405,7 +407,9 @@
     double believed_load(const Worker& w, double x) const {
         const double age = seconds(now - w.reported_at);
         const double usual = usual_load(w);
-        const double faded = usual + (w.reported_at < 0ns ? 0 : (w.load - usual) * fade_s / (fade_s + age));
+        // Whoever has its chance at a cold worker is one of few.
+        const double seen = w.reported_at < 0ns && !is_cold(w) ? usual : w.load;
+        const double faded = usual + (seen - usual) * fade_s / (fade_s + (w.reported_at < 0ns ? 0 : age));
         const double load = std::max(faded + x, w.own_slots / slots_of(w));
         return w.stuck_slots > 0 ? std::max(1.0, load) + w.stuck_slots / slots_of(w) : load;
     }
@@ -425,8 +429,8 @@
 
     // I: the step that one slot adds, doubled for each reason why the worker is of the next tier.
     double increment(const Worker& w) const {
-        double step = 1 / slots_of(w);
-        if (!w.home) step *= next_tier;
+        double step = 1 / warm_slots(w); // what a cold one bears is `cold_budget_allows`'s business
+        if (!w.home && !is_cold(w)) step *= next_tier;
         if (settings.cross_zone_price > 0 && w.entry.zone != settings.zone) step *= next_tier;
         return step;
     }
@@ -566,8 +570,9 @@
         return job.in.slots * std::max(classes[job.in.job_class].run_s, seconds(job.in.hint));
     }
 
-    // The budget is counted over a sliding window. Where a fair share is less than one job, each window gives
-    // this dispatcher a turn by chance, so that the dispatchers together stay within the whole.
+    // The budget is counted over a sliding window. Where a fair share is less than one job, each job has a
+    // chance, by the share in all the work that comes here, so that the dispatchers together stay within the
+    // whole and use it.
     bool cold_budget_allows(Worker& w, const Job& job) {
         if (!is_cold(w)) {
             w.cold_sends.clear();
@@ -577,23 +582,33 @@
         std::erase_if(w.cold_sends, [&](const auto& item) { return item.first + window < now; });
         const double sent = std::accumulate(w.cold_sends.begin(), w.cold_sends.end(), 0.0,
                                             [](double sum, const auto& item) { return sum + item.second; });
-        const double slots = std::max(1.0, kind_slots[w.entry.kind]);
-        const double share = cold_margin * settings.overload_multiple * warmth(w, now - window) * slots *
-                             seconds(window) / settings.dispatchers;
-        const double work = work_of(job);
-        if (sent + work <= share) return true;
-        const std::int64_t turn = window > 0ns ? now / window : 0;
-        if (w.turn != turn) {
-            w.turn = turn;
-            w.has_turn = uniform() * work < share;
-        }
-        return w.has_turn && w.cold_sends.empty();
+        const double slots = std::max(1.0, known_slots(w.entry.kind));
+        const double bears = warmth(w, now - window) * slots * seconds(window) / settings.dispatchers;
+        const double most = cold_margin * settings.overload_multiple;
+        if (sent + work_of(job) <= most * bears) return true;
+        const double offered = work_rate * seconds(window);
+        return w.cold_sends.empty() && chance(job, w) * offered < std::min(most, usual_load(w)) * bears;
     }
 
     // ---- Small helpers ---------------------------------------------------------------------------------
 
     const JobClass& class_of(const Job& job) const { return settings.classes[job.in.job_class]; }
 
+    // The same, however often it is asked for this job and worker.
+    double chance(const Job& job, const Worker& w) const {
+        std::uint64_t x = settings.seed + job.serial * 0x9e3779b97f4a7c15ULL + std::uint64_t{w.entry.key};
+        x = (x ^ (x >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+        x = (x ^ (x >> 27U)) * 0x94d049bb133111ebULL;
+        return static_cast<double>((x ^ (x >> 31U)) >> 11U) * 0x1.0p-53;
+    }
+
+    void count_work(double work) {
+        const double kept = std::exp(-seconds(now - std::exchange(counted_at, now)) / rate_s);
+        counted_work = counted_work * kept + work;
+        counted_s = counted_s * kept + rate_s * (1 - kept);
+        work_rate = counted_work / std::max(1.0, counted_s);
+    }
+
     double uniform() { return static_cast<double>(random() >> 11U) * 0x1.0p-53; }
 
     Attempt* find(JobId id, Index attempt) {
@@ -697,6 +712,8 @@
     Mean mean_load;
     mutable std::vector<Mean> group_loads; // by kind and zone
     double crowding = 0; // share of the jobs of one slot that found no room on arrival
+    double work_rate = 0, counted_work = 0, counted_s = 0; // slot-seconds a second that clients ask for here
+    Time counted_at{0};
     TokenBucket retries{.tokens = retry_burst};
     bool capacity_changed = false, watching = false, watch_failed = false;
     int watch_failures = 0;
