Leave a zone alone after two of its workers in a row could not be reached

Ruled out: discovery (it names them gone 3 s later, as it must be expected to), retries of jobs that may have run (their budget was not spent).

At fault: pick and judge knew single workers only, and with over a third of the workers resting took the trouble for common, so that lost workers, which look idle, won again.

Now two workers of a zone in a row that cannot be reached, with no answer from there between, put the zone out for a rest that doubles; any answer ends it. A job's next attempt leaves a zone whose last word was a failure.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -12,6 +12,7 @@
 #include <willowrill/dispatcher.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <limits>
 #include <numeric>
@@ -87,6 +88,13 @@
 
 using Review = std::tuple<Time, std::uint64_t, JobId>; // when, the job's serial, its id
 
+// Workers of a zone may all be lost at once, and each that is tried costs a job the time to connect.
+struct Zone {
+    int silent = 0; // workers that could not be reached, one after the other, since one answered
+    WorkerId last = none;
+    Time out_until{0};
+};
+
 struct ClassState {
     double run_s = 0;         // mean time in work
     Duration longest_left{0}; // what a first try is given
@@ -140,6 +148,7 @@
                 const double own = std::exchange(w, Worker{}).own_slots;
                 w.own_slots = own;
             }
+            if (zones.size() <= entry.zone) zones.resize(entry.zone + 1);
             w.entry = entry;
             w.ready = entry.condition == Condition::ready;
         }
@@ -220,6 +229,7 @@
         capacity_changed = true;
         if (ended.report) note_report(w, *ended.report, attempt->may_have_run ? job.in.slots : 0);
         judge(w, ended.outcome);
+        judge_zone(attempt->worker, ended.outcome);
         if (ended.outcome == Outcome::served) {
             double& run = classes[job.in.job_class].run_s;
             run += mean_gain * (seconds(ended.latency) - run);
@@ -278,13 +288,33 @@
         } else if (outcome != Outcome::cancelled && outcome != Outcome::timed_out &&
                    outcome != Outcome::not_sent) {
             w.strikes = std::min(w.strikes + 1, most_strikes);
-            const Duration rest =
-                from_seconds(seconds(first_rest) * std::exp2(w.strikes - 1) * (0.75 + uniform() / 2));
+            const Duration rest = rest_of(w.strikes - 1);
             w.rest_until = now + rest;
             w.trusted_from = w.rest_until + 4 * rest;
         }
     }
 
+    void judge_zone(WorkerId id, Outcome outcome) {
+        Zone& zone = zones[workers[id].entry.zone];
+        if (outcome == Outcome::served || outcome == Outcome::error || outcome == Outcome::full) {
+            zone = {};
+        } else if ((outcome == Outcome::connect_failed || outcome == Outcome::reset) &&
+                   std::exchange(zone.last, id) != id) {
+            const int more = std::min(++zone.silent, most_strikes) - 2;
+            if (more >= 0) zone.out_until = now + rest_of(more);
+        }
+    }
+
+    Duration rest_of(int doubled) {
+        return from_seconds(seconds(first_rest) * std::exp2(doubled) * (0.75 + uniform() / 2));
+    }
+
+    // The zone is out, or the last try there failed and this job has had one that did.
+    bool shuns_zone(const Job& job, const Worker& w) const {
+        const Zone& zone = zones[w.entry.zone];
+        return now < zone.out_until || (zone.silent > 0 && !job.attempts.empty());
+    }
+
     // ---- 2. Jobs whose time has come -------------------------------------------------------------------
 
     void review(JobId id) {
@@ -414,9 +444,11 @@
         return w.stuck_slots > 0 ? std::max(1.0, load) + w.stuck_slots / slots_of(w) : load;
     }
 
-    // Workers of one kind and zone are alike: with few reports for each, what is known of one holds for others.
+    // Workers of one kind and zone are alike: with few reports for each, what is known of one holds for
+    // others.
     Mean& group_load(const Worker& w) const {
-        const std::size_t group = std::size_t{w.entry.kind} * std::max<Index>(1, settings.zones) + w.entry.zone;
+        const std::size_t group =
+            std::size_t{w.entry.kind} * std::max<Index>(1, settings.zones) + w.entry.zone;
         if (group_loads.size() <= group) group_loads.resize(group + 1, {.samples = 0});
         return group_loads[group];
     }
@@ -437,29 +469,30 @@
 
     WorkerId pick(const Job& job) {
         const WorkerId anchor = group_anchor(job);
-        WorkerId best = none, best_resting = none;
-        double lowest = unlimited, lowest_resting = unlimited;
-        int ties = 0;
+        // Those in health, those that rest, and those in a zone that seems lost.
+        struct Best {
+            WorkerId worker = none;
+            double score = unlimited;
+            int ties = 0;
+        };
+        std::array<Best, 3> best;
         std::size_t able = 0, resting = 0;
         for (const WorkerId id : ready) {
             Worker& w = workers[id];
             if (!eligible(job, id, anchor)) continue;
-            ++able;
+            const bool shunned = shuns_zone(job, w), rest = rests(w, job);
+            if (!shunned) ++able;
+            if (!shunned && rest) ++resting;
+            Best& to = best[shunned ? 2 : rest ? 1 : 0];
             const double score = load_of(w, job.in.slots) + increment(w) * job.in.slots;
-            if (rests(w, job)) {
-                ++resting;
-                if (score < lowest_resting) best_resting = id;
-                lowest_resting = std::min(lowest_resting, score);
-            } else if (score < lowest - tiny) {
-                lowest = score;
-                best = id;
-                ties = 1;
-            } else if (score <= lowest + tiny && uniform() * ++ties < 1) {
-                best = id;
-            }
+            if (score < to.score - tiny)
+                to = {id, score, 1};
+            else if (score <= to.score + tiny && uniform() * ++to.ties < 1)
+                to.worker = id;
         }
         const bool common_trouble = static_cast<double>(resting) > most_resting * static_cast<double>(able);
-        return common_trouble && lowest_resting < lowest ? best_resting : best;
+        if (able == 0) return best[2].worker;
+        return common_trouble && best[1].score < best[0].score ? best[1].worker : best[0].worker;
     }
 
     std::size_t excluded(Time at) const {
@@ -700,6 +733,7 @@
     std::vector<ClassState> classes;
     std::vector<TokenBucket> tenants;
     std::vector<Worker> workers;
+    std::vector<Zone> zones;
     std::vector<WorkerId> ready;    // in the order of their keys
     std::vector<double> kind_slots; // the most seen
     std::vector<int> kind_reports;  // how often
@@ -711,7 +745,7 @@
     std::uint64_t last_serial = 0;
     Mean mean_load;
     mutable std::vector<Mean> group_loads; // by kind and zone
-    double crowding = 0; // share of the jobs of one slot that found no room on arrival
+    double crowding = 0;                   // share of the jobs of one slot that found no room on arrival
     double work_rate = 0, counted_work = 0, counted_s = 0; // slot-seconds a second that clients ask for here
     Time counted_at{0};
     TokenBucket retries{.tokens = retry_burst};
