Give each scheduler four steady homes of each kind where the fleet has few workers for each

At fault: rebuild_ready, which by rank gave each scheduler one worker of any kind and zone, another one after nearly every change of the list.

Now, where slices of the fleet would be smaller than that, each has four workers of every kind, of its own zone first, by a hash of both keys; where there are few schedulers the slices stay.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -31,6 +31,7 @@
 constexpr double fade_s = 2;         // a report this old counts for half
 constexpr double blind_s = 2;        // without a report for so long, an idle worker's load is not known
 constexpr double mean_gain = 0.05;   // least weight of a new sample in running means
+constexpr std::size_t few_homes = 4; // of a kind, where there are more dispatchers than that allows
 constexpr double rate_s = 10;        // time over which the work that comes here is averaged
 constexpr double prior_samples = 4;  // what a mean of all counts for beside that of a group
 constexpr double cold_margin = 0.5;  // share of a cold worker's budget that is used
@@ -50,6 +51,12 @@
 double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
 Duration from_seconds(double s) { return Duration(static_cast<Duration::rep>(s * 1e9)); }
 
+std::uint64_t mixed(std::uint64_t x) { // SplitMix64's last step
+    x = (x ^ (x >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    x = (x ^ (x >> 27U)) * 0x94d049bb133111ebULL;
+    return x ^ (x >> 31U);
+}
+
 struct Worker {
     WorkerEntry entry;
     bool ready = false, home = false;
@@ -157,7 +164,8 @@
 
     // Each dispatcher has a slice of the fleet for home, so that many dispatchers don't all rank the same
     // newly reported empty worker first, and so that one sees its home workers often enough for L to be
-    // young.
+    // young. Where slices would be smaller than that takes, each has a few of every kind, near ones first, by
+    // a hash of both: other workers that come and go leave them as they are.
     void rebuild_ready() {
         ready.clear();
         for (WorkerId id = 0; id < workers.size(); ++id) {
@@ -165,13 +173,28 @@
         }
         std::ranges::sort(ready, {}, [&](WorkerId id) { return std::pair(workers[id].entry.key, id); });
         const std::size_t n = settings.dispatchers, count = ready.size();
+        const bool slices = n * few_homes <= count;
         for (std::size_t rank = 0; rank < count; ++rank) {
             workers[ready[rank]].home =
-                rank * n / count == settings.self || settings.self * count / n == rank;
+                slices && (rank * n / count == settings.self || settings.self * count / n == rank);
         }
+        if (!slices) choose_homes();
         capacity_changed = true;
     }
 
+    void choose_homes() {
+        std::vector<WorkerId> order = ready;
+        std::ranges::sort(order, {}, [&](WorkerId id) {
+            const WorkerEntry& e = workers[id].entry;
+            return std::tuple(e.kind, e.zone != settings.zone, mixed(e.key ^ mixed(settings.self + 1)), id);
+        });
+        std::size_t taken = 0;
+        for (std::size_t i = 0; i < order.size(); ++i) {
+            if (i > 0 && workers[order[i]].entry.kind != workers[order[i - 1]].entry.kind) taken = 0;
+            workers[order[i]].home = taken++ < few_homes;
+        }
+    }
+
     void on(const JobArrived& in) {
         if (jobs.size() <= in.job) jobs.resize(in.job + 1);
         const JobClass& c = settings.classes[in.job_class];
@@ -629,10 +652,8 @@
 
     // The same, however often it is asked for this job and worker.
     double chance(const Job& job, const Worker& w) const {
-        std::uint64_t x = settings.seed + job.serial * 0x9e3779b97f4a7c15ULL + std::uint64_t{w.entry.key};
-        x = (x ^ (x >> 30U)) * 0xbf58476d1ce4e5b9ULL;
-        x = (x ^ (x >> 27U)) * 0x94d049bb133111ebULL;
-        return static_cast<double>((x ^ (x >> 31U)) >> 11U) * 0x1.0p-53;
+        const std::uint64_t x = mixed(settings.seed + job.serial * 0x9e3779b97f4a7c15ULL + w.entry.key);
+        return static_cast<double>(x >> 11U) * 0x1.0p-53;
     }
 
     void count_work(double work) {
