Move the module's bookkeeping to a pure package; learn running times where there was room

One belief changes with it: the mean running time of a class took in the time that jobs waited at full workers, and with it grew what is given up late and what a cold worker is thought to bear. It is now learnt from answers whose report shows room.

--- /dev/null
+++ b/src/learn/learn.h
@@ -0,0 +1,142 @@
+// What a dispatcher learns from the little it sees: running means that start fast, the rate at which work
+// comes, how long jobs run and wait, and zones that have gone silent. Pure bookkeeping, without clock and
+// without decisions: what follows from a figure is the module's business.
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <cstddef>
+#include <cstdint>
+#include <utility>
+#include <vector>
+
+namespace willowrill::learn {
+
+using Time = std::chrono::nanoseconds;
+
+inline double seconds(Time d) { return std::chrono::duration<double>(d).count(); }
+
+// SplitMix64's last step: a hash that is the same everywhere.
+inline std::uint64_t mixed(std::uint64_t x) {
+    x = (x ^ (x >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    x = (x ^ (x >> 27U)) * 0x94d049bb133111ebULL;
+    return x ^ (x >> 31U);
+}
+
+inline double unit(std::uint64_t random) { return static_cast<double>(random >> 11U) * 0x1.0p-53; }
+
+// A running mean whose first samples weigh more, as few come.
+struct Mean {
+    double value = 0, samples = 0;
+    void add(double x, double least_weight) {
+        value += std::max(least_weight, 1 / (samples + 1)) * (x - value);
+        ++samples;
+    }
+};
+
+// Means by group, each drawn to the mean of all while few samples of its own are there.
+class GroupMeans {
+  public:
+    GroupMeans(double prior, double prior_samples, double least_weight)
+        : all_{prior, 1}, prior_samples_(prior_samples), least_weight_(least_weight) {}
+
+    void add(std::size_t group, double x) {
+        if (groups_.size() <= group) groups_.resize(group + 1);
+        groups_[group].add(x, least_weight_);
+        all_.add(x, least_weight_);
+    }
+    double of(std::size_t group) const {
+        const Mean own = group < groups_.size() ? groups_[group] : Mean{};
+        return (all_.value * prior_samples_ + own.value * own.samples) / (prior_samples_ + own.samples);
+    }
+    double all() const { return all_.value; }
+
+  private:
+    Mean all_;
+    std::vector<Mean> groups_; // as many as kinds and zones are listed
+    double prior_samples_, least_weight_;
+};
+
+// An amount a second, averaged over about `window_s`, from the first amount on.
+class Rate {
+  public:
+    explicit Rate(double window_s) : window_s_(window_s) {}
+    void add(double amount, Time now) {
+        const double kept = std::exp(-std::max(0.0, seconds(now - std::exchange(at_, now))) / window_s_);
+        amount_ = amount_ * kept + amount;
+        seconds_ = seconds_ * kept + window_s_ * (1 - kept);
+    }
+    double per_s() const { return amount_ / std::max(1.0, seconds_); }
+
+  private:
+    double window_s_, amount_ = 0, seconds_ = 0;
+    Time at_{0};
+};
+
+// How long the jobs of a class run on a kind of worker, and how long they wait there before: the run is
+// learnt from workers that had room, and what an answer took beyond it is the wait.
+class Runs {
+  public:
+    Runs(std::vector<double> priors, double least_weight) : least_weight_(least_weight) {
+        for (const double prior : priors)
+            runs_.emplace_back(prior, 2, least_weight);
+        waits_.resize(runs_.size());
+    }
+    double run(std::size_t job_class) const { return runs_[job_class].all(); }
+    double run(std::size_t job_class, std::size_t kind) const { return runs_[job_class].of(kind); }
+
+    void served(std::size_t job_class, std::size_t kind, double took_s, bool had_room, Time now) {
+        if (had_room) runs_[job_class].add(kind, took_s);
+        const double usual = run(job_class, kind), known = wait(job_class, kind, now);
+        // One odd worker is not all of its kind.
+        const double more = std::clamp(took_s - usual - known, -odd * usual, odd * usual);
+        set(job_class, kind, known + wait_weight * more, now);
+    }
+    // It is out for so long, and not back.
+    void outlasts(std::size_t job_class, std::size_t kind, double out_s, Time now) {
+        const double more = out_s - run(job_class, kind) - wait(job_class, kind, now);
+        if (more > 0)
+            set(job_class, kind,
+                wait(job_class, kind, now) + wait_weight * std::min(more, odd * run(job_class, kind)), now);
+    }
+    double wait(std::size_t job_class, std::size_t kind, Time now) const {
+        if (kind >= waits_[job_class].size()) return 0;
+        const Wait& known = waits_[job_class][kind];
+        return std::max(0.0, known.value) * std::exp2(-seconds(now - known.at) / wait_half_s);
+    }
+
+  private:
+    static constexpr double odd = 4, wait_weight = 0.25, wait_half_s = 4;
+    struct Wait {
+        double value = 0;
+        Time at{0};
+    };
+    void set(std::size_t job_class, std::size_t kind, double value, Time now) {
+        if (waits_[job_class].size() <= kind) waits_[job_class].resize(kind + 1);
+        waits_[job_class][kind] = {value, now};
+    }
+    std::vector<GroupMeans> runs_;         // by class, in them by kind
+    std::vector<std::vector<Wait>> waits_; // by class and kind
+    double least_weight_;
+};
+
+// Workers of a zone may all be lost at once.
+struct Zone {
+    int silent = 0; // workers that could not be reached, one after the other, since one answered
+    std::uint32_t last = static_cast<std::uint32_t>(-1);
+    Time out_until{0};
+};
+
+struct TokenBucket {
+    double tokens = 1;
+    Time filled_at{0};
+    void add(double more, double most) { tokens = std::min(most, tokens + more); }
+    bool take() {
+        if (tokens < 1) return false;
+        tokens -= 1;
+        return true;
+    }
+};
+
+} // namespace willowrill::learn
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -9,6 +9,8 @@
 //
 // A worker is picked by PLUD: the lowest L + I + X. Everything else here decides who may be ranked, when a
 // job is held, moved, repeated or given up, and what L is when reports are old, late or blind.
+#include "learn/learn.h"
+
 #include <willowrill/dispatcher.h>
 
 #include <algorithm>
@@ -48,15 +50,9 @@
 constexpr double most_crowding = 0.35;  // but not if this share of small jobs finds no room at once
 constexpr double queue_allowance = 0.1; // load beyond full that a job accepts once it has waited its aim
 
-double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
+using learn::seconds;
 Duration from_seconds(double s) { return Duration(static_cast<Duration::rep>(s * 1e9)); }
 
-std::uint64_t mixed(std::uint64_t x) { // SplitMix64's last step
-    x = (x ^ (x >> 30U)) * 0xbf58476d1ce4e5b9ULL;
-    x = (x ^ (x >> 27U)) * 0x94d049bb133111ebULL;
-    return x ^ (x >> 31U);
-}
-
 struct Worker {
     WorkerEntry entry;
     bool ready = false, home = false;
@@ -95,45 +91,21 @@
 
 using Review = std::tuple<Time, std::uint64_t, JobId>; // when, the job's serial, its id
 
-// Workers of a zone may all be lost at once, and each that is tried costs a job the time to connect.
-struct Zone {
-    int silent = 0; // workers that could not be reached, one after the other, since one answered
-    WorkerId last = none;
-    Time out_until{0};
-};
-
-struct ClassState {
-    double run_s = 0;         // mean time in work
-    Duration longest_left{0}; // what a first try is given
-};
-
-// A running mean whose first samples weigh more, as few come.
-struct Mean {
-    double value = 0.5, samples = 1;
-    void add(double x) { value += std::max(mean_gain, 1 / ++samples) * (x - value); }
-};
-
-struct TokenBucket {
-    double tokens = 1;
-    Time filled_at{0};
-    void add(double more, double most) { tokens = std::min(most, tokens + more); }
-    bool take() {
-        if (tokens < 1) return false;
-        tokens -= 1;
-        return true;
-    }
-};
-
 } // namespace
 
 struct Dispatcher::Impl {
-    explicit Impl(Settings s) : settings(std::move(s)), random(settings.seed) {
-        for (const JobClass& c : settings.classes) {
-            classes.push_back({.run_s = std::max(0.001, seconds(c.aim)), .longest_left = 0ns});
-        }
+    explicit Impl(Settings s) : settings(std::move(s)), random(settings.seed), runs(priors(), mean_gain) {
+        longest_left.resize(settings.classes.size());
         tenants.resize(settings.tenants.size());
     }
 
+    std::vector<double> priors() const {
+        std::vector<double> out;
+        for (const JobClass& c : settings.classes)
+            out.push_back(std::max(0.001, seconds(c.aim)));
+        return out;
+    }
+
     // ---- 1. Events -------------------------------------------------------------------------------------
 
     void on(const ListNews& news) {
@@ -186,7 +158,8 @@
         std::vector<WorkerId> order = ready;
         std::ranges::sort(order, {}, [&](WorkerId id) {
             const WorkerEntry& e = workers[id].entry;
-            return std::tuple(e.kind, e.zone != settings.zone, mixed(e.key ^ mixed(settings.self + 1)), id);
+            return std::tuple(e.kind, e.zone != settings.zone,
+                              learn::mixed(e.key ^ learn::mixed(settings.self + 1)), id);
         });
         std::size_t taken = 0;
         for (std::size_t i = 0; i < order.size(); ++i) {
@@ -198,19 +171,19 @@
     void on(const JobArrived& in) {
         if (jobs.size() <= in.job) jobs.resize(in.job + 1);
         const JobClass& c = settings.classes[in.job_class];
-        ClassState& state = classes[in.job_class];
+        Duration& longest = longest_left[in.job_class]; // what a first try is given
         // A client's later try has less time left: its aim has been running since the first. No one client's
         // odd time, longer than the class's, may make all others look late.
-        state.longest_left = std::max(state.longest_left, std::min(in.left, c.give_up));
-        const Time asked_at = now - std::max(0ns, state.longest_left - in.left);
+        longest = std::max(longest, std::min(in.left, c.give_up));
+        const Time asked_at = now - std::max(0ns, longest - in.left);
         widest = std::max(widest, in.slots);
         Job& job = jobs[in.job];
         job = {.serial = ++last_serial, .live = true, .in = in, .asked_at = asked_at, .arrived = now};
         job.deadline = now + in.left - settings.tick;
         const double worth = c.worth * (within_quota(in) ? 1 : settings.over_quota_worth);
-        job.value = worth / (in.slots * (settings.worth_by_work ? 1 : state.run_s));
+        job.value = worth / (in.slots * (settings.worth_by_work ? 1 : runs.run(in.job_class)));
         retries.add(retry_ratio, retry_burst);
-        count_work(work_of(job));
+        offered.add(work_of(job), now);
         look_again(in.job, job.deadline);
         wait(in.job);
     }
@@ -254,8 +227,8 @@
         judge(w, ended.outcome);
         judge_zone(attempt->worker, ended.outcome);
         if (ended.outcome == Outcome::served) {
-            double& run = classes[job.in.job_class].run_s;
-            run += mean_gain * (seconds(ended.latency) - run);
+            const bool had_room = !ended.report || ended.report->free_slots.value_or(1) > 0.5;
+            runs.served(job.in.job_class, w.entry.kind, seconds(ended.latency), had_room, now);
         }
         if (ended.job_over) on(JobLeft{ended.job});
         if (!job.live || job.streaming || job.is_out()) return;
@@ -293,8 +266,7 @@
         w.last_report = report;
         if (now - w.changed_at > from_seconds(blind_s)) return;
         w.load = std::max(0.0, load - finished_slots * per_slot);
-        mean_load.add(w.load);
-        group_load(w).add(w.load);
+        loads.add(group_of(w), w.load);
         w.degradation = w.sent_slots = 0;
         w.reported_at = now;
     }
@@ -318,7 +290,7 @@
     }
 
     void judge_zone(WorkerId id, Outcome outcome) {
-        Zone& zone = zones[workers[id].entry.zone];
+        learn::Zone& zone = zones[workers[id].entry.zone];
         if (outcome == Outcome::served || outcome == Outcome::error || outcome == Outcome::full) {
             zone = {};
         } else if ((outcome == Outcome::connect_failed || outcome == Outcome::reset) &&
@@ -334,7 +306,7 @@
 
     // The zone is out, or the last try there failed and this job has had one that did.
     bool shuns_zone(const Job& job, const Worker& w) const {
-        const Zone& zone = zones[w.entry.zone];
+        const learn::Zone& zone = zones[w.entry.zone];
         return now < zone.out_until || (zone.silent > 0 && !job.attempts.empty());
     }
 
@@ -415,8 +387,7 @@
     bool hopeless(const Job& job) const {
         const JobClass& c = class_of(job);
         if (c.late_worth > 0) return false;
-        const double spare =
-            seconds(c.aim) + std::max(0.0, c.aim_stretch - 1) * classes[job.in.job_class].run_s;
+        const double spare = seconds(c.aim) + std::max(0.0, c.aim_stretch - 1) * runs.run(job.in.job_class);
         return seconds(now - job.asked_at) > hopeless_share * spare;
     }
 
@@ -469,18 +440,11 @@
 
     // Workers of one kind and zone are alike: with few reports for each, what is known of one holds for
     // others.
-    Mean& group_load(const Worker& w) const {
-        const std::size_t group =
-            std::size_t{w.entry.kind} * std::max<Index>(1, settings.zones) + w.entry.zone;
-        if (group_loads.size() <= group) group_loads.resize(group + 1, {.samples = 0});
-        return group_loads[group];
+    std::size_t group_of(const Worker& w) const {
+        return std::size_t{w.entry.kind} * std::max<Index>(1, settings.zones) + w.entry.zone;
     }
 
-    double usual_load(const Worker& w) const {
-        const Mean& group = group_load(w);
-        return (mean_load.value * prior_samples + group.value * group.samples) /
-               (prior_samples + group.samples);
-    }
+    double usual_load(const Worker& w) const { return loads.of(group_of(w)); }
 
     // I: the step that one slot adds, doubled for each reason why the worker is of the next tier.
     double increment(const Worker& w) const {
@@ -623,7 +587,7 @@
     }
 
     double work_of(const Job& job) const {
-        return job.in.slots * std::max(classes[job.in.job_class].run_s, seconds(job.in.hint));
+        return job.in.slots * std::max(runs.run(job.in.job_class), seconds(job.in.hint));
     }
 
     // The budget is counted over a sliding window. Where a fair share is less than one job, each job has a
@@ -642,8 +606,8 @@
         const double bears = warmth(w, now - window) * slots * seconds(window) / settings.dispatchers;
         const double most = cold_margin * settings.overload_multiple;
         if (sent + work_of(job) <= most * bears) return true;
-        const double offered = work_rate * seconds(window);
-        return w.cold_sends.empty() && chance(job, w) * offered < std::min(most, usual_load(w)) * bears;
+        return w.cold_sends.empty() &&
+               chance(job, w) * offered.per_s() * seconds(window) < std::min(most, usual_load(w)) * bears;
     }
 
     // ---- Small helpers ---------------------------------------------------------------------------------
@@ -652,18 +616,10 @@
 
     // The same, however often it is asked for this job and worker.
     double chance(const Job& job, const Worker& w) const {
-        const std::uint64_t x = mixed(settings.seed + job.serial * 0x9e3779b97f4a7c15ULL + w.entry.key);
-        return static_cast<double>(x >> 11U) * 0x1.0p-53;
-    }
-
-    void count_work(double work) {
-        const double kept = std::exp(-seconds(now - std::exchange(counted_at, now)) / rate_s);
-        counted_work = counted_work * kept + work;
-        counted_s = counted_s * kept + rate_s * (1 - kept);
-        work_rate = counted_work / std::max(1.0, counted_s);
+        return learn::unit(learn::mixed(settings.seed + job.serial * 0x9e3779b97f4a7c15ULL + w.entry.key));
     }
 
-    double uniform() { return static_cast<double>(random() >> 11U) * 0x1.0p-53; }
+    double uniform() { return learn::unit(random()); }
 
     Attempt* find(JobId id, Index attempt) {
         if (id >= jobs.size() || attempt >= jobs[id].attempts.size()) return nullptr;
@@ -672,7 +628,7 @@
 
     bool within_quota(const JobArrived& in) {
         if (in.tenant >= tenants.size() || settings.tenants[in.tenant].quota_per_s <= 0) return true;
-        TokenBucket& tenant = tenants[in.tenant];
+        learn::TokenBucket& tenant = tenants[in.tenant];
         const double rate = settings.tenants[in.tenant].quota_per_s / settings.dispatchers;
         tenant.add(rate * seconds(now - std::exchange(tenant.filled_at, now)), std::max(1.0, 2 * rate));
         return tenant.take();
@@ -751,10 +707,10 @@
 
     Settings settings;
     std::mt19937_64 random;
-    std::vector<ClassState> classes;
-    std::vector<TokenBucket> tenants;
+    std::vector<Duration> longest_left; // by class
+    std::vector<learn::TokenBucket> tenants;
     std::vector<Worker> workers;
-    std::vector<Zone> zones;
+    std::vector<learn::Zone> zones;
     std::vector<WorkerId> ready;    // in the order of their keys
     std::vector<double> kind_slots; // the most seen
     std::vector<int> kind_reports;  // how often
@@ -764,12 +720,11 @@
     std::vector<double> no_room; // by kind of worker needed, 0 for any: slots for which there is no room now
     std::priority_queue<Review, std::vector<Review>, std::greater<>> reviews;
     std::uint64_t last_serial = 0;
-    Mean mean_load;
-    mutable std::vector<Mean> group_loads; // by kind and zone
-    double crowding = 0;                   // share of the jobs of one slot that found no room on arrival
-    double work_rate = 0, counted_work = 0, counted_s = 0; // slot-seconds a second that clients ask for here
-    Time counted_at{0};
-    TokenBucket retries{.tokens = retry_burst};
+    learn::GroupMeans loads{0.5, prior_samples, mean_gain}; // by kind and zone
+    learn::Rate offered{rate_s};                            // slot-seconds a second that clients ask for here
+    learn::Runs runs;
+    double crowding = 0; // share of the jobs of one slot that found no room on arrival
+    learn::TokenBucket retries{.tokens = retry_burst};
     bool capacity_changed = false, watching = false, watch_failed = false;
     int watch_failures = 0;
     Time now{0}, ask_at{-1}, armed{-1}, wake_by{0};
