Rank a kind that other classes depend on as the next tier for jobs that run anywhere

At fault: increment, where the tier followed from home and zone alone; the design lets it follow from the kind.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -447,9 +447,13 @@
     double usual_load(const Worker& w) const { return loads.of(group_of(w)); }
 
     // I: the step that one slot adds, doubled for each reason why the worker is of the next tier.
-    double increment(const Worker& w) const {
+    double increment(const Worker& w, const Job& job) const {
         double step = 1 / warm_slots(w); // what a cold one bears is `cold_budget_allows`'s business
         if (!w.home && !is_cold(w)) step *= next_tier;
+        // A kind without which others cannot run is their tier first.
+        if (class_of(job).kind == none &&
+            std::ranges::count(settings.classes, w.entry.kind, &JobClass::kind) > 0)
+            step *= next_tier;
         if (settings.cross_zone_price > 0 && w.entry.zone != settings.zone) step *= next_tier;
         return step;
     }
@@ -471,7 +475,7 @@
             if (!shunned) ++able;
             if (!shunned && rest) ++resting;
             Best& to = best[shunned ? 2 : rest ? 1 : 0];
-            const double score = load_of(w, job.in.slots) + increment(w) * job.in.slots;
+            const double score = load_of(w, job.in.slots) + increment(w, job) * job.in.slots;
             if (score < to.score - tiny)
                 to = {id, score, 1};
             else if (score <= to.score + tiny && uniform() * ++to.ties < 1)
@@ -513,7 +517,7 @@
     void send(JobId id, WorkerId to) {
         Job& job = jobs[id];
         Worker& w = workers[to];
-        w.degradation += increment(w) * job.in.slots;
+        w.degradation += increment(w, job) * job.in.slots;
         w.sent_slots += job.in.slots;
         w.own_slots += job.in.slots;
         if (is_cold(w)) w.cold_sends.emplace_back(now, work_of(job));
