Count queues that answers tell of by kind and zone; add a step for a tier, not double slots

Checked: reports reach the schedulers; L ends at 1, so that a worker with one job waiting and one with thirty look the same; far workers' I of four times the job's slots was 0.8 to 3.2.

At fault: increment (doubled twice, times all slots of the job), believed_load (free slots and utilisation say nothing of a queue). Now each reason for the next tier adds the step of one slot; what answers took beyond the run of their class counts as queue by kind and zone; jobs out for over three times their run count as waiting at their worker; and what would wait beyond its aim is refused at once.

Log lines with -debug- name each worker, as numbers differ between schedulers.

--- a/src/inventory/list.h
+++ b/src/inventory/list.h
@@ -26,6 +26,8 @@
     bool empty() const { return workers_.empty(); }
     std::size_t listed() const; // workers that are in the list now
     const net::Endpoint& address(willowrill::WorkerId worker) const { return workers_[worker].address; }
+    const std::string& id(willowrill::WorkerId worker) const { return workers_[worker].id; }
+    const config::Names& names() const { return names_; }
     willowrill::Condition condition(willowrill::WorkerId worker) const { return workers_[worker].condition; }
 
   private:
--- a/src/learn/learn.h
+++ b/src/learn/learn.h
@@ -74,11 +74,11 @@
     Time at_{0};
 };
 
-// How long the jobs of a class run on a kind of worker, and how long they wait there before: the run is
-// learnt from workers that had room, and what an answer took beyond it is the wait.
+// How long the jobs of a class run on a kind of worker, and how long they wait before at a group of workers:
+// the run is learnt where there was room, and what an answer took beyond it is the wait.
 class Runs {
   public:
-    Runs(std::vector<double> priors, double least_weight) : least_weight_(least_weight) {
+    Runs(const std::vector<double>& priors, double least_weight) {
         for (const double prior : priors)
             runs_.emplace_back(prior, 2, least_weight);
         waits_.resize(runs_.size());
@@ -86,23 +86,25 @@
     double run(std::size_t job_class) const { return runs_[job_class].all(); }
     double run(std::size_t job_class, std::size_t kind) const { return runs_[job_class].of(kind); }
 
-    void served(std::size_t job_class, std::size_t kind, double took_s, bool had_room, Time now) {
-        if (had_room) runs_[job_class].add(kind, took_s);
-        const double usual = run(job_class, kind), known = wait(job_class, kind, now);
-        // One odd worker is not all of its kind.
+    struct Place {
+        std::size_t kind = 0, group = 0;
+    };
+    void served(std::size_t job_class, Place at, double took_s, bool had_room, Time now) {
+        if (had_room) runs_[job_class].add(at.kind, took_s);
+        const double usual = run(job_class, at.kind), known = wait(job_class, at.group, now);
+        // One odd worker is not all of its group.
         const double more = std::clamp(took_s - usual - known, -odd * usual, odd * usual);
-        set(job_class, kind, known + wait_weight * more, now);
+        set(job_class, at.group, known + wait_weight * more, now);
     }
     // It is out for so long, and not back.
-    void outlasts(std::size_t job_class, std::size_t kind, double out_s, Time now) {
-        const double more = out_s - run(job_class, kind) - wait(job_class, kind, now);
-        if (more > 0)
-            set(job_class, kind,
-                wait(job_class, kind, now) + wait_weight * std::min(more, odd * run(job_class, kind)), now);
+    void outlasts(std::size_t job_class, Place at, double out_s, Time now) {
+        const double usual = run(job_class, at.kind), known = wait(job_class, at.group, now);
+        const double more = std::clamp(out_s - usual - known, 0.0, odd * usual);
+        if (more > 0) set(job_class, at.group, known + wait_weight * more, now);
     }
-    double wait(std::size_t job_class, std::size_t kind, Time now) const {
-        if (kind >= waits_[job_class].size()) return 0;
-        const Wait& known = waits_[job_class][kind];
+    double wait(std::size_t job_class, std::size_t group, Time now) const {
+        if (group >= waits_[job_class].size()) return 0;
+        const Wait& known = waits_[job_class][group];
         return std::max(0.0, known.value) * std::exp2(-seconds(now - known.at) / wait_half_s);
     }
 
@@ -112,13 +114,12 @@
         double value = 0;
         Time at{0};
     };
-    void set(std::size_t job_class, std::size_t kind, double value, Time now) {
-        if (waits_[job_class].size() <= kind) waits_[job_class].resize(kind + 1);
-        waits_[job_class][kind] = {value, now};
+    void set(std::size_t job_class, std::size_t group, double value, Time now) {
+        if (waits_[job_class].size() <= group) waits_[job_class].resize(group + 1);
+        waits_[job_class][group] = {value, now};
     }
     std::vector<GroupMeans> runs_;         // by class, in them by kind
-    std::vector<std::vector<Wait>> waits_; // by class and kind
-    double least_weight_;
+    std::vector<std::vector<Wait>> waits_; // by class and group
 };
 
 // Workers of a zone may all be lost at once.
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -20,6 +20,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
@@ -75,6 +76,7 @@
         if (!settings_.known.empty()) {
             if (auto news = list_.read(settings_.known)) {
                 news->kind = willowrill::ListNews::Kind::remembered;
+                log_entries(*news);
                 host_.list_news(std::move(*news));
             } else {
                 spdlog::warn("inventory: the remembered list is no list; starting without it");
@@ -152,10 +154,30 @@
         if (broken && !settings_.decisions.list_on_request) watch_again_.arm(loop_.now() + watch_pause);
         if (!news.entries.empty())
             spdlog::info("inventory: version {} with {} entries", list_.version(), news.entries.size());
+        log_entries(news);
         host_.list_news(std::move(news));
         pool_.close_unlisted();
     }
 
+    // Numbers of workers differ from one scheduler to the next: whoever joins their logs needs the names.
+    void log_entries(const willowrill::ListNews& news) const {
+        if (!log::wanted(spdlog::level::debug)) return;
+        constexpr std::array<std::string_view, 3> conditions{"ready", "draining", "gone"};
+        for (const willowrill::WorkerEntry& entry : news.entries) {
+            const std::string_view kind = list_.names().kinds[entry.kind],
+                                   zone = list_.names().zones[entry.zone],
+                                   condition = conditions[static_cast<std::size_t>(entry.condition)];
+            log::event(spdlog::level::debug, "inventory.entry",
+                       {{"worker", std::uint64_t{entry.worker}},
+                        {"id", list_.id(entry.worker)},
+                        {"kind", kind},
+                        {"zone", zone},
+                        {"condition", condition}},
+                       fmt::format("inventory: worker {} is {}, {} in {}, {}", entry.worker,
+                                   list_.id(entry.worker), kind, zone, condition));
+        }
+    }
+
     void on_round_end() {
         auto next = host_.next_batch();
         if (next && *next <= loop_.now()) {
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -29,11 +29,12 @@
 using namespace std::chrono_literals;
 
 constexpr double default_step = 0.1; // the paper's I of a preferred tier, until slots are known
-constexpr double next_tier = 2;      // the paper's ratio of the next tier's I to the preferred one's
+constexpr double next_tier = 1;      // steps more: the paper's I of the next tier is double
 constexpr double fade_s = 2;         // a report this old counts for half
 constexpr double blind_s = 2;        // without a report for so long, an idle worker's load is not known
 constexpr double mean_gain = 0.05;   // least weight of a new sample in running means
 constexpr std::size_t few_homes = 4; // of a kind, where there are more dispatchers than that allows
+constexpr double long_run = 3;       // times its usual time, after which a job out is taken to wait
 constexpr double rate_s = 10;        // time over which the work that comes here is averaged
 constexpr double prior_samples = 4;  // what a mean of all counts for beside that of a group
 constexpr double cold_margin = 0.5;  // share of a cold worker's budget that is used
@@ -228,7 +229,7 @@
         judge_zone(attempt->worker, ended.outcome);
         if (ended.outcome == Outcome::served) {
             const bool had_room = !ended.report || ended.report->free_slots.value_or(1) > 0.5;
-            runs.served(job.in.job_class, w.entry.kind, seconds(ended.latency), had_room, now);
+            runs.served(job.in.job_class, place_of(w), seconds(ended.latency), had_room, now);
         }
         if (ended.job_over) on(JobLeft{ended.job});
         if (!job.live || job.streaming || job.is_out()) return;
@@ -321,11 +322,10 @@
             return;
         }
         Attempt& last = job.attempts.back();
-        // Where workers tell nothing of a job before its end, silence does not mean that it waits.
-        const bool tells = settings.tells_start || settings.progress_period > 0ns;
-        const bool unheard = tells && last.out && !last.started && !last.cancelled;
-        if (!unheard || now - last.sent < start_notice(job)) return;
+        if (!last.out || last.started || last.cancelled || now - last.sent < start_notice(job, last)) return;
+        runs.outlasts(job.in.job_class, place_of(workers[last.worker]), seconds(now - last.sent), now);
         if (!std::exchange(last.stuck, true)) workers[last.worker].stuck_slots += job.in.slots;
+        if (!tells()) return look_again(id, now + (now - last.sent) / 4);
         // It waits in a queue there: where it may, it moves to a worker with room.
         if (!settings.tells_start || !settings.may_cancel || !may_send(job, true)) return;
         const WorkerId to = pick_with_room(job, 0, job.in.slots);
@@ -337,9 +337,14 @@
         if (settings.second_copies) send(id, to);
     }
 
-    // How long after its send an attempt is known to wait, if nothing has been heard of it.
-    Duration start_notice(const Job& job) const {
-        return settings.tells_start ? patience(job) : settings.progress_period + 4 * settings.tick;
+    bool tells() const { return settings.tells_start || settings.progress_period > 0ns; }
+
+    // How long after its send an attempt is known to wait, if nothing has been heard of it. Where workers
+    // tell nothing of a job before its end, silence means that only when it is long for its class.
+    Duration start_notice(const Job& job, const Attempt& attempt) const {
+        if (settings.tells_start) return patience(job);
+        if (settings.progress_period > 0ns) return settings.progress_period + 4 * settings.tick;
+        return from_seconds(long_run * runs.run(job.in.job_class, workers[attempt.worker].entry.kind));
     }
 
     Duration patience(const Job& job) const { return std::max(settings.tick, class_of(job).aim / 8); }
@@ -388,7 +393,18 @@
         const JobClass& c = class_of(job);
         if (c.late_worth > 0) return false;
         const double spare = seconds(c.aim) + std::max(0.0, c.aim_stretch - 1) * runs.run(job.in.job_class);
-        return seconds(now - job.asked_at) > hopeless_share * spare;
+        return seconds(now - job.asked_at) > hopeless_share * spare || expected_wait(job) > spare;
+    }
+
+    // At the workers where it is least.
+    double expected_wait(const Job& job) const {
+        double least = unlimited;
+        for (const WorkerId id : ready) {
+            const Worker& w = workers[id];
+            if (class_of(job).kind == none || class_of(job).kind == w.entry.kind)
+                least = std::min(least, runs.wait(job.in.job_class, group_of(w), now));
+        }
+        return least;
     }
 
     // The first reports of a kind may all come from busy workers and show few slots. Until there are enough,
@@ -444,18 +460,26 @@
         return std::size_t{w.entry.kind} * std::max<Index>(1, settings.zones) + w.entry.zone;
     }
 
+    learn::Runs::Place place_of(const Worker& w) const { return {w.entry.kind, group_of(w)}; }
+
     double usual_load(const Worker& w) const { return loads.of(group_of(w)); }
 
-    // I: the step that one slot adds, doubled for each reason why the worker is of the next tier.
+    // I: the step of the job's slots, and of one slot more for each reason why the worker is of the next
+    // tier.
     double increment(const Worker& w, const Job& job) const {
-        double step = 1 / warm_slots(w); // what a cold one bears is `cold_budget_allows`'s business
-        if (!w.home && !is_cold(w)) step *= next_tier;
+        double steps = job.in.slots;
+        if (!w.home && !is_cold(w)) steps += next_tier;
         // A kind without which others cannot run is their tier first.
         if (class_of(job).kind == none &&
             std::ranges::count(settings.classes, w.entry.kind, &JobClass::kind) > 0)
-            step *= next_tier;
-        if (settings.cross_zone_price > 0 && w.entry.zone != settings.zone) step *= next_tier;
-        return step;
+            steps += next_tier;
+        if (settings.cross_zone_price > 0 && w.entry.zone != settings.zone) steps += next_tier;
+        return steps / warm_slots(w); // what a cold one bears is `cold_budget_allows`'s business
+    }
+
+    // What waits at workers like this one, by what answers took: a full worker's report does not tell.
+    double queue(const Worker& w, const Job& job) const {
+        return runs.wait(job.in.job_class, group_of(w), now) / runs.run(job.in.job_class, w.entry.kind);
     }
 
     WorkerId pick(const Job& job) {
@@ -475,7 +499,7 @@
             if (!shunned) ++able;
             if (!shunned && rest) ++resting;
             Best& to = best[shunned ? 2 : rest ? 1 : 0];
-            const double score = load_of(w, job.in.slots) + increment(w, job) * job.in.slots;
+            const double score = load_of(w, job.in.slots) + queue(w, job) + increment(w, job);
             if (score < to.score - tiny)
                 to = {id, score, 1};
             else if (score <= to.score + tiny && uniform() * ++to.ties < 1)
@@ -517,13 +541,13 @@
     void send(JobId id, WorkerId to) {
         Job& job = jobs[id];
         Worker& w = workers[to];
-        w.degradation += increment(w, job) * job.in.slots;
+        w.degradation += increment(w, job);
         w.sent_slots += job.in.slots;
         w.own_slots += job.in.slots;
         if (is_cold(w)) w.cold_sends.emplace_back(now, work_of(job));
         job.attempts.push_back({.worker = to, .sent = now});
         actions->emplace_back(Send{id, to, 0ns});
-        if (settings.tells_start || settings.progress_period > 0ns) look_again(id, now + start_notice(job));
+        look_again(id, now + start_notice(job, job.attempts.back()));
     }
 
     void end(JobId id) {
