Let a report that shows room speak against the queue of its group; homes by kind

Where few schedulers hear often from each worker, the queue of the group hid which of its workers had room.

Now a queue counts only as far as no fresh report of that worker shows room. Homes are slices of every kind, where there are workers enough, so that a scheduler has homes for each class. What would wait too long at the worker picked is refused only for classes that have no other kind.

--- a/src/learn/learn.h
+++ b/src/learn/learn.h
@@ -109,7 +109,7 @@
     }
 
   private:
-    static constexpr double odd = 4, wait_weight = 0.25, wait_half_s = 4;
+    static constexpr double odd = 3, wait_weight = 0.25, wait_half_s = 4;
     struct Wait {
         double value = 0;
         Time at{0};
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -35,6 +35,8 @@
 constexpr double mean_gain = 0.05;   // least weight of a new sample in running means
 constexpr std::size_t few_homes = 4; // of a kind, where there are more dispatchers than that allows
 constexpr double long_run = 3;       // times its usual time, after which a job out is taken to wait
+constexpr double cold_more = 0.5;    // load beyond the usual that a cold worker is given
+constexpr double full_load = 0.9;    // from which on a report may hide a queue
 constexpr double rate_s = 10;        // time over which the work that comes here is averaged
 constexpr double prior_samples = 4;  // what a mean of all counts for beside that of a group
 constexpr double cold_margin = 0.5;  // share of a cold worker's budget that is used
@@ -97,6 +99,7 @@
 struct Dispatcher::Impl {
     explicit Impl(Settings s) : settings(std::move(s)), random(settings.seed), runs(priors(), mean_gain) {
         longest_left.resize(settings.classes.size());
+        offered.resize(settings.classes.size(), learn::Rate(rate_s));
         tenants.resize(settings.tenants.size());
     }
 
@@ -135,38 +138,40 @@
         rebuild_ready();
     }
 
-    // Each dispatcher has a slice of the fleet for home, so that many dispatchers don't all rank the same
+    // Each dispatcher has a slice of every kind for home, so that many dispatchers don't all rank the same
     // newly reported empty worker first, and so that one sees its home workers often enough for L to be
-    // young. Where slices would be smaller than that takes, each has a few of every kind, near ones first, by
-    // a hash of both: other workers that come and go leave them as they are.
+    // young. Where there are more dispatchers than workers of a kind, each has a few, near ones first, by a
+    // hash of both: other workers that come and go leave them as they are.
     void rebuild_ready() {
         ready.clear();
         for (WorkerId id = 0; id < workers.size(); ++id) {
             if (workers[id].ready) ready.push_back(id);
         }
-        std::ranges::sort(ready, {}, [&](WorkerId id) { return std::pair(workers[id].entry.key, id); });
-        const std::size_t n = settings.dispatchers, count = ready.size();
-        const bool slices = n * few_homes <= count;
-        for (std::size_t rank = 0; rank < count; ++rank) {
-            workers[ready[rank]].home =
-                slices && (rank * n / count == settings.self || settings.self * count / n == rank);
+        std::ranges::sort(ready, {}, [&](WorkerId id) {
+            const WorkerEntry& e = workers[id].entry;
+            return std::tuple(e.kind, e.key, id);
+        });
+        for (std::size_t first = 0, end = 0; first < ready.size(); first = end) {
+            while (end < ready.size() && workers[ready[end]].entry.kind == workers[ready[first]].entry.kind)
+                ++end;
+            choose_homes(std::span(ready).subspan(first, end - first));
         }
-        if (!slices) choose_homes();
         capacity_changed = true;
     }
 
-    void choose_homes() {
-        std::vector<WorkerId> order = ready;
-        std::ranges::sort(order, {}, [&](WorkerId id) {
-            const WorkerEntry& e = workers[id].entry;
-            return std::tuple(e.kind, e.zone != settings.zone,
-                              learn::mixed(e.key ^ learn::mixed(settings.self + 1)), id);
-        });
-        std::size_t taken = 0;
-        for (std::size_t i = 0; i < order.size(); ++i) {
-            if (i > 0 && workers[order[i]].entry.kind != workers[order[i - 1]].entry.kind) taken = 0;
-            workers[order[i]].home = taken++ < few_homes;
+    void choose_homes(std::span<const WorkerId> alike) {
+        const std::size_t n = settings.dispatchers, count = alike.size();
+        std::vector<std::tuple<bool, std::uint64_t, WorkerId>> order;
+        for (std::size_t rank = 0; rank < count; ++rank) {
+            const WorkerEntry& e = workers[alike[rank]].entry;
+            const std::uint64_t pair = learn::mixed(e.key ^ learn::mixed(settings.self + 1));
+            workers[alike[rank]].home = n <= count && rank * n / count == settings.self;
+            order.emplace_back(e.zone != settings.zone, pair, alike[rank]);
         }
+        if (n <= count) return;
+        std::ranges::sort(order);
+        for (std::size_t i = 0; i < std::min(few_homes, count); ++i)
+            workers[std::get<WorkerId>(order[i])].home = true;
     }
 
     void on(const JobArrived& in) {
@@ -184,7 +189,7 @@
         const double worth = c.worth * (within_quota(in) ? 1 : settings.over_quota_worth);
         job.value = worth / (in.slots * (settings.worth_by_work ? 1 : runs.run(in.job_class)));
         retries.add(retry_ratio, retry_burst);
-        offered.add(work_of(job), now);
+        offered[in.job_class].add(work_of(job), now);
         look_again(in.job, job.deadline);
         wait(in.job);
     }
@@ -366,6 +371,9 @@
         const WorkerId to = pick_with_room(job, allowance, need);
         if (more <= 0 && now == job.arrived) crowding += mean_gain * ((to == none ? 1 : 0) - crowding);
         if (to == none) return look_again(id, now + std::max(patience(job), (now - job.arrived) / 4));
+        if (class_of(job).kind != none &&
+            hopeless(job, runs.wait(job.in.job_class, group_of(workers[to]), now)))
+            return end(id);
         job.waiting = false;
         send(id, to);
     }
@@ -389,22 +397,11 @@
     }
 
     // A job that can no longer be in time is given up, where a late answer earns nothing.
-    bool hopeless(const Job& job) const {
+    bool hopeless(const Job& job, double wait = 0) const {
         const JobClass& c = class_of(job);
         if (c.late_worth > 0) return false;
         const double spare = seconds(c.aim) + std::max(0.0, c.aim_stretch - 1) * runs.run(job.in.job_class);
-        return seconds(now - job.asked_at) > hopeless_share * spare || expected_wait(job) > spare;
-    }
-
-    // At the workers where it is least.
-    double expected_wait(const Job& job) const {
-        double least = unlimited;
-        for (const WorkerId id : ready) {
-            const Worker& w = workers[id];
-            if (class_of(job).kind == none || class_of(job).kind == w.entry.kind)
-                least = std::min(least, runs.wait(job.in.job_class, group_of(w), now));
-        }
-        return least;
+        return seconds(now - job.asked_at) + wait > hopeless_share * spare;
     }
 
     // The first reports of a kind may all come from busy workers and show few slots. Until there are enough,
@@ -477,9 +474,14 @@
         return steps / warm_slots(w); // what a cold one bears is `cold_budget_allows`'s business
     }
 
-    // What waits at workers like this one, by what answers took: a full worker's report does not tell.
+    // What waits at workers like this one, by what answers took: a full worker's report does not tell. One
+    // that has just shown room has no queue.
     double queue(const Worker& w, const Job& job) const {
-        return runs.wait(job.in.job_class, group_of(w), now) / runs.run(job.in.job_class, w.entry.kind);
+        const double age = seconds(now - w.reported_at);
+        const bool unheard = w.reported_at < 0ns;
+        const double told = unheard ? (is_cold(w) ? 1 : 0) : w.load < full_load ? fade_s / (fade_s + age) : 0;
+        return (1 - told) * runs.wait(job.in.job_class, group_of(w), now) /
+               runs.run(job.in.job_class, w.entry.kind);
     }
 
     WorkerId pick(const Job& job) {
@@ -618,6 +620,18 @@
         return job.in.slots * std::max(runs.run(job.in.job_class), seconds(job.in.hint));
     }
 
+    // Of the work that comes here, what this worker's kind is the first choice for.
+    double offered_to(const Worker& w) const {
+        double needing = 0, any = 0;
+        for (std::size_t c = 0; c < offered.size(); ++c) {
+            (settings.classes[c].kind == none ? any : needing) +=
+                settings.classes[c].kind == none || settings.classes[c].kind == w.entry.kind
+                    ? offered[c].per_s()
+                    : 0;
+        }
+        return needing > 0 ? needing : any;
+    }
+
     // The budget is counted over a sliding window. Where a fair share is less than one job, each job has a
     // chance, by the share in all the work that comes here, so that the dispatchers together stay within the
     // whole and use it.
@@ -634,8 +648,8 @@
         const double bears = warmth(w, now - window) * slots * seconds(window) / settings.dispatchers;
         const double most = cold_margin * settings.overload_multiple;
         if (sent + work_of(job) <= most * bears) return true;
-        return w.cold_sends.empty() &&
-               chance(job, w) * offered.per_s() * seconds(window) < std::min(most, usual_load(w)) * bears;
+        return w.cold_sends.empty() && chance(job, w) * offered_to(w) * seconds(window) <
+                                           std::min(most, usual_load(w) + cold_more) * bears;
     }
 
     // ---- Small helpers ---------------------------------------------------------------------------------
@@ -749,7 +763,7 @@
     std::priority_queue<Review, std::vector<Review>, std::greater<>> reviews;
     std::uint64_t last_serial = 0;
     learn::GroupMeans loads{0.5, prior_samples, mean_gain}; // by kind and zone
-    learn::Rate offered{rate_s};                            // slot-seconds a second that clients ask for here
+    std::vector<learn::Rate> offered;                       // by class: slot-seconds a second that come here
     learn::Runs runs;
     double crowding = 0; // share of the jobs of one slot that found no room on arrival
     learn::TokenBucket retries{.tokens = retry_burst};
