--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -37,6 +37,7 @@
 constexpr double long_run = 3;       // times its usual time, after which a job out is taken to wait
 constexpr double cold_more = 0.5;    // load beyond the usual that a cold worker is given
 constexpr double full_load = 0.9;    // from which on a report may hide a queue
+constexpr double far_zone = 0.5;     // steps more for another zone, which costs little beside a late job
 constexpr double rate_s = 10;        // time over which the work that comes here is averaged
 constexpr double prior_samples = 4;  // what a mean of all counts for beside that of a group
 constexpr double cold_margin = 0.5;  // share of a cold worker's budget that is used
@@ -140,8 +141,8 @@
 
     // Each dispatcher has a slice of every kind for home, so that many dispatchers don't all rank the same
     // newly reported empty worker first, and so that one sees its home workers often enough for L to be
-    // young. Where there are more dispatchers than workers of a kind, each has a few, near ones first, by a
-    // hash of both: other workers that come and go leave them as they are.
+    // young. Where there are more dispatchers than workers of a kind, each has a few by a hash of both, in all
+    // zones alike, as zones differ in load: other workers that come and go leave them as they are.
     void rebuild_ready() {
         ready.clear();
         for (WorkerId id = 0; id < workers.size(); ++id) {
@@ -161,17 +162,17 @@
 
     void choose_homes(std::span<const WorkerId> alike) {
         const std::size_t n = settings.dispatchers, count = alike.size();
-        std::vector<std::tuple<bool, std::uint64_t, WorkerId>> order;
+        std::vector<std::pair<std::uint64_t, WorkerId>> order;
         for (std::size_t rank = 0; rank < count; ++rank) {
             const WorkerEntry& e = workers[alike[rank]].entry;
             const std::uint64_t pair = learn::mixed(e.key ^ learn::mixed(settings.self + 1));
             workers[alike[rank]].home = n <= count && rank * n / count == settings.self;
-            order.emplace_back(e.zone != settings.zone, pair, alike[rank]);
+            order.emplace_back(pair, alike[rank]);
         }
         if (n <= count) return;
         std::ranges::sort(order);
         for (std::size_t i = 0; i < std::min(few_homes, count); ++i)
-            workers[std::get<WorkerId>(order[i])].home = true;
+            workers[order[i].second].home = true;
     }
 
     void on(const JobArrived& in) {
@@ -470,7 +471,7 @@
         if (class_of(job).kind == none &&
             std::ranges::count(settings.classes, w.entry.kind, &JobClass::kind) > 0)
             steps += next_tier;
-        if (settings.cross_zone_price > 0 && w.entry.zone != settings.zone) steps += next_tier;
+        if (settings.cross_zone_price > 0 && w.entry.zone != settings.zone) steps += far_zone;
         return steps / warm_slots(w); // what a cold one bears is `cold_budget_allows`'s business
     }
 
