Count a connection that must be opened as a step of I

Ruled out: closing too early (0.8 of the workers' 5 s is needed against resets), connections that break (none).

At fault: increment knew nothing of connections, though the settings price handshakes. Now, where they do, a worker with which this scheduler has had no connection within three quarters of the idle time counts one step more.

--- a/include/willowrill/dispatcher.h
+++ b/include/willowrill/dispatcher.h
@@ -80,7 +80,8 @@
     bool takes_advice = false;  // clients receive `Refuse::stay_away`
     Index max_attempts = 1;
     Duration max_stay_away{0};
-    double cross_zone_price = 0;
+    double cross_zone_price = 0, handshake_price = 0;
+    Duration connection_idle{0}; // a connection that has carried nothing for so long is closed
 
     // The figures of the four rules.
     Duration answer_slack{0};     // a final answer still counts this long past the deadline
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -185,7 +185,8 @@
     to.max_attempts = static_cast<Index>(whole(limits, "max_attempts", 1));
     to.max_stay_away = duration(limits, "max_retry_after_ns");
     to.cross_zone_price = number(section(json, "prices"), "cross_zone");
-    out.connection_idle = duration(limits, "conn_idle_ns");
+    to.handshake_price = number(section(json, "prices"), "handshake");
+    out.connection_idle = to.connection_idle = duration(limits, "conn_idle_ns");
     out.connect_timeout = duration(limits, "connect_timeout_ns");
     out.max_open = whole(limits, "max_open");
 
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -38,6 +38,7 @@
 constexpr double cold_more = 0.5;    // load beyond the usual that a cold worker is given
 constexpr double full_load = 0.9;    // from which on a report may hide a queue
 constexpr double far_zone = 0.75;    // steps more for another zone, which costs little beside a late job
+constexpr double no_connection = 1;  // steps more where one must be opened
 constexpr double rate_s = 10;        // time over which the work that comes here is averaged
 constexpr double prior_samples = 4;  // what a mean of all counts for beside that of a group
 constexpr double cold_margin = 0.5;  // share of a cold worker's budget that is used
@@ -67,9 +68,10 @@
     double sent_slots = 0;  // what X stands for, in slots: sent since the last fresh report
     Time reported_at{-1};   // when L came; negative for never
     std::optional<Report> last_report{};
-    Time changed_at{0};     // when it came first
-    double own_slots = 0;   // slots of this dispatcher's attempts that are out
-    double stuck_slots = 0; // of these, slots of attempts that ought to have started by now
+    Time changed_at{0};      // when it came first
+    Time connected_until{0}; // a connection that has served is kept so long at the least
+    double own_slots = 0;    // slots of this dispatcher's attempts that are out
+    double stuck_slots = 0;  // of these, slots of attempts that ought to have started by now
     // health
     int strikes = 0;
     Time full_until{0}, rest_until{0}, trusted_from{0};
@@ -236,6 +238,7 @@
         judge_zone(attempt->worker, ended.outcome);
         if (ended.outcome == Outcome::served) {
             const bool had_room = !ended.report || ended.report->free_slots.value_or(1) > 0.5;
+            w.connected_until = now + settings.connection_idle * 3 / 4;
             runs.served(job.in.job_class, place_of(w), seconds(ended.latency), had_room, now);
         }
         if (ended.job_over) on(JobLeft{ended.job});
@@ -474,6 +477,7 @@
             std::ranges::count(settings.classes, w.entry.kind, &JobClass::kind) > 0)
             steps += next_tier;
         if (settings.cross_zone_price > 0 && w.entry.zone != settings.zone) steps += far_zone;
+        if (settings.handshake_price > 0 && now >= w.connected_until) steps += no_connection;
         return steps / warm_slots(w); // what a cold one bears is `cold_budget_allows`'s business
     }
 
@@ -549,6 +553,7 @@
         w.degradation += increment(w, job);
         w.sent_slots += job.in.slots;
         w.own_slots += job.in.slots;
+        w.connected_until = 0ns; // this job has it
         if (is_cold(w)) w.cold_sends.emplace_back(now, work_of(job));
         job.attempts.push_back({.worker = to, .sent = now});
         actions->emplace_back(Send{id, to, 0ns});
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -215,6 +215,8 @@
     out.max_attempts = static_cast<Index>(integer_or(limits, "max_attempts", 1));
     out.max_stay_away = duration_or(limits, "max_retry_after_ns");
     out.cross_zone_price = number_or(section(json, "prices"), "cross_zone", 0);
+    out.handshake_price = number_or(section(json, "prices"), "handshake", 0);
+    out.connection_idle = duration_or(limits, "conn_idle_ns");
 
     const Json& safety = section(json, "safety");
     out.answer_slack = duration_or(safety, "answer_slack_ns");
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -21,7 +21,7 @@
 constexpr double slots = 4;
 constexpr Index once = 0, keyed = 1; // classes; the second runs on kind 0 alone
 
-Settings settings_for(Index dispatchers, Index self) {
+Settings settings_for(Index dispatchers, Index self, double handshake_price) {
     Settings out;
     out.seed = 100 + self;
     out.self = self;
@@ -40,6 +40,8 @@
                     .kind = 0}};
     out.tick = tick;
     out.cross_zone_price = 0.02;
+    out.handshake_price = handshake_price;
+    out.connection_idle = 5s;
     out.reports_with_answers = out.may_cancel = out.takes_advice = true;
     out.max_attempts = 4;
     out.max_stay_away = 2s;
@@ -72,9 +74,9 @@
         int arrived = 0, served = 0, refused = 0, failed = 0, late = 0;
     };
 
-    World(Index dispatchers, std::vector<WorkerEntry> entries) {
+    World(Index dispatchers, std::vector<WorkerEntry> entries, double handshake_price = 0.02) {
         for (Index self = 0; self < dispatchers; ++self)
-            nodes_.push_back({Dispatcher(settings_for(dispatchers, self)), {}, {}, {}});
+            nodes_.push_back({Dispatcher(settings_for(dispatchers, self, handshake_price)), {}, {}, {}});
         for (const WorkerEntry& entry : entries)
             workers.push_back({.entry = entry});
         tell(ListNews::Kind::complete, entries);
@@ -102,7 +104,7 @@
     std::array<Tally, 2> tally{};
     std::map<Index, std::set<WorkerId>> touched{}; // by dispatcher
     std::vector<std::pair<Index, WorkerId>> sends{};
-    int unreachable = 0;
+    int unreachable = 0, reused = 0;
 
   private:
     struct Node {
@@ -146,6 +148,9 @@
         const double mean = of_class == once ? 0.2 : 1;
         const auto work = Duration(static_cast<Duration::rep>(-std::log(1 - random()) * mean * 1e9));
         touched[self].insert(send.worker);
+        std::vector<Time>& kept = kept_[{self, send.worker}];
+        std::erase_if(kept, [&](Time since) { return now - since > 4s; });
+        if (!kept.empty()) kept.pop_back(), ++reused;
         sends.emplace_back(self, send.worker);
         const Index attempt = attempts_[{self, send.job}]++;
         if (w.lost) {
@@ -188,6 +193,7 @@
              std::optional<Report> report) {
         Node& node = nodes_[self];
         const bool served = outcome == Outcome::served;
+        if (outcome != Outcome::connect_failed) kept_[{self, worker}].push_back(now);
         if (served) {
             Tally& count = tally[node.jobs[job].job_class];
             ++count.served;
@@ -204,6 +210,7 @@
 
     std::vector<Node> nodes_;
     std::map<std::pair<Index, JobId>, Index> attempts_;
+    std::map<std::pair<Index, WorkerId>, std::vector<Time>> kept_; // idle connections, since when
     std::mt19937_64 random_{5};
 };
 
@@ -313,6 +320,20 @@
     CHECK(after.failed - before.failed < 0.08 * (after.arrived - before.arrived));
 }
 
+// A hundred schedulers opened a connection for nearly each job, as each came to a worker more seldom than
+// idle connections last.
+TEST_CASE("where connections cost, a scheduler goes where it has one") {
+    for (const Index n : {3U, 100U}) {
+        CAPTURE(n);
+        World dear(n, fleet_of(40)), free(n, fleet_of(40), 0);
+        dear.run_until(20s, 100, 20);
+        free.run_until(20s, 100, 20);
+        CHECK(dear.reused > (n > 40 ? 1.2 : 1.0) * free.reused);
+        CHECK(dear.tally[once].late + dear.tally[keyed].late <
+              1.1 * (free.tally[once].late + free.tally[keyed].late) + 20);
+    }
+}
+
 // A third of the jobs that run anywhere went to the kind that others depend on, and waited behind those.
 TEST_CASE("jobs that run anywhere leave room on the kind that others need") {
     for (const Index n : {3U, 48U, 100U}) {
