--- a/src/learn/learn.h
+++ b/src/learn/learn.h
@@ -38,7 +38,7 @@
 // Means by group, each drawn to the mean of all while few samples of its own are there.
 class GroupMeans {
   public:
-    GroupMeans(double prior, double prior_samples, double least_weight)
+    GroupMeans(double prior, double least_weight, double prior_samples = 4)
         : all_{prior, 1}, prior_samples_(prior_samples), least_weight_(least_weight) {}
 
     void add(std::size_t group, double x) {
@@ -61,7 +61,7 @@
 // An amount a second, averaged over about `window_s`, from the first amount on.
 class Rate {
   public:
-    explicit Rate(double window_s) : window_s_(window_s) {}
+    explicit Rate(double window_s = 10) : window_s_(window_s) {}
     void add(double amount, Time now) {
         const double kept = std::exp(-std::max(0.0, seconds(now - std::exchange(at_, now))) / window_s_);
         amount_ = amount_ * kept + amount;
@@ -78,10 +78,9 @@
 // the run is learnt where there was room, and what an answer took beyond it is the wait.
 class Runs {
   public:
-    Runs(const std::vector<double>& priors, double least_weight) {
-        for (const double prior : priors)
-            runs_.emplace_back(prior, 2, least_weight);
-        waits_.resize(runs_.size());
+    void add_class(double prior_s, double least_weight) {
+        runs_.emplace_back(prior_s, least_weight, 2);
+        waits_.emplace_back();
     }
     double run(std::size_t job_class) const { return runs_[job_class].all(); }
     double run(std::size_t job_class, std::size_t kind) const { return runs_[job_class].of(kind); }
@@ -122,17 +121,74 @@
     std::vector<std::vector<Wait>> waits_; // by class and group
 };
 
+// How many slots workers of a kind have: the most seen. Their first reports may all come from busy workers
+// and show few, so until there are enough, a kind is taken to have as many as any other, and as the widest
+// job needs.
+class KindSlots {
+  public:
+    explicit KindSlots(int enough_reports = 20) : enough_(enough_reports) {}
+    void know(std::size_t kind) {
+        if (kinds_.size() <= kind) kinds_.resize(kind + 1);
+    }
+    void wide_job(double slots) { widest_ = std::max(widest_, slots); }
+    void reported(std::size_t kind, double slots) {
+        kinds_[kind].most = std::max(kinds_[kind].most, slots);
+        ++kinds_[kind].reports;
+    }
+    void finished(std::size_t kind, double slots) { kinds_[kind].most = std::max(kinds_[kind].most, slots); }
+    double of(std::size_t kind) const { // 0: none seen yet
+        const Kind& known = kinds_[kind];
+        if (known.most <= 0 || known.reports >= enough_) return known.most;
+        return std::max(widest_, std::ranges::max(kinds_, {}, &Kind::most).most);
+    }
+    std::size_t kinds() const { return kinds_.size(); }
+
+  private:
+    struct Kind {
+        double most = 0;
+        int reports = 0;
+    };
+    std::vector<Kind> kinds_; // as many as listed
+    double widest_ = 0;       // the most slots that a job has needed
+    int enough_;
+};
+
+// What was added within the last window.
+class Window {
+  public:
+    void add(double amount, Time now) { items_.emplace_back(now, amount); }
+    double sum(Time window, Time now) {
+        std::erase_if(items_, [&](const auto& item) { return item.first + window < now; });
+        double out = 0;
+        for (const auto& [at, amount] : items_)
+            out += amount;
+        return out;
+    }
+
+  private:
+    std::vector<std::pair<Time, double>> items_; // bounded by what its user lets in
+};
+
 // Workers of a zone may all be lost at once.
 struct Zone {
     int silent = 0; // workers that could not be reached, one after the other, since one answered
     std::uint32_t last = static_cast<std::uint32_t>(-1);
     Time out_until{0};
+    bool another_silent(std::uint32_t worker) { // not the same once more
+        const bool another = std::exchange(last, worker) != worker;
+        if (another) ++silent;
+        return another;
+    }
 };
 
 struct TokenBucket {
     double tokens = 1;
     Time filled_at{0};
     void add(double more, double most) { tokens = std::min(most, tokens + more); }
+    bool take_at(double per_s, Time now) { // saves up two seconds' worth at most, or one
+        add(per_s * seconds(now - std::exchange(filled_at, now)), std::max(1.0, 2 * per_s));
+        return take();
+    }
     bool take() {
         if (tokens < 1) return false;
         tokens -= 1;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -7,8 +7,8 @@
 //   3. place the jobs that wait, the most valuable first (`place`): give up, pick a worker, send, or hold
 //   4. keep the list subscription alive (`keep_list`), ask to be woken for what comes next
 //
-// A worker is picked by PLUD: the lowest L + I + X. Everything else here decides who may be ranked, when a
-// job is held, moved, repeated or given up, and what L is when reports are old, late or blind.
+// A worker is picked by PLUD: the lowest L + I + X. The rest decides who may be ranked, when a job is held,
+// moved, repeated or given up, and what L is when reports are old, late or blind.
 #include "learn/learn.h"
 
 #include <willowrill/dispatcher.h>
@@ -17,7 +17,6 @@
 #include <array>
 #include <cmath>
 #include <limits>
-#include <numeric>
 #include <queue>
 #include <random>
 #include <tuple>
@@ -39,8 +38,6 @@
 constexpr double full_load = 0.9;    // from which on a report may hide a queue
 constexpr double far_zone = 0.75;    // steps more for another zone, which costs little beside a late job
 constexpr double no_connection = 1;  // steps more where one must be opened
-constexpr double rate_s = 10;        // time over which the work that comes here is averaged
-constexpr double prior_samples = 4;  // what a mean of all counts for beside that of a group
 constexpr double cold_margin = 0.5;  // share of a cold worker's budget that is used
 constexpr double retry_ratio = 0.25; // further attempts that an arriving job allows
 constexpr double retry_burst = 20;   // and how many may be saved up
@@ -51,7 +48,6 @@
 constexpr double tiny = 1e-9;
 constexpr double unlimited = std::numeric_limits<double>::infinity();
 constexpr double hopeless_share = 0.8;  // share of the tolerable wait after which a job is given up
-constexpr int enough_reports = 20;      // of a kind, after which the most slots seen are all it has
 constexpr double wide_patience = 0.25;  // share of its aim after which a job of many slots goes with one
 constexpr double most_crowding = 0.35;  // but not if this share of small jobs finds no room at once
 constexpr double queue_allowance = 0.1; // load beyond full that a job accepts once it has waited its aim
@@ -62,7 +58,6 @@
 struct Worker {
     WorkerEntry entry;
     bool ready = false, home = false;
-    // PLUD
     double load = 0;        // L: last reported load, in shares of its slots
     double degradation = 0; // X
     double sent_slots = 0;  // what X stands for, in slots: sent since the last fresh report
@@ -72,11 +67,9 @@
     Time connected_until{0}; // a connection that has served is kept so long at the least
     double own_slots = 0;    // slots of this dispatcher's attempts that are out
     double stuck_slots = 0;  // of these, slots of attempts that ought to have started by now
-    // health
     int strikes = 0;
     Time full_until{0}, rest_until{0}, trusted_from{0};
-    // cold start
-    std::vector<std::pair<Time, double>> cold_sends;
+    learn::Window cold_sends; // work
 };
 
 struct Attempt {
@@ -101,40 +94,28 @@
 } // namespace
 
 struct Dispatcher::Impl {
-    explicit Impl(Settings s) : settings(std::move(s)), random(settings.seed), runs(priors(), mean_gain) {
+    explicit Impl(Settings s) : settings(std::move(s)), random(settings.seed) {
+        for (const JobClass& c : settings.classes)
+            runs.add_class(std::max(0.001, seconds(c.aim)), mean_gain);
         longest_left.resize(settings.classes.size());
-        offered.resize(settings.classes.size(), learn::Rate(rate_s));
+        offered.resize(settings.classes.size(), learn::Rate());
         tenants.resize(settings.tenants.size());
     }
 
-    std::vector<double> priors() const {
-        std::vector<double> out;
-        for (const JobClass& c : settings.classes)
-            out.push_back(std::max(0.001, seconds(c.aim)));
-        return out;
-    }
-
     // ---- 1. Events -------------------------------------------------------------------------------------
 
     void on(const ListNews& news) {
         watch_failed = news.kind == ListNews::Kind::broken;
         if (watch_failed) return;
         watching = watching || news.kind != ListNews::Kind::remembered;
-        if (news.kind != ListNews::Kind::changes) {
-            for (Worker& w : workers)
-                w.ready = false;
-        }
+        for (Worker& w : workers)
+            w.ready = w.ready && news.kind == ListNews::Kind::changes;
         for (const WorkerEntry& entry : news.entries) {
             if (workers.size() <= entry.worker) workers.resize(entry.worker + 1);
-            if (kind_slots.size() <= entry.kind) {
-                kind_slots.resize(entry.kind + 1, 0);
-                kind_reports.resize(entry.kind + 1, 0);
-            }
+            kind_slots.know(entry.kind);
             Worker& w = workers[entry.worker];
-            if (w.entry.up_since != entry.up_since) { // a new process: what was learnt is void
-                const double own = std::exchange(w, Worker{}).own_slots;
-                w.own_slots = own;
-            }
+            if (w.entry.up_since != entry.up_since) // a new process: what was learnt is void
+                w.own_slots = std::exchange(w, Worker{}).own_slots;
             if (zones.size() <= entry.zone) zones.resize(entry.zone + 1);
             w.entry = entry;
             w.ready = entry.condition == Condition::ready;
@@ -148,9 +129,8 @@
     // all zones alike, as zones differ in load: other workers that come and go leave them as they are.
     void rebuild_ready() {
         ready.clear();
-        for (WorkerId id = 0; id < workers.size(); ++id) {
+        for (WorkerId id = 0; id < workers.size(); ++id)
             if (workers[id].ready) ready.push_back(id);
-        }
         std::ranges::sort(ready, {}, [&](WorkerId id) {
             const WorkerEntry& e = workers[id].entry;
             return std::tuple(e.kind, e.key, id);
@@ -165,17 +145,13 @@
 
     void choose_homes(std::span<const WorkerId> alike) {
         const std::size_t n = settings.dispatchers, count = alike.size();
-        std::vector<std::pair<std::uint64_t, WorkerId>> order;
-        for (std::size_t rank = 0; rank < count; ++rank) {
-            const WorkerEntry& e = workers[alike[rank]].entry;
-            const std::uint64_t pair = learn::mixed(e.key ^ learn::mixed(settings.self + 1));
-            workers[alike[rank]].home = n <= count && rank * n / count == settings.self;
-            order.emplace_back(pair, alike[rank]);
-        }
-        if (n <= count) return;
-        std::ranges::sort(order);
-        for (std::size_t i = 0; i < std::min(few_homes, count); ++i)
-            workers[order[i].second].home = true;
+        std::vector<WorkerId> order(alike.begin(), alike.end());
+        const auto pair = [&](WorkerId id) {
+            return learn::mixed(workers[id].entry.key ^ learn::mixed(settings.self + 1));
+        };
+        if (n > count) std::ranges::sort(order, {}, pair);
+        for (std::size_t rank = 0; rank < count; ++rank)
+            workers[order[rank]].home = n > count ? rank < few_homes : rank * n / count == settings.self;
     }
 
     void on(const JobArrived& in) {
@@ -186,7 +162,7 @@
         // odd time, longer than the class's, may make all others look late.
         longest = std::max(longest, std::min(in.left, c.give_up));
         const Time asked_at = now - std::max(0ns, longest - in.left);
-        widest = std::max(widest, in.slots);
+        kind_slots.wide_job(in.slots);
         Job& job = jobs[in.job];
         job = {.serial = ++last_serial, .live = true, .in = in, .asked_at = asked_at, .arrived = now};
         job.deadline = now + in.left - settings.tick;
@@ -234,8 +210,7 @@
         w.own_slots = std::max(0.0, w.own_slots - job.in.slots);
         capacity_changed = true;
         if (ended.report) note_report(w, *ended.report, attempt->may_have_run ? job.in.slots : 0);
-        judge(w, ended.outcome);
-        judge_zone(attempt->worker, ended.outcome);
+        judge(attempt->worker, ended.outcome);
         if (ended.outcome == Outcome::served) {
             const bool had_room = !ended.report || ended.report->free_slots.value_or(1) > 0.5;
             w.connected_until = now + settings.connection_idle * 3 / 4;
@@ -258,14 +233,13 @@
     // A fresh report replaces L and zeroes X. It left before the answer that carries it, so the job answered
     // is still counted in it: its slots are taken off.
     void note_report(Worker& w, const Report& report, double finished_slots) {
-        double& slots = kind_slots[w.entry.kind];
         if (report.free_slots) {
             const double in_work = report.in_flight.value_or(0) - report.queued.value_or(0);
+            kind_slots.reported(w.entry.kind, *report.free_slots + std::max(0.0, in_work));
             // What it has finished, it had slots for. (A first report from a busy worker shows few.)
-            slots = std::max({slots, finished_slots, *report.free_slots + std::max(0.0, in_work)});
+            kind_slots.finished(w.entry.kind, finished_slots);
         }
-        if (report.free_slots) ++kind_reports[w.entry.kind];
-        const double all = known_slots(w.entry.kind);
+        const double all = kind_slots.of(w.entry.kind);
         const double per_slot = all > 0 ? 1 / all : default_step;
         double load = report.utilisation.value_or(usual_load(w));
         // Utilisation ends at 1 and may lag behind the slots: take the fuller view, and add what waits.
@@ -273,8 +247,7 @@
         load += report.queued.value_or(0) * per_slot;
         // A worker whose reports have stopped repeats its last one for good: the same figures, noise and all,
         // for longer than any report lives are not news.
-        if (w.last_report != report) w.changed_at = now;
-        w.last_report = report;
+        if (std::exchange(w.last_report, report) != report) w.changed_at = now;
         if (now - w.changed_at > from_seconds(blind_s)) return;
         w.load = std::max(0.0, load - finished_slots * per_slot);
         loads.add(group_of(w), w.load);
@@ -285,15 +258,22 @@
     // A worker that fails rests, longer each time; afterwards jobs that may be repeated prove it well again,
     // and those that must not run twice stay away for ten rests. Workers that err at once look idle, and each
     // of many dispatchers pays for what it learns.
-    void judge(Worker& w, Outcome outcome) {
-        if (outcome == Outcome::served) {
+    void judge(WorkerId id, Outcome outcome) {
+        Worker& w = workers[id];
+        learn::Zone& zone = zones[w.entry.zone];
+        using enum Outcome;
+        if (outcome == cancelled || outcome == timed_out || outcome == not_sent) return;
+        const bool silent = outcome == connect_failed || outcome == reset;
+        if (!silent) zone = {};
+        if (silent && zone.another_silent(id) && zone.silent >= 2)
+            zone.out_until = now + rest_of(std::min(zone.silent, most_strikes) - 2);
+        if (outcome == served) {
             w.strikes /= 2;
             if (w.strikes == 0) w.trusted_from = now;
-        } else if (outcome == Outcome::full) {
+        } else if (outcome == full) {
             // It turns away at once and looks idle, full or draining: it would keep winning.
             w.full_until = now + from_seconds(seconds(first_rest) * (0.25 + uniform() / 2));
-        } else if (outcome != Outcome::cancelled && outcome != Outcome::timed_out &&
-                   outcome != Outcome::not_sent) {
+        } else {
             w.strikes = std::min(w.strikes + 1, most_strikes);
             const Duration rest = rest_of(w.strikes - 1);
             w.rest_until = now + rest;
@@ -301,17 +281,6 @@
         }
     }
 
-    void judge_zone(WorkerId id, Outcome outcome) {
-        learn::Zone& zone = zones[workers[id].entry.zone];
-        if (outcome == Outcome::served || outcome == Outcome::error || outcome == Outcome::full) {
-            zone = {};
-        } else if ((outcome == Outcome::connect_failed || outcome == Outcome::reset) &&
-                   std::exchange(zone.last, id) != id) {
-            const int more = std::min(++zone.silent, most_strikes) - 2;
-            if (more >= 0) zone.out_until = now + rest_of(more);
-        }
-    }
-
     Duration rest_of(int doubled) {
         return from_seconds(seconds(first_rest) * std::exp2(doubled) * (0.75 + uniform() / 2));
     }
@@ -328,10 +297,8 @@
         Job& job = jobs[id];
         if (job.streaming) return;
         if (now >= job.deadline) return end(id);
-        if (job.waiting) {
-            capacity_changed = true; // all that wait are looked at, the most valuable first
-            return;
-        }
+        capacity_changed = capacity_changed || job.waiting; // all that wait are looked at, the best first
+        if (job.waiting) return;
         Attempt& last = job.attempts.back();
         if (!last.out || last.started || last.cancelled || now - last.sent < start_notice(job, last)) return;
         runs.outlasts(job.in.job_class, place_of(workers[last.worker]), seconds(now - last.sent), now);
@@ -340,9 +307,8 @@
         // It waits in a queue there: where it may, it moves to a worker with room.
         if (!settings.tells_start || !settings.may_cancel || !may_send(job, true)) return;
         const WorkerId to = pick_with_room(job, 0, job.in.slots);
-        if (to == none || !retries.take()) {
+        if (to == none || !retries.take())
             return look_again(id, now + std::max(patience(job), (now - last.sent) / 2));
-        }
         last.cancelled = true;
         actions->emplace_back(Cancel{id, static_cast<Index>(job.attempts.size() - 1)});
         if (settings.second_copies) send(id, to);
@@ -354,7 +320,7 @@
     // tell nothing of a job before its end, silence means that only when it is long for its class.
     Duration start_notice(const Job& job, const Attempt& attempt) const {
         if (settings.tells_start) return patience(job);
-        if (settings.progress_period > 0ns) return settings.progress_period + 4 * settings.tick;
+        if (tells()) return settings.progress_period + 4 * settings.tick;
         return from_seconds(long_run * runs.run(job.in.job_class, workers[attempt.worker].entry.kind));
     }
 
@@ -410,15 +376,8 @@
         return seconds(now - job.asked_at) + wait > hopeless_share * spare;
     }
 
-    // The first reports of a kind may all come from busy workers and show few slots. Until there are enough,
-    // it is taken to have as many as any other kind, and as the widest job needs.
-    double known_slots(Index kind) const {
-        if (kind_slots[kind] <= 0 || kind_reports[kind] >= enough_reports) return kind_slots[kind];
-        return std::max(widest, *std::ranges::max_element(kind_slots));
-    }
-
     double warm_slots(const Worker& w) const {
-        const double slots = known_slots(w.entry.kind);
+        const double slots = kind_slots.of(w.entry.kind);
         return slots > 0 ? slots : 1 / default_step;
     }
 
@@ -429,13 +388,11 @@
     // clears X all the same, so the sum is never less than what this dispatcher itself has out there. And
     // free slots mean nothing while a job that needs more of them waits at the head of the queue.
     //
-    // A worker that has nothing of ours and has not reported for long is taken to have room for one job.
-    // Else, where the first reports come from a busy fleet, all unknown workers count as full by the mean,
-    // nothing is sent, no report comes, and the belief lasts for good.
+    // A worker that has nothing of ours and has not reported for long is taken to have room for one job:
+    // else, where the first reports come from a busy fleet, all others count as full and are never heard of.
     double load_of(const Worker& w, double more) const { return load_of(w, more, w.degradation); }
 
-    // Being of a far tier makes a worker come later, not smaller: room is counted in the slots that were
-    // sent.
+    // Being of a far tier makes a worker come later, not smaller: room is counted in the slots sent.
     bool has_room(const Worker& w, double need, double room) const {
         return load_of(w, need, w.sent_slots / slots_of(w)) + need / slots_of(w) <= room;
     }
@@ -448,17 +405,19 @@
     }
 
     double believed_load(const Worker& w, double x) const {
-        const double age = seconds(now - w.reported_at);
-        const double usual = usual_load(w);
-        // Whoever has its chance at a cold worker is one of few.
-        const double seen = w.reported_at < 0ns && !is_cold(w) ? usual : w.load;
-        const double faded = usual + (seen - usual) * fade_s / (fade_s + (w.reported_at < 0ns ? 0 : age));
+        const double usual = usual_load(w), faded = usual + (w.load - usual) * told(w);
         const double load = std::max(faded + x, w.own_slots / slots_of(w));
         return w.stuck_slots > 0 ? std::max(1.0, load) + w.stuck_slots / slots_of(w) : load;
     }
 
-    // Workers of one kind and zone are alike: with few reports for each, what is known of one holds for
-    // others.
+    // What the last report still counts for. A cold worker not heard of counts as empty: whoever has its
+    // chance there is one of few.
+    double told(const Worker& w) const {
+        if (w.reported_at < 0ns) return is_cold(w) ? 1 : 0;
+        return fade_s / (fade_s + seconds(now - w.reported_at));
+    }
+
+    // Workers of one kind and zone are alike: what is known of one holds for others.
     std::size_t group_of(const Worker& w) const {
         return std::size_t{w.entry.kind} * std::max<Index>(1, settings.zones) + w.entry.zone;
     }
@@ -467,8 +426,7 @@
 
     double usual_load(const Worker& w) const { return loads.of(group_of(w)); }
 
-    // I: the step of the job's slots, and of one slot more for each reason why the worker is of the next
-    // tier.
+    // I: the step of the job's slots, and more for each reason why the worker is of the next tier.
     double increment(const Worker& w, const Job& job) const {
         double steps = job.in.slots;
         if (!w.home && !is_cold(w)) steps += next_tier;
@@ -484,10 +442,8 @@
     // What waits at workers like this one, by what answers took: a full worker's report does not tell. One
     // that has just shown room has no queue.
     double queue(const Worker& w, const Job& job) const {
-        const double age = seconds(now - w.reported_at);
-        const bool unheard = w.reported_at < 0ns;
-        const double told = unheard ? (is_cold(w) ? 1 : 0) : w.load < full_load ? fade_s / (fade_s + age) : 0;
-        return (1 - told) * runs.wait(job.in.job_class, group_of(w), now) /
+        const double shows_room = w.load < full_load ? told(w) : 0;
+        return (1 - shows_room) * runs.wait(job.in.job_class, group_of(w), now) /
                runs.run(job.in.job_class, w.entry.kind);
     }
 
@@ -520,22 +476,19 @@
     }
 
     std::size_t excluded(Time at) const {
-        const auto some = [&](auto is) {
-            return static_cast<std::size_t>(std::ranges::count_if(workers, is));
-        };
-        const std::size_t drain =
-            some([](const Worker& w) { return w.entry.condition == Condition::draining; });
-        const std::size_t rest = some([&](const Worker& w) { return w.ready && at < w.rest_until; });
-        const std::size_t full =
-            some([&](const Worker& w) { return w.ready && at >= w.rest_until && at < w.full_until; });
+        std::size_t drain = 0, rest = 0, full = 0;
+        for (const Worker& w : workers) {
+            if (w.entry.condition == Condition::draining) ++drain;
+            if (w.ready && at < w.rest_until) ++rest;
+            if (w.ready && at >= w.rest_until && at < w.full_until) ++full;
+        }
         // As in `pick`, trouble that is common keeps nobody out.
         const bool common = static_cast<double>(rest) > most_resting * static_cast<double>(ready.size());
         return drain + full + (common ? 0 : rest);
     }
 
     bool rests(const Worker& w, const Job& job) const {
-        if (now < w.rest_until) return true;
-        return now < w.trusted_from && class_of(job).effect == Effect::once;
+        return now < w.rest_until || (now < w.trusted_from && class_of(job).effect == Effect::once);
     }
 
     bool eligible(const Job& job, WorkerId id, WorkerId anchor) {
@@ -554,7 +507,7 @@
         w.sent_slots += job.in.slots;
         w.own_slots += job.in.slots;
         w.connected_until = 0ns; // this job has it
-        if (is_cold(w)) w.cold_sends.emplace_back(now, work_of(job));
+        if (is_cold(w)) w.cold_sends.add(work_of(job), now);
         job.attempts.push_back({.worker = to, .sent = now});
         actions->emplace_back(Send{id, to, 0ns});
         look_again(id, now + start_notice(job, job.attempts.back()));
@@ -632,32 +585,25 @@
     double offered_to(const Worker& w) const {
         double needing = 0, any = 0;
         for (std::size_t c = 0; c < offered.size(); ++c) {
-            (settings.classes[c].kind == none ? any : needing) +=
-                settings.classes[c].kind == none || settings.classes[c].kind == w.entry.kind
-                    ? offered[c].per_s()
-                    : 0;
+            const Index kind = settings.classes[c].kind;
+            if (kind == none) any += offered[c].per_s();
+            if (kind == w.entry.kind) needing += offered[c].per_s();
         }
         return needing > 0 ? needing : any;
     }
 
-    // The budget is counted over a sliding window. Where a fair share is less than one job, each job has a
-    // chance, by the share in all the work that comes here, so that the dispatchers together stay within the
-    // whole and use it.
+    // Counted over a sliding window. Where a fair share is less than one job, each has a chance, by the share
+    // in all the work that comes here, so that the dispatchers together stay within the whole and use it.
     bool cold_budget_allows(Worker& w, const Job& job) {
-        if (!is_cold(w)) {
-            w.cold_sends.clear();
-            return true;
-        }
+        if (!is_cold(w)) return true;
         const Duration window = settings.overload_time;
-        std::erase_if(w.cold_sends, [&](const auto& item) { return item.first + window < now; });
-        const double sent = std::accumulate(w.cold_sends.begin(), w.cold_sends.end(), 0.0,
-                                            [](double sum, const auto& item) { return sum + item.second; });
-        const double slots = std::max(1.0, known_slots(w.entry.kind));
+        const double sent = w.cold_sends.sum(window, now);
+        const double slots = std::max(1.0, kind_slots.of(w.entry.kind));
         const double bears = warmth(w, now - window) * slots * seconds(window) / settings.dispatchers;
         const double most = cold_margin * settings.overload_multiple;
         if (sent + work_of(job) <= most * bears) return true;
-        return w.cold_sends.empty() && chance(job, w) * offered_to(w) * seconds(window) <
-                                           std::min(most, usual_load(w) + cold_more) * bears;
+        return sent <= 0 && chance(job, w) * offered_to(w) * seconds(window) <
+                                std::min(most, usual_load(w) + cold_more) * bears;
     }
 
     // ---- Small helpers ---------------------------------------------------------------------------------
@@ -677,11 +623,9 @@
     }
 
     bool within_quota(const JobArrived& in) {
-        if (in.tenant >= tenants.size() || settings.tenants[in.tenant].quota_per_s <= 0) return true;
-        learn::TokenBucket& tenant = tenants[in.tenant];
-        const double rate = settings.tenants[in.tenant].quota_per_s / settings.dispatchers;
-        tenant.add(rate * seconds(now - std::exchange(tenant.filled_at, now)), std::max(1.0, 2 * rate));
-        return tenant.take();
+        if (in.tenant >= tenants.size()) return true;
+        const double quota = settings.tenants[in.tenant].quota_per_s / settings.dispatchers;
+        return quota <= 0 || tenants[in.tenant].take_at(quota, now);
     }
 
     void wait(JobId id) {
@@ -701,9 +645,8 @@
 
     // ---- 4. The list -----------------------------------------------------------------------------------
 
-    // Where the list must be asked for, a subscription is kept. Calls are spread by chance, as the list
-    // service is slow and all dispatchers may start at once; they recur often enough for the list to stay
-    // valid.
+    // Where the list must be asked for, a subscription is kept. Calls are spread by chance, as all
+    // dispatchers may start at once; they recur often enough for the list to stay valid.
     void keep_list() {
         if (!settings.list_on_request) return;
         if (ask_at < 0ns) ask_at = now + from_seconds(uniform() * seconds(settings.list_valid) / 8);
@@ -731,10 +674,9 @@
         now = at;
         actions = &out;
         wake_by = Time::max();
-        for (const Event& event : events) {
+        for (const Event& event : events)
             std::visit([&](const auto& e) { on(e); }, event);
-        }
-        no_room.assign(std::max<std::size_t>(settings.kinds, kind_slots.size()) + 1, unlimited);
+        no_room.assign(std::max<std::size_t>(settings.kinds, kind_slots.kinds()) + 1, unlimited);
         while (!reviews.empty() && (std::get<Time>(reviews.top()) <= now || is_void(reviews.top()))) {
             const Review due = reviews.top();
             reviews.pop();
@@ -742,9 +684,8 @@
         }
         if (std::exchange(capacity_changed, false)) {
             std::ranges::stable_sort(waiting, std::greater<>(), [&](JobId id) { return jobs[id].value; });
-            for (const JobId id : waiting) {
+            for (const JobId id : waiting)
                 if (jobs[id].waiting) place(id);
-            }
         }
         std::erase_if(waiting, [&](JobId id) { return !jobs[id].waiting; });
         keep_list();
@@ -761,17 +702,15 @@
     std::vector<learn::TokenBucket> tenants;
     std::vector<Worker> workers;
     std::vector<learn::Zone> zones;
-    std::vector<WorkerId> ready;    // in the order of their keys
-    std::vector<double> kind_slots; // the most seen
-    std::vector<int> kind_reports;  // how often
-    double widest = 0;              // the most slots that a job has needed
+    std::vector<WorkerId> ready; // in the order of their keys
+    learn::KindSlots kind_slots;
     std::vector<Job> jobs;
     std::vector<JobId> waiting;
     std::vector<double> no_room; // by kind of worker needed, 0 for any: slots for which there is no room now
     std::priority_queue<Review, std::vector<Review>, std::greater<>> reviews;
     std::uint64_t last_serial = 0;
-    learn::GroupMeans loads{0.5, prior_samples, mean_gain}; // by kind and zone
-    std::vector<learn::Rate> offered;                       // by class: slot-seconds a second that come here
+    learn::GroupMeans loads{0.5, mean_gain}; // by kind and zone
+    std::vector<learn::Rate> offered;        // by class: slot-seconds a second that come here
     learn::Runs runs;
     double crowding = 0; // share of the jobs of one slot that found no room on arrival
     learn::TokenBucket retries{.tokens = retry_burst};
