--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -334,6 +334,35 @@
     }
 }
 
+// Discovery may tell nonsense. No job is lost to it, and none goes where the list says that nothing is.
+TEST_CASE("odd lists lose no job") {
+    for (const Index n : {1U, 2U, 100U}) {
+        CAPTURE(n);
+        World world(n, fleet_of(12));
+        world.run_until(2s, 60, 10);
+        std::vector<WorkerEntry> odd = fleet_of(4);
+        odd.push_back(odd.front());       // named twice
+        odd[1].kind = 0, odd[1].zone = 1; // another kind and zone, the same process
+        odd[2].up_since = 3600s;          // started in the future
+        odd[3].kind = 7, odd[3].zone = 9; // beyond what the settings name
+        for (const WorkerEntry& entry : odd)
+            world.workers[entry.worker].entry.kind = entry.kind;
+        world.tell(ListNews::Kind::changes, odd);
+        world.tell(ListNews::Kind::remembered, {}); // empty: nobody is left
+        world.run_until(2500ms, 60, 10);
+        const std::size_t sent = world.sends.size();
+        world.run_until(4s, 60, 10);
+        CHECK(world.sends.size() == sent); // what was listed before is not used
+        world.tell(ListNews::Kind::complete, odd);
+        world.tell(ListNews::Kind::changes, fleet_of(8, 4));
+        world.run_until(12s, 60, 10);
+        CHECK(world.sends.size() > sent + 300);
+        world.run_until(42s, 0, 0); // every deadline passes
+        for (const World::Tally& count : world.tally)
+            CHECK(count.served + count.refused + count.failed == count.arrived);
+    }
+}
+
 // A third of the jobs that run anywhere went to the kind that others depend on, and waited behind those.
 TEST_CASE("jobs that run anywhere leave room on the kind that others need") {
     for (const Index n : {3U, 48U, 100U}) {
