Refuse configurations that overflow, contradict themselves or are no files

Seen: 16 of 20 bad settings were accepted at the start. 'balancers' of 2^32 became 0 schedulers, 'class_kind' of 2 with two kinds made the module write behind its table `no_room` (rules.cpp, `no_room_for`), 9e15 MB overflowed, max_attempts 0 sent nothing. A pipe as configuration held the start for good, /dev/zero filled the memory, an empty operators' file was 'cannot be read: Success', a cut one was taken over. Ruled out: the parser (simdjson refuses NaN, 1e999 and every cut of the JSON) and the module (it trusts its settings by its interface). At fault: settings.cpp `whole` and `number`, which knew no bounds, and its ifstream; site.cpp `slurp`. Change: bounds and contradictions are told by key; doubled keys are refused; `net::read_file` reads regular files of bounded size only; an operators' file whose last line has no end is taken for cut short. Measured: of the new cases 16 settings and 4 files failed before (the pipe never ended), none now.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -1,5 +1,6 @@
 #include "config/settings.h"
 
+#include "net/file.h"
 #include "net/http.h"
 
 #include <simdjson.h>
@@ -7,8 +8,6 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <fstream>
-#include <sstream>
 #include <tuple>
 #include <utility>
 
@@ -23,6 +22,9 @@
 using willowrill::RepeatScope;
 using willowrill::Report;
 
+// The remembered list is in it: some hundred bytes a worker.
+constexpr std::size_t most_bytes = 16U << 20U;
+
 [[noreturn]] void bad(std::string_view key, std::string_view wanted) {
     throw ConfigError("'" + std::string(key) + "' must be " + std::string(wanted));
 }
@@ -65,11 +67,13 @@
     return std::string(out);
 }
 
-double number(const object& from, std::string_view key, double fallback = 0) {
+// None of the figures can sensibly be negative, and some are shares.
+double number(const object& from, std::string_view key, double fallback = 0, double most = 1e12) {
     const auto value = find(from, key);
     if (!value) return fallback;
     double out = 0;
     if (value->get(out) != simdjson::SUCCESS) bad(key, "a number");
+    if (!(out >= 0 && out <= most)) bad(key, most == 1 ? "a share from 0 to 1" : "a number, not negative");
     return out;
 }
 
@@ -81,9 +85,13 @@
     return out;
 }
 
-std::size_t whole(const object& from, std::string_view key, std::size_t fallback = 0) {
-    const double value = number(from, key, static_cast<double>(fallback));
-    if (!(value >= 0 && value <= 9e15)) bad(key, "a whole number, not negative");
+constexpr double most_whole = 9e15, most_count = 1e6; // counts become indices, sizes of tables, factors
+
+std::size_t whole(const object& from, std::string_view key, std::size_t fallback = 0,
+                  double most = most_whole) {
+    const double value = number(from, key, static_cast<double>(fallback), 1e300);
+    if (value != std::floor(value) || value > most)
+        bad(key, "a whole number, not above " + std::to_string(static_cast<std::uint64_t>(most)));
     return static_cast<std::size_t>(value);
 }
 
@@ -116,15 +124,37 @@
     return names;
 }
 
+// simdjson takes the first of two keys without a word; a reader of the file may well take the last.
+void refuse_doubled(const element& at, std::string_view name) {
+    object fields;
+    simdjson::dom::array items;
+    if (at.get(fields) == simdjson::SUCCESS) {
+        std::vector<std::string_view> keys;
+        for (const auto& [key, value] : fields) {
+            keys.push_back(key);
+            refuse_doubled(value, key);
+        }
+        std::ranges::sort(keys);
+        if (const auto twice = std::ranges::adjacent_find(keys); twice != keys.end())
+            throw ConfigError("'" + std::string(*twice) + "' stands twice" +
+                              (name.empty() ? "" : " in '" + std::string(name) + "'"));
+    } else if (at.get(items) == simdjson::SUCCESS) {
+        for (const element item : items)
+            refuse_doubled(item, name);
+    }
+}
+
 // What stands at a class's place in an array of the family's facts.
 double of_class(const object& family, std::string_view key, std::size_t place, double fallback) {
     const auto values = list(family, key);
     double value = fallback;
-    if (place >= values.size() || values.at(place).get(value) != simdjson::SUCCESS) return fallback;
+    if (place < values.size() && values.at(place).get(value) != simdjson::SUCCESS)
+        bad(key, "an array of numbers");
     return value;
 }
 
-willowrill::JobClass read_class(const object& from, const object& family, std::size_t place) {
+willowrill::JobClass read_class(const object& from, const object& family, std::size_t place,
+                                std::size_t kinds) {
     constexpr std::array<std::pair<std::string_view, Effect>, 3> effects{{{"non_idempotent", Effect::once},
                                                                           {"idempotency_key", Effect::keyed},
                                                                           {"read_like", Effect::repeatable}}};
@@ -135,11 +165,17 @@
     out.repeat_scope = word(from, "dedup_scope", scopes);
     out.repeat_window = duration(from, "window_ns");
     out.aim = duration(from, "aim_ns");
-    out.aim_stretch = number(from, "aim_stretch", of_class(family, "class_stretch", place, 0));
+    const double stretch = of_class(family, "class_stretch", place, 0);
+    if (!(stretch >= 0)) bad("class_stretch", "numbers, not negative");
+    out.aim_stretch = number(from, "aim_stretch", stretch);
     out.give_up = duration(from, "hard_limit_ns");
+    if (out.give_up <= Duration(0)) bad("hard_limit_ns", "more than 0");
     out.worth = number(from, "worth", 1);
-    out.late_worth = number(from, "late_share");
+    out.late_worth = number(from, "late_share", 0, 1);
+    // The module's tables are as long as the kinds that the settings name.
     const double kind = of_class(family, "class_kind", place, -1);
+    if (kind >= 0 && !(kind == std::floor(kind) && kind < static_cast<double>(kinds)))
+        bad("class_kind", "places in 'kinds', or -1");
     out.kind = kind < 0 ? willowrill::none : static_cast<Index>(kind);
     return out;
 }
@@ -151,10 +187,15 @@
     names.zones = names_in(json, "zones");
     names.kinds = names_in(json, "kinds");
     if (names.classes.empty()) bad("classes", "an array with one class at least");
+    for (auto name = names.classes.begin(); name != names.classes.end(); ++name) {
+        if (std::find(names.classes.begin(), name, *name) != name)
+            bad("classes", "an array of different names, and has '" + *name + "' twice");
+    }
 
     willowrill::Settings& to = out.decisions;
-    to.self = static_cast<Index>(whole(json, "slot_no"));
-    to.dispatchers = static_cast<Index>(std::max<std::size_t>(1, whole(json, "balancers", 1)));
+    to.self = static_cast<Index>(whole(json, "slot_no", 0, most_count));
+    to.dispatchers = static_cast<Index>(std::max<std::size_t>(1, whole(json, "balancers", 1, most_count)));
+    if (to.self >= to.dispatchers) bad("slot_no", "less than 'balancers', which count from 0");
     to.zone = Names::find_or_add(names.zones, text(json, "zone"));
     to.zones = static_cast<Index>(names.zones.size());
     to.kinds = static_cast<Index>(names.kinds.size());
@@ -162,16 +203,17 @@
     for (const element item : list(json, "classes")) {
         object named;
         if (item.get(named) != simdjson::SUCCESS) bad("classes", "an array of objects");
-        to.classes.push_back(read_class(named, family, to.classes.size()));
+        to.classes.push_back(read_class(named, family, to.classes.size(), names.kinds.size()));
     }
     for (const element item : list(json, "tenants")) {
         object named;
         if (item.get(named) != simdjson::SUCCESS) named = empty<object>("{}");
         to.tenants.push_back({.share = number(named, "share"), .quota_per_s = number(named, "quota_rps")});
     }
-    to.over_quota_worth = number(json, "over_share_worth", 1);
+    to.over_quota_worth = number(json, "over_share_worth", 1, 1);
     to.worth_by_work = text(json, "counted_by", "request") == "work";
     to.tick = duration(json, "tick_ns");
+    if (to.tick > std::chrono::seconds(1)) bad("tick_ns", "a second at most: jobs wait for it");
     to.list_on_request = text(json, "discovery", "push") == "ask";
     to.tells_start = flag(family, "tells_start");
     to.progress_period = duration(family, "progress_ns");
@@ -182,7 +224,8 @@
     to.may_probe = flag(limits, "probes");
     to.second_copies = flag(limits, "second_copies");
     to.takes_advice = flag(limits, "retry_after");
-    to.max_attempts = static_cast<Index>(whole(limits, "max_attempts", 1));
+    to.max_attempts = static_cast<Index>(whole(limits, "max_attempts", 1, most_count));
+    if (to.max_attempts == 0) bad("max_attempts", "more than 0");
     to.max_stay_away = duration(limits, "max_retry_after_ns");
     to.cross_zone_price = number(section(json, "prices"), "cross_zone");
     to.handshake_price = number(section(json, "prices"), "handshake");
@@ -195,7 +238,7 @@
     to.drain_grace = duration(safety, "stop_sending_within_ns");
     to.list_valid = duration(safety, "ask_within_ns");
     to.cold_time = duration(safety, "cold_ns");
-    to.cold_capacity = number(safety, "start_capacity", 1);
+    to.cold_capacity = number(safety, "start_capacity", 1, 1);
     to.overload_multiple = number(safety, "fall_multiple");
     to.overload_time = duration(safety, "fall_ns");
 }
@@ -261,6 +304,7 @@
         error != simdjson::SUCCESS)
         throw ConfigError(std::string("the configuration is not JSON: ") + simdjson::error_message(error));
     if (root.get(json) != simdjson::SUCCESS) throw ConfigError("the configuration must be an object");
+    refuse_doubled(root, "");
 
     Settings out;
     const char* name = environment("PROXY_NAME");
@@ -273,8 +317,9 @@
     if (environment("PROXY_MGMT") != nullptr || !out.file_mgmt.empty())
         out.mgmt = endpoints(json, "mgmt", environment, "PROXY_MGMT").first;
     const object limits = section(json, "limits");
-    out.memory_mb = whole(limits, "memory_mb", 192);
-    out.sockets = whole(limits, "sockets", 1024);
+    out.memory_mb = whole(limits, "memory_mb", 192, most_count);
+    if (out.memory_mb == 0) bad("memory_mb", "more than 0");
+    out.sockets = whole(limits, "sockets", 1024, most_count);
     if (out.sockets < 64) bad("sockets", "64 or more");
     if (!find(json, "settings")) throw ConfigError("'settings' is missing");
     read_decisions(section(json, "settings"), out);
@@ -305,10 +350,10 @@
 Settings read(const Environment& environment) {
     const char* path = environment("PROXY_CONFIG");
     if (path == nullptr || *path == '\0') throw ConfigError("PROXY_CONFIG names no configuration file");
-    std::ifstream file(path, std::ios::binary);
-    std::ostringstream content;
-    if (!file || !(content << file.rdbuf())) throw ConfigError("cannot read '" + std::string(path) + "'");
-    return parse(content.view(), environment);
+    std::string why;
+    const auto content = net::read_file(path, most_bytes, why);
+    if (!content) throw ConfigError("the configuration '" + std::string(path) + "' " + why);
+    return parse(*content, environment);
 }
 
 } // namespace willowrill::config
--- a/src/site/site.cpp
+++ b/src/site/site.cpp
@@ -1,5 +1,6 @@
 #include "site/site.h"
 
+#include "net/file.h"
 #include "site/section.h"
 
 #include <sodium.h>
@@ -8,9 +9,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
-#include <fstream>
 #include <limits>
-#include <sstream>
 #include <utility>
 
 namespace willowrill::site {
@@ -20,13 +19,6 @@
 
 constexpr std::size_t most_bytes = 1U << 20U; // of a file: an operators' file is no data file
 
-std::optional<std::string> slurp(const std::string& file) {
-    std::ifstream in(file, std::ios::binary);
-    std::ostringstream out;
-    if (!in || !(out << in.rdbuf())) return std::nullopt;
-    return out.str();
-}
-
 std::string join(const std::vector<Problem>& problems) {
     if (problems.empty()) return "no problem";
     std::string out = problems.front().text();
@@ -55,8 +47,9 @@
     if ((about.st_mode & (S_IRWXG | S_IRWXO)) != 0) {
         return "'" + file + "' can be used by others than its owner; allowed: mode 600 or 400 (chmod 600)";
     }
-    const auto text = slurp(file);
-    if (!text) return "cannot read '" + file + "'";
+    std::string why;
+    const auto text = net::read_file(file, most_bytes, why);
+    if (!text) return "'" + file + "' " + why;
     std::size_t size = 0;
     const char* end = nullptr;
     if (::sodium_hex2bin(into.data(), into.size(), text->data(), text->size(), " \r\n", &size, &end) != 0 ||
@@ -216,8 +209,12 @@
 }
 
 Site read(const std::string& file) {
-    const auto text = slurp(file);
-    if (!text) throw SiteError({{file, 0, "", std::string("cannot be read: ") + std::strerror(errno)}});
+    std::string why;
+    const auto text = net::read_file(file, most_bytes, why);
+    if (!text) throw SiteError({{file, 0, "", why}});
+    // Read while it is written, a file may still be YAML: its last line shows that something is missing.
+    if (text->back() != '\n')
+        throw SiteError({{file, 0, "", "its last line has no end: is it cut short? End it with a newline"}});
     return parse(file, *text);
 }
 
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -6,6 +6,11 @@
 
 #include <doctest/doctest.h>
 
+#include <sys/stat.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
 #include <string>
 
 namespace willowrill::testing {
@@ -112,14 +117,75 @@
                                      {"5000000,", "-5,"},
                                      {"8c1f30d27a5be964", "xyz"},
                                      {"conn_idle_ns", "idle"},
-                                     {"\"classes\"", "\"lessons\""}}) {
+                                     {"\"classes\"", "\"lessons\""},
+                                     // Negative, overflowing, broken or of the wrong type.
+                                     {"\"balancers\":3", "\"balancers\":4294967296"},
+                                     {"\"balancers\":3", "\"balancers\":2.5"},
+                                     {"\"balancers\":3", "\"balancers\":NaN"},
+                                     {"\"balancers\":3", "\"balancers\":1e999"},
+                                     {"\"balancers\":3", "\"balancers\":true"},
+                                     {"\"memory_mb\":100", "\"memory_mb\":9e15"},
+                                     {"\"memory_mb\":100", "\"memory_mb\":0"},
+                                     {"\"sockets\":200", "\"sockets\":-200"},
+                                     {"5000000,", "5e15,"},
+                                     {"[1.75,2]", "[1.75,-2]"},
+                                     {"[1.75,2]", "[1.75,\"2\"]"},
+                                     {"\"max_attempts\":4", "\"max_attempts\":0"},
+                                     {"25000000000}]", "0}]"},
+                                     // Contradictions: a place, a kind or a name that is not there, or twice.
+                                     {"\"slot_no\":2", "\"slot_no\":3"},
+                                     {"[-1,0]", "[-1,2]"},
+                                     {"[-1,0]", "[-1,4294967296]"},
+                                     {"[-1,0]", "[-1,0.5]"},
+                                     {"\"name\":\"keyed\"", "\"name\":\"once\""},
+                                     {"\"sockets\":200", "\"sockets\":200,\"sockets\":300"},
+                                     {"\"cancel\":true", "\"cancel\":true,\"cancel\":false"}}) {
         CAPTURE(change);
+        CAPTURE(to);
         const std::string error = config_error(config_text, change, to);
         CHECK_FALSE(error.empty());
         CHECK(error.find('\n') == std::string::npos);
     }
 }
 
+// Whatever stands at the path: one clear line, and neither a wait nor a full memory.
+TEST_CASE("configuration files that are none are refused with their reason; a cut one is never read") {
+    std::string folder = "/tmp/willowrill-config-XXXXXX";
+    REQUIRE(::mkdtemp(folder.data()) != nullptr);
+    const std::string path = folder + "/config.json", pipe = folder + "/pipe";
+    REQUIRE(::mkfifo(pipe.c_str(), 0600) == 0);
+    const auto error = [](const std::string& from) -> std::string {
+        const auto only = [&](const char* name) {
+            return std::string_view(name) == "PROXY_CONFIG" ? from.c_str() : nullptr;
+        };
+        try {
+            config::read(only);
+        } catch (const config::ConfigError& found) {
+            return found.what();
+        }
+        return "";
+    };
+    const auto write = [&](std::string_view text) { std::ofstream(path, std::ios::binary) << text; };
+    const auto says = [](const std::string& text, std::string_view words) {
+        return text.find(words) != std::string::npos && text.find('\n') == std::string::npos;
+    };
+    CHECK(says(error(folder), "it is a folder"));
+    CHECK(says(error(pipe), "it is no file"));
+    CHECK(says(error("/dev/zero"), "it is no file"));
+    CHECK(says(error(folder + "/none"), "No such file"));
+    write("");
+    CHECK(says(error(path), "is empty"));
+    write("{}" + std::string(17U << 20U, ' '));
+    CHECK(says(error(path), "holds more than"));
+    write(config_text);
+    CHECK(error(path).empty());
+    for (std::size_t size = 1; size < config_text.size(); ++size) {
+        CAPTURE(size);
+        CHECK_THROWS_AS(config::parse(config_text.substr(0, size), no_variable), config::ConfigError);
+    }
+    std::filesystem::remove_all(folder);
+}
+
 TEST_CASE("discovery's lists: whole ones replace, changes apply, nonsense changes nothing") {
     inventory::List list(test_settings().names);
     const auto entry = [](std::string id, std::string state, std::string port = "5000") {
--- a/tests/site/site_test.cpp
+++ b/tests/site/site_test.cpp
@@ -60,6 +60,38 @@
     }
 }
 
+// An editor or a copy that is under way: what is left may still be YAML, but hardly ever ends with a line.
+TEST_CASE("a file that is empty, cut short or none is refused in one line") {
+    Folder folder;
+    const std::string path = folder.path + "/site.yaml";
+    const auto first = [](const std::string& file) -> std::string {
+        try {
+            read(file);
+        } catch (const SiteError& error) {
+            return error.what();
+        }
+        return "";
+    };
+    const auto write = [&](const std::string& text) { folder.write("site.yaml", text); };
+    CHECK(first(folder.path).find("it is a folder") != std::string::npos);
+    CHECK(first("/dev/zero").find("it is no file") != std::string::npos);
+    write("");
+    CHECK(first(path).find("is empty") != std::string::npos);
+    const std::string whole = "log:\n  level: debug\n  format: json\n";
+    std::size_t unnoticed = 0;
+    for (std::size_t size = 1; size < whole.size(); ++size) {
+        write(whole.substr(0, size));
+        const std::string error = first(path);
+        CHECK(error.find('\n') == std::string::npos);
+        unnoticed += error.empty() ? 1 : 0;
+    }
+    CHECK(unnoticed == 2); // after a whole line, which nothing but the operators' own eyes can tell
+    write(std::string(10000, '[') + "\n"); // too deep for the stack
+    CHECK_FALSE(first(path).empty());
+    write(whole);
+    CHECK(first(path).empty());
+}
+
 TEST_CASE("a whole file is read") {
     Folder folder;
     const std::string one = folder.write("1.key", digits + "\n"),
