Take both configuration files over at SIGHUP, or neither

Seen: with an operators' file that needs a restart, `reload` had moved discovery and set the limits from the platform's file before `reload_site` turned the other one down, though both are said to be whole or not at all. Ruled out: reading (both are read before either is taken over) and exceptions (none lies between). At fault: main.cpp, `reload`, where needs_restart was asked last. Change: what can turn either file down is asked before anything is taken over.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -196,15 +196,16 @@
         fleet_->leave([this] { loop_.stop(); });
     }
 
-    // Takes the file over whole or not at all. What the parts were built from stays until a restart.
+    // Takes both files over or neither. What the parts were built from stays until a restart.
     void reload() {
         ++reloads_;
         try {
-            // Both files are read before either is taken over.
+            // All that can turn one of them down comes before anything is taken over.
             std::optional<site::Site> site_now;
             if (!site_.file.empty()) site_now = site::read(site_.file);
-            const config::Settings before = std::exchange(
-                settings_in_file_, config::read([](const char* name) { return std::getenv(name); }));
+            config::Settings read = config::read([](const char* name) { return std::getenv(name); });
+            if (site_now && !may_take_over(*site_now)) return;
+            const config::Settings before = std::exchange(settings_in_file_, std::move(read));
             const config::Settings& now = settings_in_file_;
             share_limits();
             if (now.file_discovery != before.file_discovery) watch_.move(now.file_discovery);
@@ -214,21 +215,23 @@
                 now.file_name != before.file_name || now.file_mgmt != before.file_mgmt)
                 spdlog::warn(
                     "the configuration's name, listen, mgmt or settings differ: a restart takes them over");
-            if (site_now) reload_site(std::move(*site_now));
+            if (site_now) take_over(std::move(*site_now));
         } catch (const std::exception& error) {
             spdlog::error("the configuration stays as it was: {}", error.what());
         }
     }
 
-    void reload_site(site::Site now) {
+    bool may_take_over(const site::Site& now) const {
         std::string later;
         for (const std::string& key : site::needs_restart(site_, now))
             later += (later.empty() ? "" : ", ") + key;
-        if (!later.empty()) {
-            log::event(spdlog::level::warn, "site.needs_restart", {{"keys", later}},
-                       "the operators' file stays as it was, as a restart is needed for: " + later);
-            return;
-        }
+        if (later.empty()) return true;
+        log::event(spdlog::level::warn, "site.needs_restart", {{"keys", later}},
+                   "the configuration stays as it was, as a restart is needed for: " + later);
+        return false;
+    }
+
+    void take_over(site::Site now) {
         if (!now.log.level.empty()) spdlog::set_level(spdlog::level::from_str(now.log.level));
         if (fleet_) fleet_->set(now);
         site_ = std::move(now);
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -9,6 +9,8 @@
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
+#include <iterator>
 
 namespace willowrill::lab {
 namespace {
@@ -209,11 +211,66 @@
     CHECK(rig.fleet.process(0).log().find("site0.yaml:2: mesh.") != std::string::npos);
     rig.jobs(3, 1);
     CHECK(rig.knows_all(0));
+    CHECK(rig.fleet.told(0).size() == 3);
+}
+
+std::string content(const std::string& path) {
+    std::ifstream file(path);
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
+// Discovery had moved already when the operators' file was turned down.
+TEST_CASE("SIGHUP takes the platform's file and the operators' over together, or neither") {
+    Rig rig(1);
+    const std::string json = rig.folder.path + "/config0.json", whole = content(json);
+    const std::string yaml = content(rig.folder.path + "/site0.yaml");
+    const auto log_has = [&](const std::string& words) {
+        return rig.fleet.process(0).log().find(words) != std::string::npos;
+    };
+    std::string moved = whole;
+    const std::size_t at = moved.find("\"discovery\":\"") + 13;
+    moved.replace(at, moved.find('"', at) - at, "127.0.0.1:9");
+    rig.fleet.write("config0.json", moved);
     rig.fleet.write("site0.yaml", "log:\n  format: text\n");
     rig.fleet.process(0).signal(SIGHUP);
-    REQUIRE(rig.until(
-        [&] { return rig.fleet.process(0).log().find("a restart is needed for: ") != std::string::npos; }));
-    CHECK(rig.fleet.told(0).size() == 3);
+    REQUIRE(rig.until([&] { return log_has("a restart is needed for: "); }));
+    CHECK_FALSE(log_has("discovery at 127.0.0.1:9"));
+    CHECK_FALSE(log_has("configuration read again"));
+
+    // Whatever stands there: one line, and service goes on.
+    const auto refused = [&] {
+        const std::string& log = rig.fleet.process(0).log();
+        std::size_t lines = 0;
+        for (std::size_t from = log.find("stays as it was"); from != std::string::npos;
+             from = log.find("stays as it was", from + 1))
+            ++lines;
+        return lines;
+    };
+    rig.fleet.write("site0.yaml", yaml);
+    std::size_t before = refused();
+    for (const std::string& bad :
+         {std::string(), std::string("{}"), std::string("[]"), whole.substr(0, whole.size() / 2), whole + "}",
+          "{\"name\":\"x\"," + whole.substr(1), std::string(17U << 20U, ' ')}) {
+        rig.fleet.write("config0.json", bad);
+        rig.fleet.process(0).signal(SIGHUP);
+        REQUIRE(rig.until([&] { return refused() == before + 1; }));
+        ++before;
+        rig.jobs(1, 1);
+    }
+    rig.fleet.write("config0.json", whole);
+    for (const std::string& bad :
+         {std::string(), std::string("a: [\n"), yaml.substr(0, yaml.size() / 2 + 1) + "~", yaml + yaml,
+          yaml + "mesh: nan\n", std::string(2U << 20U, '#')}) {
+        rig.fleet.write("site0.yaml", bad);
+        rig.fleet.process(0).signal(SIGHUP);
+        REQUIRE(rig.until([&] { return refused() == before + 1; }));
+        ++before;
+        rig.jobs(1, 1);
+    }
+    rig.fleet.write("site0.yaml", yaml);
+    rig.fleet.process(0).signal(SIGHUP);
+    REQUIRE(rig.until([&] { return log_has("operators' file read again"); }));
+    CHECK(rig.fleet.failed() == 0);
 }
 
 } // namespace
