Say when to come back with every refusal that the module does not make

Seen: jobs turned away after SIGTERM, by a lame duck and at the end (`cut_short`) got 503 without Retry-After; one turned away for want of memory got it even where clients are not told. Ruled out: the module's own refusals, which do say it. Permission: none of these had been sent on, or cut_short fails it. At fault: host.cpp `cut_short`, front.cpp `on_request` and `cut_off`. Change: the host says what a refusal tells: the settings' time, or a quarter of a second where others have room now. What an outcome proves is asked in one place, `may_have_run`.

--- a/include/willowrill/dispatcher.h
+++ b/include/willowrill/dispatcher.h
@@ -133,6 +133,10 @@
     not_sent        // never ran
 };
 
+constexpr bool may_have_run(Outcome outcome) {
+    return outcome != Outcome::full && outcome != Outcome::connect_failed && outcome != Outcome::not_sent;
+}
+
 // The list of workers: changes, a complete list, the complete list as last held before a restart, or word
 // that a request for the list failed or the subscription broke.
 struct ListNews {
--- a/src/core/host.cpp
+++ b/src/core/host.cpp
@@ -28,8 +28,9 @@
 
 Host::Host(willowrill::Settings settings, std::size_t max_open, std::size_t most_bytes, Relays& relays,
            Inventory& inventory)
-    : dispatcher_(settings), tick_(settings.tick), max_open_(max_open), most_bytes_(most_bytes),
-      relays_(relays), inventory_(inventory) {
+    : dispatcher_(settings), tick_(settings.tick),
+      stay_away_(settings.takes_advice ? settings.max_stay_away : Duration(0)), max_open_(max_open),
+      most_bytes_(most_bytes), relays_(relays), inventory_(inventory) {
     for (const willowrill::JobClass& job_class : settings.classes)
         usual_.push_back(job_class.aim);
     tallies_.resize(settings.classes.size());
@@ -132,7 +133,7 @@
     if (client == nullptr) return;
     ++counters_.cut_short;
     tell(job, willowrill::JobLeft{job});
-    may_have_run ? client->on_failed() : client->on_refused(Duration(0));
+    may_have_run ? client->on_failed() : client->on_refused(go_elsewhere());
 }
 
 void Host::attempt_started(JobId job, Index attempt) {
@@ -149,8 +150,7 @@
     Attempt& ended = entry.attempts[attempt];
     if (!std::exchange(ended.out, false)) return;
     using willowrill::Outcome;
-    ended.may_have_run =
-        outcome != Outcome::full && outcome != Outcome::connect_failed && outcome != Outcome::not_sent;
+    ended.may_have_run = willowrill::may_have_run(outcome);
     if (outcome == Outcome::served) {
         Duration& usual = usual_[entry.message.job_class];
         usual += (now - ended.sent - usual) / 16;
--- a/src/core/host.h
+++ b/src/core/host.h
@@ -5,6 +5,7 @@
 
 #include <willowrill/dispatcher.h>
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <deque>
@@ -109,6 +110,10 @@
     void limit(std::size_t most_bytes) { most_bytes_ = most_bytes; }
     // A message that was never taken in is answered with a refusal.
     void turn_away(Index job_class, Index tenant);
+    // What such a refusal tells its client, as the module's do: when to come back, if clients are told at
+    // all. One that this program sends away as it ends finds room elsewhere at once.
+    Duration stay_away() const { return stay_away_; }
+    Duration go_elsewhere() const { return std::min(stay_away_, moment); }
     void client_left(JobId job);
     void overdue(JobId job); // the deadline passes and the module has not answered: fails it
     // The program ends before the message can: refused if no attempt of it may have run, else failed.
@@ -153,10 +158,11 @@
     Client* close(JobId job, End end); // the one place where a message ends
     void tell(JobId job, willowrill::Event event);
     void release(JobId job);
+    static constexpr Duration moment = std::chrono::milliseconds(250); // in which the front has noticed
     void carry_out(const willowrill::Action& action, Time now);
 
     willowrill::Dispatcher dispatcher_;
-    Duration tick_;
+    Duration tick_, stay_away_;
     std::vector<Duration> usual_; // by class
     std::size_t max_open_, most_bytes_, bytes_ = 0;
     Relays& relays_;
--- a/src/north/front.cpp
+++ b/src/north/front.cpp
@@ -68,8 +68,9 @@
     // What came too late to be waited for. (A job that was taken before runs on, as long as it may.)
     // The lame duck's time is up: whoever is still sending a request is told to go elsewhere with it.
     void cut_off() {
-        if (state_ == State::reading && parser_.begun() && connection_.all_sent())
-            reject({503, "going away, try elsewhere"});
+        if (state_ != State::reading || !parser_.begun() || !connection_.all_sent()) return;
+        ++front_.counters_.rejected;
+        send_elsewhere();
     }
     void cut_short() {
         if (state_ == State::waiting && arrived_ > front_.left_at_) front_.host_.cut_short(job_);
@@ -151,23 +152,28 @@
                             front_.loop_.now() + 2 * front_.host_.usual_time(message.job_class) > front_.end_;
         if (ending || front_.lame_for() > lame_jobs) {
             front_.host_.turn_away(message.job_class, message.tenant);
-            return answer(503, {{"Connection", "close"}}, "going away, try elsewhere\n");
+            return send_elsewhere();
         }
         if (front_.host_.holds(message.id)) return reject({409, "the X-Request-ID is in use"});
         state_ = State::waiting;
         if (!front_.host_.take_in(std::move(message), *this, job_)) {
             ++front_.counters_.full;
-            return on_refused(front_.settings_.decisions.max_stay_away);
+            return on_refused(front_.host_.stay_away());
         }
         timer_.arm(deadline);
     }
 
     void on_served(std::string_view result) override { answer(200, {}, result); }
 
-    void on_refused(core::Duration stay_away) override {
-        net::http::Fields fields;
+    void on_refused(core::Duration stay_away) override { refuse(stay_away, {}, "try again later\n"); }
+
+    void send_elsewhere() {
+        refuse(front_.host_.go_elsewhere(), {{"Connection", "close"}}, "going away, try elsewhere\n");
+    }
+
+    void refuse(core::Duration stay_away, net::http::Fields fields, std::string_view why) {
         if (stay_away > 0ns) fields.emplace_back("Retry-After", decimal_seconds(stay_away));
-        answer(503, std::move(fields), "try again later\n");
+        answer(503, std::move(fields), why);
     }
 
     void on_failed() override { answer(502, {}, "failed\n"); }
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -276,6 +276,28 @@
     CHECK(rig.settle([&] { return rig.host.counters().taken_in == 4; }));
 }
 
+// A reload may set limits below what is in use: what is open goes on, what comes is told when to come back.
+TEST_CASE("limits lowered below what is in use end nothing that is open") {
+    Rig rig;
+    const auto relayed = rig.client(Rig::job("relayed"));
+    REQUIRE(rig.worker_has(0, "\r\n\r\nhi"));
+    const auto half = rig.client("POST /api HTTP/1.1\r\nHost: h\r\nX-Request-ID: half\r\n");
+    REQUIRE(rig.settle([&] { return rig.front.size() == 2; }));
+    rig.front.limit(1);
+    rig.pool.limit(0);
+    rig.host.limit(0);
+    half->connection.write("X-Priority-Class: once\r\nContent-Length: 2\r\n\r\nhi");
+    CHECK(rig.settle([&] { return half->has("HTTP/1.1 503 "); }));
+    CHECK(half->has("Retry-After: 2.000\r\n"));
+    rig.worker.peers[0]->connection.write(Rig::done("relayed", "whole"));
+    CHECK(rig.settle([&] { return relayed->has("whole"); }));
+    rig.front.limit(10);
+    rig.pool.limit(10);
+    rig.host.limit(1U << 20U);
+    relayed->connection.write(Rig::job("next"));
+    CHECK(rig.settle([&] { return rig.host.attempts_out() == 1; }));
+}
+
 TEST_CASE("where kept connections break at their next request, jobs that must not run twice go on new ones") {
     Rig rig;
     std::size_t peer = 0;
@@ -380,6 +402,7 @@
     client->connection.write(Rig::job("a"));
     CHECK(rig.settle([&] { return client->closed; }));
     CHECK(client->has("HTTP/1.1 503 "));
+    CHECK(client->has("Retry-After: 0.250\r\n")); // others have room now
     CHECK(rig.host.counters().taken_in == 0);
 }
 
