Refuse lists and load reports with figures that cannot be

Seen: a list whose started_ms was 2^63-1 overflowed on its way to nanoseconds (undefined behaviour) and was taken; a list that was refused left its new kinds in the names for good; a report of -1 or 1e300 went into the module's means, from which it never fades. Ruled out: the protocol's own ranges (Unix milliseconds, shares, slots). At fault: inventory/list.cpp `read_entry` and `List::read`, relay/answer.cpp `set`. Change: a start before 1970 or after 2255 makes the list nonsense; names are kept once the list is good; figures that are negative or above a million are left out of a report, the others hold. A worker that overstates its slots within that bound is still believed: open.

--- a/src/inventory/list.cpp
+++ b/src/inventory/list.cpp
@@ -24,6 +24,8 @@
     return fallback;
 }
 
+constexpr std::int64_t latest_ms = 9'000'000'000'000; // the year 2255; nanoseconds end soon after
+
 std::uint64_t
 hash(std::string_view text) { // FNV-1a: the same at every scheduler, as `WorkerEntry::key` must be
     std::uint64_t out = 0xcbf29ce484222325ULL;
@@ -46,7 +48,9 @@
                           : state == "draining" ? Condition::draining
                                                 : Condition::gone;
     out.entry.key = hash(out.id);
-    out.entry.up_since = std::chrono::milliseconds(get<std::int64_t>(from, "started_ms", 0));
+    const auto started = get<std::int64_t>(from, "started_ms", 0);
+    if (started < 0 || started > latest_ms) throw simdjson::simdjson_error(simdjson::NUMBER_OUT_OF_RANGE);
+    out.entry.up_since = std::chrono::milliseconds(started);
     out.entry.kind = config::Names::find_or_add(names.kinds, get<std::string_view>(from, "kind", ""));
     out.entry.zone = config::Names::find_or_add(names.zones, get<std::string_view>(from, "zone", ""));
     out.entry.cell = static_cast<willowrill::Index>(get<std::int64_t>(from, "cell", 0));
@@ -63,6 +67,7 @@
 
 std::optional<willowrill::ListNews> List::read(std::string_view json) {
     std::vector<Entry> entries;
+    config::Names names = names_; // new kinds and zones are kept once the whole list is good
     bool full = false;
     std::uint64_t version = 0;
     try {
@@ -71,11 +76,12 @@
         version = root["version"].get_uint64();
         full = root["full"].get_bool();
         for (const element item : root["servers"].get_array()) {
-            entries.push_back(read_entry(item.get_object(), names_));
+            entries.push_back(read_entry(item.get_object(), names));
         }
     } catch (const simdjson::simdjson_error&) {
         return std::nullopt;
     }
+    names_ = std::move(names);
     using Kind = willowrill::ListNews::Kind;
     willowrill::ListNews news{.kind = full ? Kind::complete : Kind::changes};
     if (full) { // what is not in a whole list is gone
--- a/src/relay/answer.cpp
+++ b/src/relay/answer.cpp
@@ -13,8 +13,11 @@
 using willowrill::Outcome;
 using willowrill::Report;
 
+constexpr double most_figure = 1e6;
+
 void set(std::optional<Report>& report, const config::ReportName& field, double value) {
-    if (!std::isfinite(value)) return;
+    // Nothing that is counted here is negative, and one absurd figure would stay in means for good.
+    if (!std::isfinite(value) || value < 0 || value > most_figure) return;
     if (!report) report.emplace();
     (*report).*field.field = value;
 }
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -218,6 +218,15 @@
     CHECK_FALSE(read(42, true, entry("s3", "up", "x")));
     CHECK(list.version() == 41);
     CHECK(list.condition(0) == Condition::ready);
+    // A start beyond what a clock can tell, and names that only nonsense holds.
+    std::string far = entry("s3", "up");
+    far.replace(far.find("1700000000123"), 13, "9223372036854775807");
+    CHECK_FALSE(read(42, true, far));
+    std::string foreign = entry("s3", "up");
+    foreign.replace(foreign.find("m2"), 2, "m9");
+    const std::size_t kinds = list.names().kinds.size();
+    CHECK_FALSE(read(42, true, foreign + ",{}"));
+    CHECK(list.names().kinds.size() == kinds);
 
     news = read(43, false, entry("s1", "draining", "5001") + R"(,{"id":"s2","state":"removed"})");
     REQUIRE(news);
@@ -306,6 +315,13 @@
     CHECK(loaded.report->utilisation == 0.61);
     CHECK(loaded.report->free_slots == 2.0);
     CHECK_FALSE(loaded.report->in_flight.has_value());
+    // Figures that cannot be are left out, and the others hold.
+    const auto odd = status("503 x", unseen + "X-Server-Load: util=-1,x0=1e300\r\n");
+    CHECK_FALSE(odd.report);
+    CHECK(status("503 x", unseen + "X-Server-Load: util=1e7,x0=2\r\n").report->free_slots == 2.0);
+    CHECK_FALSE(line(R"("state":"failed","load":{"util":-0.5,"x0":1e12}})"
+                     "\n")
+                    ->report);
 }
 
 TEST_CASE("clients' requests become messages, or are turned down as bad") {
