Remove the actions, events and layers that the module never uses

Seen: the module makes none of FetchList, Probe, CloseIdle, Tell, Log and Fault (grep: no construction in rules.cpp), and nothing followed from ProbeEnded and PeerMessage: probing and talk between schedulers are not allowed here. Ruled out: that the simulator needs them: the adapter takes its pong and peer_data, and tells nobody.

--- a/include/willowrill/dispatcher.h
+++ b/include/willowrill/dispatcher.h
@@ -10,7 +10,6 @@
 #include <memory>
 #include <optional>
 #include <span>
-#include <string>
 #include <variant>
 #include <vector>
 
@@ -75,7 +74,6 @@
 
     // What the site allows.
     bool may_cancel = false;
-    bool may_probe = false;
     bool second_copies = false; // two attempts of a job may be out at once
     bool takes_advice = false;  // clients receive `Refuse::stay_away`
     Index max_attempts = 1;
@@ -192,24 +190,11 @@
     std::optional<Report> report{};
 };
 
-struct ProbeEnded {
-    WorkerId worker = 0;
-    Outcome outcome = Outcome::served;
-    Duration latency{0};
-    std::optional<Report> report{};
-};
-
-// A message from another dispatcher. The rules send none and ignore what comes.
-struct PeerMessage {
-    Index from = 0;
-    std::string bytes;
-};
-
 // The time of an earlier `Wake` has come.
 struct Woken {};
 
 using Event = std::variant<ListNews, JobArrived, JobLeft, AttemptStarted, AttemptProgress, AnswerBegun,
-                           AttemptEnded, ProbeEnded, PeerMessage, Woken>;
+                           AttemptEnded, Woken>;
 
 // ---- Actions -------------------------------------------------------------------------------------------
 
@@ -247,36 +232,7 @@
     bool active = true;
 };
 
-// Ask for the complete list once.
-struct FetchList {};
-
-struct Probe {
-    WorkerId worker = 0;
-};
-
-// Close the idle connections to a worker.
-struct CloseIdle {
-    WorkerId worker = 0;
-};
-
-// A message to one other dispatcher, or to all where `to` is `none`.
-struct Tell {
-    Index to = none;
-    std::string bytes;
-};
-
-// A line for the operators' log.
-struct Log {
-    std::string text;
-};
-
-// The rules have met a state that must not occur.
-struct Fault {
-    std::string text;
-};
-
-using Action =
-    std::variant<Send, Refuse, Fail, Cancel, Wake, WatchList, FetchList, Probe, CloseIdle, Tell, Log, Fault>;
+using Action = std::variant<Send, Refuse, Fail, Cancel, Wake, WatchList>;
 
 // ---- The dispatcher ------------------------------------------------------------------------------------
 
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -221,7 +221,6 @@
 
     const object limits = section(json, "limits");
     to.may_cancel = flag(limits, "cancel");
-    to.may_probe = flag(limits, "probes");
     to.second_copies = flag(limits, "second_copies");
     to.takes_advice = flag(limits, "retry_after");
     to.max_attempts = static_cast<Index>(whole(limits, "max_attempts", 1, most_count));
--- a/src/core/host.cpp
+++ b/src/core/host.cpp
@@ -242,52 +242,44 @@
 }
 
 void Host::carry_out(const willowrill::Action& action, Time now) {
-    std::visit(
-        Overloaded{
-            [&](const willowrill::Send& send) {
-                Entry& entry = entries_[send.job];
-                const auto attempt = static_cast<Index>(entry.attempts.size());
-                entry.attempts.push_back({.worker = send.worker, .sent = now});
-                ++entry.holds;
-                ++out_;
-                ++counters_.sent;
-                if (entry.answered) { // its client left in this very round
-                    attempt_ended(send.job, attempt, willowrill::Outcome::not_sent, now);
-                    return;
-                }
-                const Time latest = entry.message.deadline;
-                const Time give_up =
-                    send.time_out > Duration(0) ? std::min(latest, now + send.time_out) : latest;
-                relays_.start(send.job, attempt, send.worker, give_up, entry.message);
-            },
-            [&](const willowrill::Refuse& refuse) {
-                if (Client* client = close(refuse.job, End::refused)) {
-                    ++counters_.refused;
-                    client->on_refused(refuse.stay_away);
-                }
-            },
-            [&](const willowrill::Fail& fail) {
-                if (Client* client = close(fail.job, End::failed)) {
-                    ++counters_.failed;
-                    client->on_failed();
-                }
-            },
-            [&](const willowrill::Cancel& cancel) {
-                if (!entries_[cancel.job].attempts[cancel.attempt].out) return;
-                ++counters_.cancelled;
-                relays_.cancel(cancel.job, cancel.attempt);
-            },
-            [&](const willowrill::Wake& wake) { wake_ = wake_ ? std::min(*wake_, wake.at) : wake.at; },
-            [&](const willowrill::WatchList& watch) { inventory_.watch(watch.active); },
-            [&](const willowrill::FetchList&) { inventory_.fetch(); },
-            [&](const willowrill::CloseIdle& idle) { relays_.close_idle(idle.worker); },
-            [&](const willowrill::Log& log) { spdlog::info("module: {}", log.text); },
-            [&](const willowrill::Fault& fault) { spdlog::critical("module fault: {}", fault.text); },
-            // Workers must not be probed, and schedulers don't talk to each other.
-            [&](const willowrill::Probe&) { spdlog::error("the module asked for a probe; none is sent"); },
-            [&](const willowrill::Tell&) { spdlog::error("the module spoke to a peer; nothing is sent"); },
-        },
-        action);
+    std::visit(Overloaded{
+                   [&](const willowrill::Send& send) {
+                       Entry& entry = entries_[send.job];
+                       const auto attempt = static_cast<Index>(entry.attempts.size());
+                       entry.attempts.push_back({.worker = send.worker, .sent = now});
+                       ++entry.holds;
+                       ++out_;
+                       ++counters_.sent;
+                       if (entry.answered) { // its client left in this very round
+                           attempt_ended(send.job, attempt, willowrill::Outcome::not_sent, now);
+                           return;
+                       }
+                       const Time latest = entry.message.deadline;
+                       const Time give_up =
+                           send.time_out > Duration(0) ? std::min(latest, now + send.time_out) : latest;
+                       relays_.start(send.job, attempt, send.worker, give_up, entry.message);
+                   },
+                   [&](const willowrill::Refuse& refuse) {
+                       if (Client* client = close(refuse.job, End::refused)) {
+                           ++counters_.refused;
+                           client->on_refused(refuse.stay_away);
+                       }
+                   },
+                   [&](const willowrill::Fail& fail) {
+                       if (Client* client = close(fail.job, End::failed)) {
+                           ++counters_.failed;
+                           client->on_failed();
+                       }
+                   },
+                   [&](const willowrill::Cancel& cancel) {
+                       if (!entries_[cancel.job].attempts[cancel.attempt].out) return;
+                       ++counters_.cancelled;
+                       relays_.cancel(cancel.job, cancel.attempt);
+                   },
+                   [&](const willowrill::Wake& wake) { wake_ = wake_ ? std::min(*wake_, wake.at) : wake.at; },
+                   [&](const willowrill::WatchList& watch) { inventory_.watch(watch.active); },
+               },
+               action);
 }
 
 } // namespace willowrill::core
--- a/src/core/host.h
+++ b/src/core/host.h
@@ -50,14 +50,12 @@
     virtual ~Relays() = default;
     virtual void start(JobId job, Index attempt, WorkerId worker, Time give_up, const Message& message) = 0;
     virtual void cancel(JobId job, Index attempt) = 0;
-    virtual void close_idle(WorkerId worker) = 0;
 };
 
 class Inventory {
   public:
     virtual ~Inventory() = default;
     virtual void watch(bool active) = 0; // asked anew while a watch is on, it changes nothing
-    virtual void fetch() = 0;
 };
 
 // Another run of this scheduler, at an upgrade: a message open in one is not taken by the other.
--- a/src/inventory/watch.cpp
+++ b/src/inventory/watch.cpp
@@ -31,14 +31,7 @@
 void Watch::watch(bool active) {
     watching_ = active;
     if (active && !calling_) call();
-    if (!active && calling_ && !fetching_) hang_up();
-}
-
-// A whole list is asked for at once; the watch goes on after it.
-void Watch::fetch() {
-    if (calling_ && !fetching_) hang_up();
-    fetching_ = true;
-    if (!calling_) call();
+    if (!active && calling_) hang_up();
 }
 
 void Watch::move(const net::Endpoint& discovery) {
@@ -71,7 +64,7 @@
     }
     parser_.restart();
     std::string target = "/v1/endpoints";
-    const bool whole = fetching_ || moved_ || list_.empty();
+    const bool whole = moved_ || list_.empty();
     if (!whole)
         target += "?from=" + std::to_string(list_.version()) + "&hold_ms=" + std::to_string(hold_.count());
     connection_->write(net::http::write_request("GET", target, {{"Host", discovery_.text()}}, ""));
@@ -101,7 +94,7 @@
     auto news = list_.read(parser_.body());
     if (!news) return broken("an answer that is no list");
     overdue_.disarm();
-    calling_ = fetching_ = moved_ = false;
+    calling_ = moved_ = false;
     if (!parser_.head().keeps_alive()) hang_up();
     // The next call goes out at once: a pause would end the watch.
     if (watching_) call();
@@ -112,7 +105,7 @@
 void Watch::broken(const char* why) {
     spdlog::warn("inventory: a call to discovery failed: {}", why);
     hang_up();
-    watching_ = fetching_ = false;
+    watching_ = false;
     news_({willowrill::ListNews::Kind::broken, {}});
 }
 
--- a/src/inventory/watch.h
+++ b/src/inventory/watch.h
@@ -19,7 +19,6 @@
     Watch(net::Loop& loop, net::Endpoint discovery, net::Duration list_valid, List& list, News news);
 
     void watch(bool active) override;
-    void fetch() override;
     // Discovery is at another address from now on. It is asked there at once, for the whole list, as versions
     // may not go on; a call that this cuts off has not failed.
     void move(const net::Endpoint& discovery);
@@ -43,7 +42,7 @@
     net::http::Parser parser_{net::http::Parser::Kind::answer};
     net::Timer overdue_;
     net::Time answer_by_{0};
-    bool watching_ = false, fetching_ = false, calling_ = false;
+    bool watching_ = false, calling_ = false;
     bool moved_ = false; // and has not yet given its list there
 };
 
--- a/src/relay/pool.cpp
+++ b/src/relay/pool.cpp
@@ -269,13 +269,6 @@
     channel->finish({Outcome::cancelled});
 }
 
-void Pool::close_idle(core::WorkerId worker) {
-    const Channels idle = idle_;
-    for (const auto& channel : idle) {
-        if (channel->worker == worker) drop(*channel);
-    }
-}
-
 void Pool::limit(std::size_t connections) {
     limits_.connections = connections;
     while (size_ > connections && !idle_.empty()) {
--- a/src/relay/pool.h
+++ b/src/relay/pool.h
@@ -37,7 +37,6 @@
     void start(core::JobId job, core::Index attempt, core::WorkerId worker, core::Time give_up,
                const core::Message& message) override;
     void cancel(core::JobId job, core::Index attempt) override;
-    void close_idle(core::WorkerId worker) override;
     void limit(std::size_t connections); // idle ones beyond it are closed
     void close_unlisted();               // idle connections to workers that drain, are gone or have moved
 
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -221,7 +221,7 @@
         wait(ended.job);
     }
 
-    template <class Other> void on(const Other&) {} // nothing to learn from it; none is probed
+    void on(const Woken&) {} // nothing to learn from it
 
     // A fresh report replaces L and zeroes X. It left before the answer that carries it, so the job answered
     // is still counted in it: its slots are taken off.
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -142,6 +142,8 @@
             }));
             rig.jobs(12, 3);
         }
+        rig.until([] { return false; },
+                  500ms); // what was sealed before is on its way for 30 ms and a busy machine
     };
     step({{1, "1.key"}, {2, "2.key"}}); // takes both
     step({{2, "2.key"}, {1, "1.key"}}); // seals with the new one
