--- a/tests/mesh/mesh_test.cpp
+++ b/tests/mesh/mesh_test.cpp
@@ -8,6 +8,8 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <optional>
+#include <utility>
 
 namespace willowrill::mesh {
 namespace {
@@ -140,6 +142,37 @@
     CHECK(second.node().book().low("a", "c", counts::Outcome::served) == 2);
 }
 
+// The one place where two threads of the program meet; `.ci/run` runs it under ThreadSanitizer, too.
+TEST_CASE("snapshots: given faster than they are written, the one taken last is on disk at the end") {
+    Rig rig;
+    std::uint64_t taken = 0;
+    {
+        Snapshots snapshots(rig.folder, "self");
+        std::uint64_t seen = 0;
+        for (std::uint64_t number = 1; number <= 300; ++number) {
+            if (snapshots.save({.instance = "self", .number = number})) taken = number;
+            CHECK(snapshots.written() >= std::exchange(seen, snapshots.written()));
+            CHECK_FALSE(snapshots.failure());
+        }
+    } // writes what it was given last
+    std::string note;
+    Snapshots snapshots(rig.folder, "self");
+    const auto loaded = snapshots.load(note);
+    REQUIRE(loaded);
+    CHECK(loaded->number == taken);
+    std::filesystem::remove_all(rig.folder); // as good as a full one
+    while (!snapshots.save({.instance = "self", .number = 1})) {
+    }
+    std::optional<std::string> failure;
+    for (int i = 0; i < 20000 && !failure; ++i) {
+        rig.loop.run_once(1ms);
+        failure = snapshots.failure();
+    }
+    REQUIRE(failure);
+    CHECK(failure->find("cannot write") != std::string::npos);
+    CHECK_FALSE(snapshots.failure()); // told once
+}
+
 TEST_CASE("a torn or foreign file is put aside, and the instance goes on without") {
     Rig rig;
     rig.site.state_dir = rig.folder;
