Tell a signal after any flood of another

Seen: 70,000 SIGUSR1 before the loop's next round, and the SIGUSR2 after them was never told: each signal was a byte in a pipe, and a full pipe takes no more. A SIGTERM lost so ends in SIGKILL and lost jobs. Ruled out: the system (it keeps one pending signal a kind); the loop (it reads all). At fault: net/signals.cpp `on_signal`, which left write's failure alone. Change: the handler sets a flag of the signal; the pipe only wakes the loop. Of one kind, several before a round are told once.

--- a/src/net/signals.cpp
+++ b/src/net/signals.cpp
@@ -6,17 +6,21 @@
 #include <array>
 #include <cerrno>
 #include <csignal>
+#include <cstddef>
 #include <system_error>
 
 namespace willowrill::net {
 namespace {
 
-int pipe_end = -1; // all that a handler may touch; it lives as long as the process
+// All that a handler may touch; it lives as long as the process. The pipe only wakes the loop: were the
+// signals in it, a flood of one kind would fill it and the next SIGTERM would be lost.
+int pipe_end = -1;
+std::array<volatile std::sig_atomic_t, NSIG> pending{};
 
 void on_signal(int signal) {
     const int saved = errno;
-    const char byte = static_cast<char>(signal);
-    [[maybe_unused]] const auto written = ::write(pipe_end, &byte, 1);
+    pending[static_cast<std::size_t>(signal)] = 1;
+    [[maybe_unused]] const auto written = ::write(pipe_end, "", 1);
     errno = saved;
 }
 
@@ -54,9 +58,13 @@
 Signals::~Signals() { loop_.forget(read_.get()); }
 
 void Signals::on_ready(short) {
-    char signal = 0;
-    while (::read(read_.get(), &signal, 1) == 1) {
-        action_(signal);
+    std::array<char, 512> woken{};
+    while (::read(read_.get(), woken.data(), woken.size()) > 0) {
+    }
+    for (std::size_t signal = 0; signal < pending.size(); ++signal) {
+        if (pending[signal] == 0) continue;
+        pending[signal] = 0; // first: one that comes now is told again
+        action_(static_cast<int>(signal));
     }
 }
 
--- a/src/net/signals.h
+++ b/src/net/signals.h
@@ -1,4 +1,4 @@
-// Signals, told as events of the loop.
+// Signals, told as events of the loop: one of a kind at a time, as the system does.
 #pragma once
 
 #include "net/loop.h"
--- a/tests/connection_test.cpp
+++ b/tests/connection_test.cpp
@@ -1,14 +1,18 @@
 // A model of a connection's states, against which random steps are checked: what has been read, written and
 // told at any time, whatever the other side does.
+#include "net/signals.h"
 #include "sockets.h"
 
 #include <doctest/doctest.h>
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
+#include <csignal>
 #include <optional>
 #include <random>
+#include <vector>
 
 namespace willowrill::testing {
 namespace {
@@ -196,4 +200,18 @@
     CHECK_FALSE(wheel.next().has_value());
 }
 
+// The handler wrote each signal into a pipe: 65,536 unread ones, and the next was lost.
+TEST_CASE("a flood of one signal does not hide another") {
+    net::Loop loop;
+    std::vector<int> told;
+    const net::Signals signals(loop, {SIGUSR1, SIGUSR2}, [&](int signal) { told.push_back(signal); });
+    for (int i = 0; i < 70000; ++i)
+        std::raise(SIGUSR1);
+    std::raise(SIGUSR2);
+    for (int i = 0; i < 200; ++i)
+        loop.run_once(0ms);
+    CHECK(std::ranges::count(told, SIGUSR1) >= 1);
+    CHECK(std::ranges::count(told, SIGUSR2) == 1);
+}
+
 } // namespace willowrill::testing
