Let the property tests see attempts beyond their number, with fleets that have no room

Seen: with attempts not counted (a deliberate break), no property failed: five attempts in a job's time hardly occurred. Change: a step in which all that is out is turned away, six times over.

--- a/tests/property_test.cpp
+++ b/tests/property_test.cpp
@@ -91,7 +91,12 @@
             for (unsigned more = 0; more <= step.a / 25; ++more)
                 arrive(node, step.b + more, step.c);
             return;
-        case 1: // of one, or of several alike
+        case 1: // of one, of several alike, or of all, over and over: nobody has room
+            for (unsigned round = 0; step.b > 94 && round < 6; ++round) {
+                while (!out_.empty())
+                    end(out_.begin()->first, Outcome::full, step.c);
+                pass(6ms);
+            }
             for (unsigned more = 0; more <= step.c / 20 && !out_.empty(); ++more)
                 end(pick(out_, step.a + more)->first, outcome_of(step.b), step.c);
             return;
