Let discovery in the property tests tell nothing until it is asked again, within a run's time

Seen: with a broken watch never renewed (a deliberate break), no property failed: the time to ask was longer than a run. Change: that time is 2 s in these tests, and a broken watch is silent until it is asked for.

--- a/tests/property_test.cpp
+++ b/tests/property_test.cpp
@@ -63,7 +63,7 @@
     out.connection_idle = 5s;
     out.answer_slack = 20ms;
     out.drain_grace = 1s;
-    out.list_valid = 10s;
+    out.list_valid = 2s; // a run lasts longer
     out.cold_time = 9s;
     out.cold_capacity = 0.4;
     out.overload_multiple = 2.5;
@@ -107,8 +107,9 @@
         case 4:
             if (Requester* one = any_open(step.a)) leave(*one);
             return;
-        case 5:
-            return tell(node, {ListNews::Kind::broken, {}});
+        case 5: // nothing more is told until the list is asked for again
+            if (std::exchange(node.watching, false)) tell(node, {ListNews::Kind::broken, {}});
+            return;
         case 6:
         case 9:
             if (out_.empty()) return;
@@ -212,11 +213,16 @@
         void cancel(core::JobId job, Index attempt) override {
             world.end({self, job, attempt}, Outcome::cancelled, 0);
         }
-        void watch(bool) override { world.ledger.asked_for_list(self); }
+        void watch(bool) override {
+            world.ledger.asked_for_list(self);
+            if (!std::exchange(watching, true))
+                world.news_.emplace(world.now + 1ms, std::pair(this, world.whole_list()));
+        }
 
         World& world;
         Index self;
         Host host;
+        bool watching = true;
     };
 
     void say(const std::string& what) { ledger.broken.push_back(what); }
@@ -302,15 +308,18 @@
             news.entries.push_back(workers_.back());
             break;
         default:
-            news.kind = ListNews::Kind::complete;
-            for (const WorkerEntry& one : workers_) {
-                if (one.condition != Condition::gone) news.entries.push_back(one);
-            }
+            news = whole_list();
         }
         if (news.entries.empty()) news.entries.push_back(entry);
         for (Node& node : nodes_)
             news_.emplace(now + std::chrono::milliseconds(node.self * late % 97), std::pair(&node, news));
     }
+    ListNews whole_list() const {
+        ListNews news{ListNews::Kind::complete, {}};
+        std::ranges::copy_if(workers_, std::back_inserter(news.entries),
+                             [](const WorkerEntry& one) { return one.condition != Condition::gone; });
+        return news;
+    }
     void tell(Node& node, const ListNews& news) {
         ledger.told(node.self, now, news);
         node.host.list_news(news);
@@ -337,7 +346,7 @@
             now = std::clamp(next, now, until);
             while (!news_.empty() && news_.begin()->first <= now) {
                 const auto [node, news] = news_.extract(news_.begin()).mapped();
-                tell(*node, news);
+                if (node->watching) tell(*node, news);
             }
             while (true) {
                 const auto late =
