--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -230,7 +230,7 @@
 // Such a class was held to its deadline and then failed, without a word on when to come back.
 TEST_CASE(
     "where a late answer has its worth, a job is refused once it cannot be done before its client leaves") {
-    Fleet fleet(1, 1, 0, 0,
+    Fleet fleet(1, 2, 0, 0,
                 {.effect = Effect::once, .aim = 2s, .give_up = 60s, .late_worth = 0.5, .kind = 1});
     JobArrived late = Fleet::job(0);
     late.job_class = 1; // of a kind that nobody is of
