Let the ledger outlive a job that has broken a rule

Seen: with attempts not counted (a deliberate break) the property test crashed rather than said so: the ledger forgot the job and was told of its attempt. Change: such an attempt is left alone.

--- a/tests/ledger.h
+++ b/tests/ledger.h
@@ -52,7 +52,9 @@
     }
     void left(Index self, JobId id) { views_[self].jobs[id].over = true; }
     void ended(Index self, JobId id, Index attempt, Outcome outcome) {
-        Attempt& ended = views_[self].jobs[id].attempts[attempt];
+        std::vector<Attempt>& attempts = views_[self].jobs[id].attempts;
+        if (attempt >= attempts.size()) return; // of a job that has broken a rule, and is gone
+        Attempt& ended = attempts[attempt];
         ended.out = false;
         ended.never_ran =
             outcome == Outcome::full || outcome == Outcome::connect_failed || outcome == Outcome::not_sent;
