Hash names in one place, and share the settings of two new tests

Seen: FNV-1a stood three times (list.cpp, succession.cpp, wire.cpp), and the limits and safety figures of a site in each new test. Ruled out: that they must differ: keys have to agree everywhere, and no message goes between versions by them but hints. Change: `key_of` in the interface, where `WorkerEntry::key` asks for it; `site_settings` beside the ledger.

--- a/include/willowrill/dispatcher.h
+++ b/include/willowrill/dispatcher.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <span>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -109,6 +110,14 @@
 
 enum class Condition { ready, draining, gone };
 
+// A key for `WorkerEntry` from a worker's name or address: FNV-1a, the same everywhere.
+constexpr std::uint64_t key_of(std::string_view name) {
+    std::uint64_t out = 0xcbf29ce484222325ULL;
+    for (const char c : name)
+        out = (out ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
+    return out;
+}
+
 struct WorkerEntry {
     WorkerId worker = 0;
     std::uint64_t key = 0; // the same at every dispatcher: a hash of its address, say
--- a/src/inventory/list.cpp
+++ b/src/inventory/list.cpp
@@ -26,15 +26,6 @@
 
 constexpr std::int64_t latest_ms = 9'000'000'000'000; // the year 2255; nanoseconds end soon after
 
-std::uint64_t
-hash(std::string_view text) { // FNV-1a: the same at every scheduler, as `WorkerEntry::key` must be
-    std::uint64_t out = 0xcbf29ce484222325ULL;
-    for (const char c : text) {
-        out = (out ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
-    }
-    return out;
-}
-
 Entry read_entry(const object& from, config::Names& names) {
     Entry out;
     out.id = std::string(get<std::string_view>(from, "id", ""));
@@ -47,7 +38,7 @@
     out.entry.condition = state == "up"         ? Condition::ready
                           : state == "draining" ? Condition::draining
                                                 : Condition::gone;
-    out.entry.key = hash(out.id);
+    out.entry.key = willowrill::key_of(out.id);
     const auto started = get<std::int64_t>(from, "started_ms", 0);
     if (started < 0 || started > latest_ms) throw simdjson::simdjson_error(simdjson::NUMBER_OUT_OF_RANGE);
     out.entry.up_since = std::chrono::milliseconds(started);
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -278,14 +278,6 @@
     }
 }
 
-std::uint64_t hash_name(std::string_view name) { // FNV-1a
-    std::uint64_t hash = 0xcbf29ce484222325ULL;
-    for (const char c : name) {
-        hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
-    }
-    return hash;
-}
-
 template <class... Functions> struct Overloaded : Functions... { using Functions::operator()...; };
 template <class... Functions> Overloaded(Functions...) -> Overloaded<Functions...>;
 
@@ -395,7 +387,7 @@
         WorkerEntry entry;
         const std::string_view address = need_text(json, "runner");
         entry.worker = worker_id(address);
-        entry.key = hash_name(address);
+        entry.key = key_of(address);
         entry.up_since = duration_or(json, "came_up_ns");
         entry.kind = position_or_add(names_.kinds, text_or(json, "model", ""));
         entry.zone = position_or_add(names_.zones, text_or(json, "az", ""));
--- a/src/upgrade/succession.cpp
+++ b/src/upgrade/succession.cpp
@@ -53,13 +53,6 @@
 };
 constexpr std::size_t most_words = 256; // in a packet
 
-std::uint64_t hash(const std::string& id) { // the same in both runs, whatever they were built with
-    std::uint64_t out = 0xcbf29ce484222325ULL;
-    for (const char c : id)
-        out = (out ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
-    return out;
-}
-
 // A packet, with a descriptor beside it or none. Nobody waits for a run that does not read.
 bool send_words(const net::Fd& to, std::span<const Word> words, int descriptor = -1) {
     iovec bytes{.iov_base = const_cast<Word*>(words.data()), .iov_len = words.size_bytes()};
@@ -219,7 +212,7 @@
         spdlog::warn("upgrade: the listener could not be handed over: errno {}", errno);
     std::vector<Word> open;
     for (const std::string& id : run_.ids())
-        open.push_back({.value = hash(id), .kind = Kind::opened});
+        open.push_back({.value = willowrill::key_of(id), .kind = Kind::opened});
     for (std::span<const Word> left = open; !left.empty();) {
         const std::size_t count = std::min(left.size(), most_words);
         send_words(after_.fd, left.first(count));
@@ -229,14 +222,15 @@
 }
 
 void Succession::tell(const std::string& id, bool open) {
-    const Word word{.value = hash(id), .kind = open ? Kind::opened : Kind::closed};
+    const Word word{.value = willowrill::key_of(id), .kind = open ? Kind::opened : Kind::closed};
     for (const End* end : {&before_, &after_}) {
         if (end->fd.valid()) send_words(end->fd, {&word, 1});
     }
 }
 
 bool Succession::holds(const std::string& id) const {
-    return shared() && (before_.ids.contains(hash(id)) || after_.ids.contains(hash(id)));
+    return shared() &&
+           (before_.ids.contains(willowrill::key_of(id)) || after_.ids.contains(willowrill::key_of(id)));
 }
 
 void Succession::tell_held() {
--- a/tests/instances_test.cpp
+++ b/tests/instances_test.cpp
@@ -14,11 +14,7 @@
 using Batches = std::vector<std::pair<Time, std::vector<Event>>>;
 
 Settings settings_of(Index self) {
-    Settings out;
-    out.seed = 7 + self;
-    out.self = self;
-    out.dispatchers = 4;
-    out.zones = out.kinds = 2;
+    Settings out = site_settings(self, 4);
     for (const Effect effect : {Effect::repeatable, Effect::keyed, Effect::once})
         out.classes.push_back({.effect = effect,
                                .repeat_scope = RepeatScope::cell,
@@ -26,15 +22,6 @@
                                .aim = 300ms,
                                .aim_stretch = 1.75,
                                .give_up = 5s});
-    out.tick = 5ms;
-    out.may_cancel = out.second_copies = out.takes_advice = out.list_on_request = true;
-    out.max_attempts = 4;
-    out.max_stay_away = 2s;
-    out.list_valid = 10s;
-    out.cold_time = 9s;
-    out.cold_capacity = 0.4;
-    out.overload_multiple = 2.5;
-    out.overload_time = 1s;
     return out;
 }
 
--- a/tests/ledger.h
+++ b/tests/ledger.h
@@ -13,6 +13,31 @@
 
 namespace willowrill::testing {
 
+// A site with two zones and two kinds, and the platform's limits and safety figures. Classes are the test's.
+inline Settings site_settings(Index self, Index dispatchers) {
+    using namespace std::chrono_literals;
+    Settings out;
+    out.seed = 7 + self;
+    out.self = self;
+    out.dispatchers = dispatchers;
+    out.zones = out.kinds = 2;
+    out.zone = self % 2;
+    out.tick = 5ms;
+    out.list_on_request = out.reports_with_answers = true;
+    out.may_cancel = out.second_copies = out.takes_advice = true;
+    out.max_attempts = 4;
+    out.max_stay_away = 2s;
+    out.connection_idle = 5s;
+    out.answer_slack = 20ms;
+    out.drain_grace = 1s;
+    out.list_valid = 2s; // a run lasts longer
+    out.cold_time = 9s;
+    out.cold_capacity = 0.4;
+    out.overload_multiple = 2.5;
+    out.overload_time = 1s;
+    return out;
+}
+
 class Ledger {
   public:
     // `playing` of the settings' dispatchers are here; `worker_slots`: the most that any worker has.
--- a/tests/property_test.cpp
+++ b/tests/property_test.cpp
@@ -32,12 +32,8 @@
 constexpr double worker_slots = 4, job_s = 0.1;
 
 Settings settings_for(Index self, Index dispatchers, unsigned variant) {
-    Settings out;
+    Settings out = site_settings(self, dispatchers);
     out.seed = 1000 * variant + self;
-    out.self = self;
-    out.dispatchers = dispatchers;
-    out.zones = out.kinds = 2;
-    out.zone = self % 2;
     for (const auto& [effect, scope] :
          {std::pair{Effect::repeatable, RepeatScope::all}, std::pair{Effect::keyed, RepeatScope::cell},
           std::pair{Effect::keyed, RepeatScope::zone}, std::pair{Effect::keyed, RepeatScope::all},
@@ -51,23 +47,10 @@
     }
     out.classes[1].kind = 0;
     out.classes[5].late_worth = 0.5;
-    out.tick = 5ms;
-    out.list_on_request = out.reports_with_answers = true;
-    out.takes_advice = true;
     out.may_cancel = (variant & 1U) != 0;
     out.second_copies = (variant & 2U) != 0;
     out.tells_start = (variant & 4U) != 0;
     out.cross_zone_price = out.handshake_price = (variant & 8U) != 0 ? 0.02 : 0;
-    out.max_attempts = 4;
-    out.max_stay_away = 2s;
-    out.connection_idle = 5s;
-    out.answer_slack = 20ms;
-    out.drain_grace = 1s;
-    out.list_valid = 2s; // a run lasts longer
-    out.cold_time = 9s;
-    out.cold_capacity = 0.4;
-    out.overload_multiple = 2.5;
-    out.overload_time = 1s;
     return out;
 }
 
