--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -336,6 +336,8 @@
         if (more <= 0 && now == job.arrived) crowding += mean_gain * ((to == none ? 1 : 0) - crowding);
         const Duration pause = std::max(patience(job), (now - job.arrived) / 4);
         if (to == none) return look_again(id, std::min(now + pause, give_up_at(job)));
+        const double wait = runs.wait(job.in.job_class, group_of(workers[to]), now);
+        if (class_of(job).kind != none && now + from_seconds(wait) > useful_until(job)) return end(id);
         job.waiting = false;
         send(id, to);
     }
