Make two tests fail without what they test, and test the eviction of relay connections

Seen, with mechanisms switched off in throwaway copies: the test that trouble does not multiply traffic passed without retry tokens, as want of room ended the sends (50 workers of 10 slots, no report); the test of a lost zone passed without the zone's rest, as its bound was one try a job; nothing failed without the eviction of idle connections to workers. Ruled out: that the mechanisms are idle. Change: each failure carries a fresh report; the bound is 0.45 a job; a pool of one connection has to give it up for another worker.

--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -261,6 +261,25 @@
     CHECK(rig.front.counters().evicted == 1);
 }
 
+TEST_CASE("short of descriptors, an idle connection to a worker gives way to one that is needed") {
+    Rig rig(10, 1);
+    const Listener second(rig.loop);
+    const auto client = rig.client(Rig::job("a"));
+    REQUIRE(rig.worker_has(0, "\r\n\r\nhi"));
+    rig.worker.peers[0]->connection.write(Rig::done("a", "of a"));
+    REQUIRE(rig.settle([&] { return client->has("of a"); }));
+    const auto entry = [](const char* id, const net::Endpoint& at, const char* state) {
+        return std::string(R"({"id":")") + id + R"(","addr":")" + at.text() +
+               R"(","zone":"a","kind":"m1","state":")" + state + "\"}";
+    };
+    rig.host.list_news(*rig.list.read(R"({"version":43,"full":false,"servers":[)" +
+                                      entry("s1", rig.worker.address, "draining") + "," +
+                                      entry("s2", second.address, "up") + "]}"));
+    client->connection.write(Rig::job("b"));
+    CHECK(rig.settle([&] { return second.peers.size() == 1 && second.peers[0]->has("X-Request-ID: b"); }));
+    CHECK(rig.pool.counters().evicted == 1);
+}
+
 TEST_CASE("messages are bounded by the memory that their bodies take") {
     Rig rig; // with a mebibyte for them, room for three of the largest
     std::vector<std::unique_ptr<Peer>> clients;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -461,7 +461,9 @@
         ++first_tries;
         for (Index attempt = 0; attempt < 3; ++attempt) {
             const std::size_t before = stand.sends.size();
-            stand.at(id * 1ms, {ended(id, attempt, stand.last_worker(), Outcome::error)});
+            // A fresh report each: else it would be want of room that ends the sends.
+            stand.at(id * 1ms,
+                     {ended(id, attempt, stand.last_worker(), Outcome::error, report(0.001 * id, 9))});
             if (stand.sends.size() == before) break;
         }
     }
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -275,7 +275,7 @@
         world.run_until(10s, 60, 10);
         const int jobs = world.tally[once].arrived + world.tally[keyed].arrived - arrived;
         CHECK(world.tally[once].refused - before[once].refused < 0.05 * jobs);
-        CHECK(world.unreachable < jobs); // not four for each
+        CHECK(world.unreachable < 0.45 * jobs); // a third of them with 100; 0.57 without the zone's rest
     }
 }
 
