Hold configurations with changed numbers against the module, as a property

Change: up to four numbers of a good configuration become others, or nonsense; it is refused in one line, or the module that is built from it answers a job of each class in time.

--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -2,15 +2,18 @@
 #include "config/settings.h"
 #include "inventory/list.h"
 #include "north/request.h"
+#include "rapid.h"
 #include "relay/answer.h"
 
 #include <doctest/doctest.h>
 
 #include <sys/stat.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <map>
 #include <string>
 
 namespace willowrill::testing {
@@ -148,6 +151,60 @@
     }
 }
 
+// Property 8's first half: a file is taken whole or not at all, and what is taken harms no module.
+TEST_CASE("properties: a configuration with numbers changed is refused in one line or good for the module") {
+    int taken = 0, refused = 0;
+    check_property(
+        "configuration", 3000,
+        [&] {
+            // Numbers, from the last on, so that the places before stay where they are.
+            const auto edits = *rc::gen::container<std::map<std::size_t, std::string>>(
+                rc::gen::resize(100, rc::gen::inRange<std::size_t>(0, 80)),
+                rc::gen::element<std::string>("-1", "0", "1", "7", "2.5", "4294967296", "9e15", "1e300",
+                                              "1e999", "null", "true", "\"x\"", "[]", "{", ""));
+            std::string text = config_text;
+            text.insert(text.find("\"window_ns\""), "\"aim_ns\":2000000000,"); // both classes wait
+            for (auto edit = edits.rbegin(); edit != edits.rend(); ++edit) {
+                std::size_t at = 0, size = 0;
+                for (std::size_t n = 0; n <= edit->first; ++n) {
+                    at = std::min(text.find_first_of("0123456789", at + size), text.size());
+                    size = std::min(text.find_first_not_of("0123456789", at), text.size()) - at;
+                }
+                text.replace(at, size, edit->second);
+            }
+            std::optional<config::Settings> read;
+            try {
+                read = config::parse(text, no_variable);
+            } catch (const config::ConfigError& error) {
+                ++refused;
+                RC_ASSERT(std::string_view(error.what()).find('\n') == std::string_view::npos);
+                return;
+            }
+            ++taken;
+            const willowrill::Settings& settings = read->decisions;
+            RC_ASSERT(settings.classes.size() == read->names.classes.size());
+            RC_ASSERT(settings.self < settings.dispatchers);
+            willowrill::Dispatcher dispatcher(settings);
+            std::vector<willowrill::Event> events{
+                ListNews{ListNews::Kind::complete, {{.worker = 0, .key = 1}}}};
+            for (willowrill::Index c = 0; c < settings.classes.size(); ++c)
+                events.emplace_back(willowrill::JobArrived{.job = c, .job_class = c, .left = 1s});
+            std::vector<willowrill::Action> actions;
+            dispatcher.handle(1s, events, actions);
+            dispatcher.handle(3s, {}, actions);
+            // Each was answered or sent, and those sent are out of time by now.
+            for (willowrill::JobId job = 0; job < settings.classes.size(); ++job)
+                RC_ASSERT(std::ranges::any_of(actions, [&](const willowrill::Action& action) {
+                    const auto* refuse = std::get_if<willowrill::Refuse>(&action);
+                    const auto* fail = std::get_if<willowrill::Fail>(&action);
+                    return (refuse != nullptr && refuse->job == job) || (fail != nullptr && fail->job == job);
+                }));
+        },
+        4);
+    CHECK(taken > 300);
+    CHECK(refused > 300);
+}
+
 // Whatever stands at the path: one clear line, and neither a wait nor a full memory.
 TEST_CASE("configuration files that are none are refused with their reason; a cut one is never read") {
     std::string folder = "/tmp/willowrill-config-XXXXXX";
