Read a file in one plain loop, name shares, and let new tests share what they repeated

Change: chunks up to the bound; `share` beside `number`; `KeyedFleet`, `refuses_each`, and `site_settings` for the scale tests too. What is refused, and every assertion, is as before.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -67,13 +67,19 @@
     return std::string(out);
 }
 
-// None of the figures can sensibly be negative, and some are shares.
+// None of the figures can sensibly be negative.
 double number(const object& from, std::string_view key, double fallback = 0, double most = 1e12) {
     const auto value = find(from, key);
     if (!value) return fallback;
     double out = 0;
     if (value->get(out) != simdjson::SUCCESS) bad(key, "a number");
-    if (!(out >= 0 && out <= most)) bad(key, most == 1 ? "a share from 0 to 1" : "a number, not negative");
+    if (!(out >= 0 && out <= most)) bad(key, "a number, neither negative nor huge");
+    return out;
+}
+
+double share(const object& from, std::string_view key, double fallback) {
+    const double out = number(from, key, fallback);
+    if (out > 1) bad(key, "a share from 0 to 1");
     return out;
 }
 
@@ -171,7 +177,7 @@
     out.give_up = duration(from, "hard_limit_ns");
     if (out.give_up <= Duration(0)) bad("hard_limit_ns", "more than 0");
     out.worth = number(from, "worth", 1);
-    out.late_worth = number(from, "late_share", 0, 1);
+    out.late_worth = share(from, "late_share", 0);
     // The module's tables are as long as the kinds that the settings name.
     const double kind = of_class(family, "class_kind", place, -1);
     if (kind >= 0 && !(kind == std::floor(kind) && kind < static_cast<double>(kinds)))
@@ -210,7 +216,7 @@
         if (item.get(named) != simdjson::SUCCESS) named = empty<object>("{}");
         to.tenants.push_back({.share = number(named, "share"), .quota_per_s = number(named, "quota_rps")});
     }
-    to.over_quota_worth = number(json, "over_share_worth", 1, 1);
+    to.over_quota_worth = share(json, "over_share_worth", 1);
     to.worth_by_work = text(json, "counted_by", "request") == "work";
     to.tick = duration(json, "tick_ns");
     if (to.tick > std::chrono::seconds(1)) bad("tick_ns", "a second at most: jobs wait for it");
@@ -237,7 +243,7 @@
     to.drain_grace = duration(safety, "stop_sending_within_ns");
     to.list_valid = duration(safety, "ask_within_ns");
     to.cold_time = duration(safety, "cold_ns");
-    to.cold_capacity = number(safety, "start_capacity", 1, 1);
+    to.cold_capacity = share(safety, "start_capacity", 1);
     to.overload_multiple = number(safety, "fall_multiple");
     to.overload_time = duration(safety, "fall_ns");
 }
--- a/src/net/file.cpp
+++ b/src/net/file.cpp
@@ -6,6 +6,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <array>
 #include <cerrno>
 #include <cstring>
 
@@ -22,32 +23,26 @@
         why = S_ISDIR(about.st_mode) ? "cannot be read: it is a folder" : "cannot be read: it is no file";
         return std::nullopt;
     }
-    // One byte more is asked for than may come: what grows meanwhile is noticed, too.
-    std::string out(most_bytes + 1 < static_cast<std::size_t>(about.st_size)
-                        ? most_bytes + 1
-                        : static_cast<std::size_t>(about.st_size) + 1,
-                    '\0');
-    std::size_t have = 0;
-    while (have < out.size()) {
-        const auto got = ::read(fd.get(), out.data() + have, out.size() - have);
+    std::string out;
+    std::array<char, 16384> bytes;     // NOLINT: filled by read
+    while (out.size() <= most_bytes) { // by what comes: the file may grow meanwhile
+        const auto got = ::read(fd.get(), bytes.data(), bytes.size());
         if (got < 0 && errno == EINTR) continue;
         if (got < 0) {
             why = std::string("cannot be read: ") + std::strerror(errno);
             return std::nullopt;
         }
         if (got == 0) break;
-        have += static_cast<std::size_t>(got);
-        if (have == out.size() && have <= most_bytes) out.resize(std::min(most_bytes + 1, 2 * have));
+        out.append(bytes.data(), static_cast<std::size_t>(got));
     }
-    if (have > most_bytes) {
+    if (out.size() > most_bytes) {
         why = "holds more than " + std::to_string(most_bytes) + " bytes";
         return std::nullopt;
     }
-    if (have == 0) {
+    if (out.empty()) {
         why = "is empty";
         return std::nullopt;
     }
-    out.resize(have);
     return out;
 }
 
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -179,8 +179,7 @@
     CHECK(fleet.dispatcher->excluded(2s) == 1);
 }
 
-// ---- Given up means answered, at that moment
-// ---------------------------------------------------------------
+// ---- Given up means answered, at that moment ----
 
 constexpr JobClass by_cell{.effect = Effect::keyed,
                            .repeat_scope = RepeatScope::cell,
@@ -188,33 +187,41 @@
                            .aim = 10s,
                            .give_up = 60s};
 
+// Two cells of two workers, and a keyed job out at one of them.
+struct KeyedFleet : Fleet {
+    KeyedFleet() : Fleet(4, 1, 0, 0, by_cell) {
+        JobArrived keyed = job(0);
+        keyed.job_class = 1;
+        REQUIRE(at(10ms, {keyed}) == 1);
+        first = to;
+    }
+    std::pair<WorkerId, WorkerId> cell() const { return {first, first ^ 1U}; }
+    std::ptrdiff_t failed() const {
+        return std::ranges::count_if(actions,
+                                     [](const Action& a) { return std::holds_alternative<Fail>(a); });
+    }
+    WorkerId first = none;
+};
+
 // It waited for its turn to be looked at while nobody was left who drops its repeat.
 TEST_CASE("a keyed job whose group is gone is answered at once") {
-    Fleet fleet(4, 1, 0, 0, by_cell);
-    JobArrived keyed = Fleet::job(0);
-    keyed.job_class = 1;
-    REQUIRE(fleet.at(10ms, {keyed}) == 1);
-    const WorkerId first = fleet.to, other = first ^ 1U;
+    KeyedFleet fleet;
+    const auto [first, other] = fleet.cell();
     REQUIRE(fleet.at(20ms, {Fleet::lost(0, first)}) == 1); // the other of its cell
     REQUIRE(fleet.to == other);
     REQUIRE(fleet.at(30ms, {Fleet::lost(0, other, Outcome::full, 1)}) == 0);
-    CHECK(std::ranges::count_if(fleet.actions,
-                                [](const Action& a) { return std::holds_alternative<Fail>(a); }) == 1);
+    CHECK(fleet.failed() == 1);
 }
 
 TEST_CASE("a keyed job that waits is answered when the last of its group drains") {
-    Fleet fleet(4, 1, 0, 0, by_cell);
-    JobArrived keyed = Fleet::job(0);
-    keyed.job_class = 1;
-    REQUIRE(fleet.at(10ms, {keyed}) == 1);
-    const WorkerId first = fleet.to, other = first ^ 1U;
+    KeyedFleet fleet;
+    const auto [first, other] = fleet.cell();
     REQUIRE(fleet.at(15ms, {Fleet::job(1), Fleet::job(2), Fleet::job(3)}) == 3);
     ListNews news{ListNews::Kind::changes, {{.worker = other, .key = other, .cell = other / 2}}};
     news.entries[0].condition = Condition::draining;
     REQUIRE(fleet.at(20ms, {news}) == 0);
     fleet.at(30ms, {Fleet::lost(0, first)});
-    CHECK(std::ranges::count_if(fleet.actions,
-                                [](const Action& a) { return std::holds_alternative<Fail>(a); }) == 1);
+    CHECK(fleet.failed() == 1);
 }
 
 // It was looked at again after a quarter of the time that it had waited, whatever became of it meanwhile.
@@ -244,8 +251,7 @@
     CHECK(refuse->stay_away == 2s);
 }
 
-// ---- What clients and workers may claim
-// --------------------------------------------------------------------
+// ---- What clients and workers may claim ----
 
 // One request with an absurd number of slots decided, for good, what all workers were taken for.
 TEST_CASE("a job that claims a million slots and fails changes nobody's size") {
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -248,28 +248,24 @@
             ++lines;
         return lines;
     };
+    const auto refuses_each = [&](const std::string& file, const std::string& good,
+                                  const std::vector<std::string>& bad) {
+        for (const std::string& text : bad) {
+            const std::size_t before = refused();
+            rig.fleet.write(file, text);
+            rig.fleet.process(0).signal(SIGHUP);
+            REQUIRE(rig.until([&] { return refused() == before + 1; }));
+            rig.jobs(1, 1);
+        }
+        rig.fleet.write(file, good);
+    };
     rig.fleet.write("site0.yaml", yaml);
-    std::size_t before = refused();
-    for (const std::string& bad :
-         {std::string(), std::string("{}"), std::string("[]"), whole.substr(0, whole.size() / 2), whole + "}",
-          "{\"name\":\"x\"," + whole.substr(1), std::string(17U << 20U, ' ')}) {
-        rig.fleet.write("config0.json", bad);
-        rig.fleet.process(0).signal(SIGHUP);
-        REQUIRE(rig.until([&] { return refused() == before + 1; }));
-        ++before;
-        rig.jobs(1, 1);
-    }
-    rig.fleet.write("config0.json", whole);
-    for (const std::string& bad :
-         {std::string(), std::string("a: [\n"), yaml.substr(0, yaml.size() / 2 + 1) + "~", yaml + yaml,
-          yaml + "mesh: nan\n", std::string(2U << 20U, '#')}) {
-        rig.fleet.write("site0.yaml", bad);
-        rig.fleet.process(0).signal(SIGHUP);
-        REQUIRE(rig.until([&] { return refused() == before + 1; }));
-        ++before;
-        rig.jobs(1, 1);
-    }
-    rig.fleet.write("site0.yaml", yaml);
+    refuses_each("config0.json", whole,
+                 {"", "{}", "[]", whole.substr(0, whole.size() / 2), whole + "}",
+                  "{\"name\":\"x\"," + whole.substr(1), std::string(17U << 20U, ' ')});
+    refuses_each("site0.yaml", yaml,
+                 {"", "a: [\n", yaml.substr(0, yaml.size() / 2 + 1) + "~", yaml + yaml, yaml + "mesh: nan\n",
+                  std::string(2U << 20U, '#')});
     rig.fleet.process(0).signal(SIGHUP);
     REQUIRE(rig.until([&] { return log_has("operators' file read again"); }));
     CHECK(rig.fleet.failed() == 0);
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -1,6 +1,7 @@
 // What only many dispatchers show: instances of the real module side by side in virtual time, with workers
 // that are slots, queues and late reports, and nothing else. Seeds are fixed.
 #include "learn/learn.h"
+#include "ledger.h"
 
 #include <willowrill/dispatcher.h>
 
@@ -22,13 +23,9 @@
 constexpr Index once = 0, keyed = 1; // classes; the second runs on kind 0 alone
 
 Settings settings_for(Index dispatchers, Index self, double handshake_price) {
-    Settings out;
+    Settings out = site_settings(self, dispatchers);
     out.seed = 100 + self;
-    out.self = self;
-    out.dispatchers = dispatchers;
-    out.zone = self % 2;
-    out.zones = 2;
-    out.kinds = 2;
+    out.list_on_request = out.second_copies = false; // the list comes by itself
     out.classes = {{.effect = Effect::once, .aim = 300ms, .aim_stretch = 1.75, .give_up = 5s, .worth = 10},
                    {.effect = Effect::keyed,
                     .repeat_scope = RepeatScope::cell,
@@ -38,18 +35,8 @@
                     .give_up = 25s,
                     .worth = 30,
                     .kind = 0}};
-    out.tick = tick;
     out.cross_zone_price = 0.02;
     out.handshake_price = handshake_price;
-    out.connection_idle = 5s;
-    out.reports_with_answers = out.may_cancel = out.takes_advice = true;
-    out.max_attempts = 4;
-    out.max_stay_away = 2s;
-    out.list_valid = 10s;
-    out.cold_time = 9s;
-    out.cold_capacity = 0.4;
-    out.overload_multiple = 2.5;
-    out.overload_time = 1s;
     return out;
 }
 
