--- a/include/willowrill/dispatcher.h
+++ b/include/willowrill/dispatcher.h
@@ -72,14 +72,18 @@
     bool tells_start = false;     // workers say when a job starts
     Duration progress_period{0};  // time between progress notes; 0 for none
     bool reports_with_answers = false;
+    bool reports_with_probes = false; // the answer to a probe carries a load report
+
 
     // What the site allows.
     bool may_cancel = false;
     bool second_copies = false; // two attempts of a job may be out at once
     bool takes_advice = false;  // clients receive `Refuse::stay_away`
+    bool probes = false;        // workers may be asked how they are
     Index max_attempts = 1;
     Duration max_stay_away{0};
     double cross_zone_price = 0, handshake_price = 0;
+    double probe_price = 0; // of one probe for each job, as a share of all worth
     Duration connection_idle{0}; // a connection that has carried nothing for so long is closed
 
     // The figures of the four rules.
@@ -199,11 +203,19 @@
     std::optional<Report> report{};
 };
 
+// The answer to a `Probe`; one for each. A probe that was refused, was late or made no sense has no report.
+struct Probed {
+    WorkerId worker = 0;
+    Outcome outcome = Outcome::served;
+    Duration latency{0};
+    std::optional<Report> report{};
+};
+
 // The time of an earlier `Wake` has come.
 struct Woken {};
 
 using Event = std::variant<ListNews, JobArrived, JobLeft, AttemptStarted, AttemptProgress, AnswerBegun,
-                           AttemptEnded, Woken>;
+                           AttemptEnded, Probed, Woken>;
 
 // ---- Actions -------------------------------------------------------------------------------------------
 
@@ -231,6 +243,11 @@
     Index attempt = 0;
 };
 
+// Ask a worker for its load. A worker is asked once at a time.
+struct Probe {
+    WorkerId worker = 0;
+};
+
 // Send a `Woken` at this time. Only the earliest wish counts; a later one need not be remembered.
 struct Wake {
     Time at{0};
@@ -241,7 +258,7 @@
     bool active = true;
 };
 
-using Action = std::variant<Send, Refuse, Fail, Cancel, Wake, WatchList>;
+using Action = std::variant<Send, Refuse, Fail, Cancel, Probe, Wake, WatchList>;
 
 // ---- The dispatcher ------------------------------------------------------------------------------------
 
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -223,9 +223,12 @@
     to.list_on_request = text(json, "discovery", "push") == "ask";
     to.tells_start = flag(family, "tells_start");
     to.progress_period = duration(family, "progress_ns");
-    to.reports_with_answers = text(section(json, "reporting"), "via", "silent") == "piggyback";
+    const std::string via = text(section(json, "reporting"), "via", "silent");
+    to.reports_with_answers = via == "piggyback";
+    to.reports_with_probes = to.reports_with_answers || via == "pull";
 
     const object limits = section(json, "limits");
+    to.probes = flag(limits, "probes");
     to.may_cancel = flag(limits, "cancel");
     to.second_copies = flag(limits, "second_copies");
     to.takes_advice = flag(limits, "retry_after");
@@ -234,6 +237,7 @@
     to.max_stay_away = duration(limits, "max_retry_after_ns");
     to.cross_zone_price = number(section(json, "prices"), "cross_zone");
     to.handshake_price = number(section(json, "prices"), "handshake");
+    to.probe_price = number(section(json, "prices"), "probe");
     out.connection_idle = to.connection_idle = duration(limits, "conn_idle_ns");
     out.connect_timeout = duration(limits, "connect_timeout_ns");
     out.max_open = whole(limits, "max_open");
--- a/src/core/host.cpp
+++ b/src/core/host.cpp
@@ -195,6 +195,11 @@
     events_.emplace_back(std::move(news));
 }
 
+void Host::probed(WorkerId worker, willowrill::Outcome outcome, Duration latency,
+                  const std::optional<willowrill::Report>& report) {
+    events_.emplace_back(willowrill::Probed{worker, outcome, latency, report});
+}
+
 std::optional<Time> Host::next_batch() const {
     const Time tick = last_batch_ + tick_;
     if (!events_.empty()) return tick;
@@ -276,6 +281,7 @@
                        ++counters_.cancelled;
                        relays_.cancel(cancel.job, cancel.attempt);
                    },
+                   [&](const willowrill::Probe& probe) { relays_.probe(probe.worker); },
                    [&](const willowrill::Wake& wake) { wake_ = wake_ ? std::min(*wake_, wake.at) : wake.at; },
                    [&](const willowrill::WatchList& watch) { inventory_.watch(watch.active); },
                },
--- a/src/core/host.h
+++ b/src/core/host.h
@@ -50,6 +50,7 @@
     virtual ~Relays() = default;
     virtual void start(JobId job, Index attempt, WorkerId worker, Time give_up, const Message& message) = 0;
     virtual void cancel(JobId job, Index attempt) = 0;
+    virtual void probe(WorkerId worker) = 0; // followed by one `Host::probed`, in or after the call
 };
 
 class Inventory {
@@ -123,6 +124,8 @@
     void attempt_progress(JobId job, Index attempt, double done);
     void attempt_ended(JobId job, Index attempt, willowrill::Outcome outcome, Time now,
                        const std::optional<willowrill::Report>& report = {}, std::string_view result = {});
+    void probed(WorkerId worker, willowrill::Outcome outcome, Duration latency,
+                const std::optional<willowrill::Report>& report);
     void list_news(willowrill::ListNews news);
 
     // When `batch` is due: at the next tick if there is news, else when the module wants to wake.
--- /dev/null
+++ b/src/learn/books.h
@@ -0,0 +1,143 @@
+// What the module writes down of workers, attempts and jobs, and of its subscription to the list. Plain
+// books: they keep what they are told and what follows from it by sums, and know neither rules nor time.
+#pragma once
+
+#include "learn/learn.h"
+
+#include <willowrill/dispatcher.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+#include <vector>
+
+namespace willowrill::learn {
+
+struct Attempt {
+    WorkerId worker = 0;
+    Time sent{0}, started_at{-1}; // negative: no word of its start came
+    double step = 0;              // what it added to X
+    bool out = true, started = false, cancelled = false, may_have_run = true;
+    bool stuck = false; // out for so long that it must be waiting at its worker
+};
+
+struct Worker {
+    WorkerEntry entry;
+    bool ready = false, home = false;
+    double load = 0;        // L: last reported load, in shares of its slots
+    double degradation = 0; // X
+    double sent_slots = 0;  // what X stands for, in slots: sent since the last fresh report
+    Time reported_at{-1};   // when L came; negative for never
+    std::optional<Report> last_report{};
+    Time changed_at{0};      // when it came first
+    Time connected_until{0}; // a connection that has served is kept so long at the least
+    double own_slots = 0;    // slots of this dispatcher's attempts that are out
+    double stuck_slots = 0;  // of these, slots of attempts that ought to have started by now
+    int strikes = 0;
+    Time full_until{0}, rest_until{0}, trusted_from{0};
+    Window cold_sends;  // work
+    bool asked = false; // a probe is out
+    Time asked_at{0};
+
+    // Workers of one kind and zone are alike: what is known of one holds for others.
+    std::size_t group() const { return group_of(entry.kind, entry.zone); }
+    Runs::Place place() const { return {entry.kind, group()}; }
+    bool is_cold(Time now, Time cold_time) const {
+        return entry.up_since > Time(0) && now - entry.up_since < cold_time;
+    }
+    // What a cold one can do, as a share: from that of its start evenly up to all.
+    double warmth(Time at, Time cold_time, double from) const {
+        return from + (1 - from) * std::max(0.0, seconds(at - entry.up_since) / seconds(cold_time));
+    }
+
+    bool rests(Time now) const { return now < rest_until; }
+    bool is_full(Time now) const { return now >= rest_until && now < full_until; }
+    void rest(Time now, Time span, int wary_spans) {
+        rest_until = now + span;
+        trusted_from = now + wary_spans * span;
+    }
+    void proved_well(Time now) {
+        strikes /= 2;
+        if (strikes == 0) trusted_from = now;
+    }
+    bool ask(Time now) { // false: a probe is out already
+        asked_at = now;
+        return !std::exchange(asked, true);
+    }
+
+    void report(double l, Time now) {
+        load = std::max(0.0, l);
+        degradation = sent_slots = 0;
+        reported_at = now;
+    }
+    void sent(double slots, double step) {
+        degradation += step;
+        sent_slots += slots;
+        own_slots += slots;
+    }
+    void ended(double slots) { own_slots = std::max(0.0, own_slots - slots); }
+    // An end that no report came with: until the next one, what this dispatcher knows to be over counts no
+    // more, be it in X or, if the last report was made after the job was sent, in L. `share`: of all slots.
+    void ended_untold(const Attempt& attempt, double slots, double share) {
+        if (attempt.sent <= reported_at) {
+            load = std::max(0.0, load - share);
+        } else {
+            sent_slots = std::max(0.0, sent_slots - slots);
+            degradation = std::max(0.0, degradation - attempt.step);
+        }
+    }
+};
+
+struct Job {
+    std::uint64_t serial = 0; // tells this job from others that had the same id
+    bool live = false, waiting = false, streaming = false;
+    JobArrived in;
+    Time asked_at{0}, arrived{0}, deadline{0}, look_at{0};
+    double value = 0; // worth for each slot-second
+    std::vector<Attempt> attempts{};
+    const Attempt* first_that_may_have_run() const {
+        const auto found = std::ranges::find(attempts, true, &Attempt::may_have_run);
+        return found == attempts.end() ? nullptr : &*found;
+    }
+    bool is_out() const { return std::ranges::count(attempts, true, &Attempt::out) > 0; }
+};
+
+// The load in a report. Utilisation ends at 1 and may lag behind the slots: the fuller view counts, and what
+// waits is added. `fallback`: where it tells neither; `all`: the worker's slots, 0 while none are known.
+inline double load_in(const Report& report, double fallback, double all, double per_slot) {
+    double load = report.utilisation.value_or(fallback);
+    if (report.free_slots && all > 0) load = std::max(load, 1 - *report.free_slots / all);
+    return load + report.queued.value_or(0) * per_slot;
+}
+
+// A subscription to the list that must be asked for, and asked for again when it breaks. Calls are spread by
+// chance, as all dispatchers may start at once; they recur often enough for the list to stay valid.
+class Subscription {
+  public:
+    void told(bool broken, bool remembered) {
+        failed_ = broken;
+        if (!broken) watching_ = watching_ || !remembered;
+    }
+    // Whether to ask now; `chance` gives a number from 0 to 1 when it is needed.
+    template <class Chance> bool due(Time now, Time valid, Chance chance) {
+        const auto after = [&](double s) { return now + Time(static_cast<Time::rep>(s * 1e9)); };
+        if (ask_at_ < Time(0)) ask_at_ = after(chance() * seconds(valid) / 8);
+        if (watching_) failures_ = 0;
+        if (std::exchange(failed_, false)) {
+            watching_ = false;
+            const double back_off = std::min(seconds(valid) / 2, std::ldexp(0.5, failures_++));
+            ask_at_ = after(back_off * (0.5 + chance()));
+        }
+        if (watching_ || now < ask_at_) return false;
+        ask_at_ = now + valid / 2;
+        return true;
+    }
+    std::optional<Time> next() const { return watching_ ? std::nullopt : std::optional(ask_at_); }
+
+  private:
+    bool watching_ = false, failed_ = false;
+    int failures_ = 0;
+    Time ask_at_{-1};
+};
+
+} // namespace willowrill::learn
--- a/src/learn/learn.h
+++ b/src/learn/learn.h
@@ -4,12 +4,16 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <cmath>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <optional>
+#include <span>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -58,6 +62,12 @@
         return (all_.value * prior_samples_ + own.value * own.samples) / (prior_samples_ + own.samples);
     }
     double all() const { return all_.value; }
+    double least(std::size_t groups) const { // of the first so many
+        double out = all_.value;
+        for (std::size_t group = 0; group < groups; ++group)
+            out = group == 0 ? of(group) : std::min(out, of(group));
+        return out;
+    }
 
   private:
     Mean all_;
@@ -246,6 +256,96 @@
     std::size_t tidy_at_ = enough_to_tidy;
 };
 
+// Which part of the jobs are about a key, by the last thousand or so.
+class KeyShares {
+  public:
+    void add(std::uint64_t key) {
+        all_ += 1;
+        counts_[key] += 1;
+        if (all_ < most) return;
+        all_ /= 2;
+        for (auto& [held, count] : counts_)
+            count /= 2;
+        std::erase_if(counts_, [](const auto& entry) { return entry.second < 0.5; });
+    }
+    double share(std::uint64_t key) const {
+        const auto found = counts_.find(key);
+        return found == counts_.end() || all_ <= 0 ? 0 : found->second / std::max(all_, some);
+    }
+
+  private:
+    static constexpr double most = 1024, some = 32;
+    double all_ = 0;
+    std::unordered_map<std::uint64_t, double> counts_;
+};
+
+// Who holds a key: an order of workers by a hash of both, in which each key has its own, the same to whoever
+// makes it, and workers that come and go leave the others in theirs (rendezvous hashing).
+class Holders {
+  public:
+    template <class Ids, class KeyOf> void order(std::uint64_t key, const Ids& ids, KeyOf key_of) {
+        key_ = mixed(key + 1);
+        first_ = {};
+        for (const auto id : ids) {
+            double height = height_of(key_of(id));
+            for (double& held : first_)
+                if (height > held) std::swap(height, held);
+        }
+    }
+    // How many come before this worker; as many as are kept where it is not among them.
+    double before(std::uint64_t worker) const {
+        const double own = height_of(worker);
+        return static_cast<double>(std::ranges::count_if(first_, [&](double held) { return held > own; }));
+    }
+
+  private:
+    double height_of(std::uint64_t worker) const { return unit(mixed(key_ ^ worker)); }
+    std::uint64_t key_ = 0;
+    std::array<double, 16> first_{};
+};
+
+// The one with the lowest score, ties broken by chance.
+struct Lowest {
+    static constexpr double tie = 1e-9;
+    std::uint32_t id = static_cast<std::uint32_t>(-1); // none yet
+    double score = std::numeric_limits<double>::infinity();
+    int ties = 0;
+    template <class Chance> void offer(std::uint32_t other, double its_score, Chance chance) {
+        if (its_score < score - tie) {
+            *this = {other, its_score, 1};
+        } else if (its_score <= score + tie && chance() * ++ties < 1) {
+            id = other;
+        }
+    }
+};
+
+// Beats, so many a second, that begin at a time of chance and never come in bursts.
+class Pulse {
+  public:
+    template <class Chance> bool due(Time now, double per_s, Chance chance) {
+        const auto after = [&](double beats) {
+            return now + Time(static_cast<Time::rep>(1e9 * beats / per_s));
+        };
+        if (next_ < Time(0)) next_ = after(chance());
+        if (now < next_) return false;
+        next_ = after(1);
+        return true;
+    }
+    Time next() const { return next_; }
+
+  private:
+    Time next_{-1};
+};
+
+// Calls `then` with each run of neighbours for which `what` gives the same.
+template <class Id, class What, class Then> void each_run(std::span<Id> ids, What what, Then then) {
+    for (std::size_t first = 0, end = 0; first < ids.size(); first = end) {
+        while (end < ids.size() && what(ids[end]) == what(ids[first]))
+            ++end;
+        then(ids.subspan(first, end - first));
+    }
+}
+
 // What was added within the last window.
 class Window {
   public:
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -301,6 +301,9 @@
                      "broke-at-reuse {} written {} open {}",
                      pool.opened, pool.reused, pool.refused, pool.retired, pool.hung_up, pool.evicted,
                      pool.reuse_failed, pool.written, pool_.size());
+        spdlog::info("probes: sent {} told {} unwilling {} nonsense {} late {} lost {} crowded-out {}",
+                     pool.probes, pool.told, pool.unwilling, pool.nonsense, pool.late, pool.lost,
+                     pool.crowded_out);
         if (desk_) {
             const mgmt::DeskCounters& desk = desk_->counters();
             spdlog::info("mgmt: calls {} bad {} silent {} evicted {}", desk.calls, desk.bad, desk.silent,
--- a/src/north/request.cpp
+++ b/src/north/request.cpp
@@ -10,7 +10,8 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::size_t longest_name = 256;               // of an id or a key
+constexpr std::size_t longest_name = 256; // of an id or a key
+constexpr double longest_cost_us = 1e14;
 constexpr std::uint64_t longest_wait_ms = 24 * 3600000; // beyond that, a time is nonsense
 
 std::optional<double> to_real(std::string_view text) {
@@ -97,6 +98,9 @@
         if (name == "obj") message.key = net::http::to_number(value, 16);
     });
     if (!read_attributes(text("x-attrs"), message)) return reject("X-Attrs holds a figure that is none");
+    // An estimate that cannot be is none: the job is served without it.
+    if (const auto cost = to_real(text("x-cost")); cost && *cost < longest_cost_us && message.hint == 0ns)
+        message.hint = core::Duration(static_cast<core::Duration::rep>(*cost * 1000));
     message.method = head.method;
     message.target = head.target;
     message.body = std::move(request.body());
--- a/src/relay/answer.cpp
+++ b/src/relay/answer.cpp
@@ -22,10 +22,8 @@
     (*report).*field.field = value;
 }
 
-std::optional<Report> read_load(const object& from, const std::vector<config::ReportName>& fields) {
+std::optional<Report> read_load(const object& load, const std::vector<config::ReportName>& fields) {
     std::optional<Report> report;
-    object load;
-    if (from["load"].get(load) != SUCCESS) return report;
     for (const config::ReportName& field : fields) {
         double value = 0;
         if (load[field.wire].get(value) == SUCCESS || load[field.setting].get(value) == SUCCESS)
@@ -72,6 +70,14 @@
     return verdict; // the head came when the job was taken: a report in it would be old
 }
 
+std::optional<Report> AnswerReader::read_probe(net::http::Parser& parser) const {
+    if (!parser.done() || parser.head().status != 200) return std::nullopt;
+    object json, load;
+    if (json_->parser.parse(parser.body().data(), parser.body().size(), true).get(json) != SUCCESS)
+        return read_header(parser.head());
+    return read_load(json["load"].get(load) == SUCCESS ? load : json, fields_);
+}
+
 // A line that is not what the protocol says, or speaks of another job, proves nothing: a reset.
 std::optional<Verdict> AnswerReader::read_line(std::string_view line, std::vector<Note>& notes) {
     object json;
@@ -89,7 +95,8 @@
         notes.push_back(note);
         return std::nullopt;
     }
-    Verdict verdict{Outcome::reset, read_load(json, fields_)};
+    Verdict verdict;
+    if (object load; json["load"].get(load) == SUCCESS) verdict.report = read_load(load, fields_);
     std::string_view result;
     if (state == "done" && json["result"].get(result) == SUCCESS) {
         verdict.outcome = Outcome::served;
--- a/src/relay/answer.h
+++ b/src/relay/answer.h
@@ -33,6 +33,10 @@
 
     void begin(std::string id); // of the message that is out
 
+    // The load report in the whole answer to a probe: in its body, bare or as `load`, or in the header. None
+    // where it is no 200, or holds nothing that the settings name and that can be.
+    std::optional<willowrill::Report> read_probe(net::http::Parser& parser) const;
+
     // Looks at what the parser holds, and takes lines out of its body. Gives the verdict once there is one.
     std::optional<Verdict> read(net::http::Parser& parser, std::vector<Note>& notes);
 
--- a/src/relay/pool.cpp
+++ b/src/relay/pool.cpp
@@ -52,6 +52,14 @@
         if (connection_.all_sent()) ++pool_.counters_.written;
     }
 
+    // Asks for the worker's load. An answer that takes longer than a connection may to come up is no news.
+    void probe() {
+        asked_at_ = pool_.loop_.now();
+        state_ = State::probing;
+        timer_.arm(asked_at_ + pool_.limits_.connect_timeout);
+        connection_.write(net::http::write_request("GET", "/status/load", {{"Host", address.text()}}, ""));
+    }
+
     void rest() {
         state_ = State::idle;
         reused_ = true;
@@ -72,13 +80,17 @@
     const net::Endpoint address;
 
   private:
-    enum class State { asked, ending, idle };
+    enum class State { asked, probing, ending, idle };
 
     // The request's last byte decides: before it the job cannot have begun.
     Outcome broken() const { return connection_.all_sent() ? Outcome::reset : Outcome::connect_failed; }
 
-    void on_open() override { timer_.arm(give_up_); }
-    void on_sent() override { ++pool_.counters_.written; }
+    void on_open() override {
+        timer_.arm(state_ == State::probing ? pool_.loop_.now() + pool_.limits_.connect_timeout : give_up_);
+    }
+    void on_sent() override {
+        if (state_ == State::asked) ++pool_.counters_.written;
+    }
 
     void on_input() override {
         connection_.consume(parser_.feed(connection_.input()));
@@ -88,11 +100,31 @@
             return pool_.drop(*this);
         case State::ending:
             return end_answer();
+        case State::probing:
+            return read_probe();
         case State::asked:
             return read_answer();
         }
     }
 
+    void read_probe() {
+        if (parser_.bad()) return end_probe(Outcome::error, pool_.counters_.nonsense);
+        if (!parser_.done()) return;
+        const auto report = reader_.read_probe(parser_);
+        const bool willing = parser_.head().status == 200;
+        ++(report ? pool_.counters_.told : willing ? pool_.counters_.nonsense : pool_.counters_.unwilling);
+        const auto self = shared_from_this();
+        pool_.asking_.erase(worker);
+        state_ = State::ending;
+        pool_.closing_.emplace(this, self);
+        end_answer();
+        tell_probed(willing ? Outcome::served : Outcome::error, report);
+    }
+
+    void tell_probed(Outcome outcome, const std::optional<willowrill::Report>& report = {}) {
+        pool_.host_->probed(worker, outcome, pool_.loop_.now() - asked_at_, report);
+    }
+
     void read_answer() {
         std::vector<Note> notes;
         const bool early = !connection_.all_sent();
@@ -145,10 +177,13 @@
             if (!verdict) verdict = Verdict{outcome};
             return finish(*verdict);
         }
+        if (state_ == State::probing) // a kept connection may have been closed for having been idle
+            return end_probe(reused_ ? Outcome::error : Outcome::reset, pool_.counters_.lost);
         pool_.drop(*this);
     }
 
     void on_timer() {
+        if (state_ == State::probing) return end_probe(Outcome::timed_out, pool_.counters_.late);
         if (state_ == State::asked) {
             const bool unsent = !connection_.all_sent();
             if (unsent) ++pool_.counters_.refused;
@@ -159,6 +194,12 @@
     }
 
   public:
+    void end_probe(Outcome outcome, std::uint64_t& counter) {
+        ++counter;
+        pool_.drop(*this);
+        tell_probed(outcome);
+    }
+
     void finish(const Verdict& verdict) {
         const core::JobId job = job_;
         const core::Index attempt = attempt_;
@@ -177,7 +218,7 @@
     core::JobId job_ = 0;
     core::Index attempt_ = 0;
     core::Time give_up_{0};
-    net::Time rested_at_{0};
+    net::Time rested_at_{0}, asked_at_{0};
     bool reused_ = false; // has carried a relay before
 };
 
@@ -192,6 +233,8 @@
     channel.close();
     std::erase(idle_, self);
     closing_.erase(&channel);
+    if (const auto found = asking_.find(channel.worker); found != asking_.end() && found->second == self)
+        asking_.erase(found);
     if (const auto found = busy_.find(channel.key()); found != busy_.end() && found->second == self)
         busy_.erase(found);
     --size_;
@@ -232,9 +275,15 @@
 
 bool Pool::make_room() {
     if (size_ < limits_.connections) return true;
-    if (idle_.empty()) return false;
-    ++counters_.evicted;
-    drop(*idle_.front());
+    if (!idle_.empty()) {
+        ++counters_.evicted;
+        drop(*idle_.front());
+    } else if (!asking_.empty()) { // a probe never takes the place of a job
+        const auto channel = asking_.begin()->second;
+        channel->end_probe(Outcome::not_sent, counters_.crowded_out);
+    } else {
+        return false;
+    }
     return true;
 }
 
@@ -262,6 +311,20 @@
     channel->relay(job, attempt, give_up, message);
 }
 
+void Pool::probe(core::WorkerId worker) {
+    ++counters_.probes;
+    auto channel = take_idle(worker);
+    Outcome failure = Outcome::not_sent;
+    // What is kept for the next job is not closed to ask a question.
+    if (!channel && size_ < limits_.connections) channel = open(worker, failure);
+    if (!channel) {
+        ++(failure == Outcome::not_sent ? counters_.crowded_out : counters_.lost);
+        return host_->probed(worker, failure, net::Duration(0), {});
+    }
+    asking_[worker] = channel;
+    channel->probe();
+}
+
 void Pool::cancel(core::JobId job, core::Index attempt) {
     const auto found = busy_.find(key_of(job, attempt));
     if (found == busy_.end()) return;
--- a/src/relay/pool.h
+++ b/src/relay/pool.h
@@ -25,6 +25,9 @@
     std::uint64_t opened = 0, reused = 0, refused = 0, retired = 0, hung_up = 0, evicted = 0,
                   reuse_failed = 0;
     std::uint64_t written = 0; // relays whose request went out to its last byte
+    // Probes: sent to their last byte or not, and how they ended: with a report, with an answer that is no
+    // 200, with one that holds no report, not in time, broken, or given up for a job's sake.
+    std::uint64_t probes = 0, told = 0, unwilling = 0, nonsense = 0, late = 0, lost = 0, crowded_out = 0;
 };
 
 class Pool final : public core::Relays {
@@ -37,6 +40,7 @@
     void start(core::JobId job, core::Index attempt, core::WorkerId worker, core::Time give_up,
                const core::Message& message) override;
     void cancel(core::JobId job, core::Index attempt) override;
+    void probe(core::WorkerId worker) override;
     void limit(std::size_t connections); // idle ones beyond it are closed
     void close_unlisted();               // idle connections to workers that drain, are gone or have moved
 
@@ -60,9 +64,10 @@
     const std::vector<config::ReportName>& fields_;
     PoolLimits limits_;
     core::Host* host_ = nullptr;
-    Channels idle_;                                                    // the most recently used last
-    std::unordered_map<std::uint64_t, std::shared_ptr<Channel>> busy_; // by message and attempt
-    std::unordered_map<Channel*, std::shared_ptr<Channel>> closing_;   // verdict given, answer not at its end
+    Channels idle_;                                                       // the most recently used last
+    std::unordered_map<std::uint64_t, std::shared_ptr<Channel>> busy_;    // by message and attempt
+    std::unordered_map<core::WorkerId, std::shared_ptr<Channel>> asking_; // probes: one a worker at a time
+    std::unordered_map<Channel*, std::shared_ptr<Channel>> closing_; // verdict given, answer not at its end
     std::size_t size_ = 0;
     double failures_ = 0; // of kept connections, fading with time
     net::Time failures_at_{0};
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -5,10 +5,11 @@
 //   1. take in every event: list, arrivals, notes, outcomes with their reports (`on`)
 //   2. look again at the jobs whose time has come: deadline, patience, not started yet (`review`)
 //   3. place the jobs that wait, the most valuable first (`place`): give up, pick a worker, send, or hold
-//   4. keep the list subscription alive (`keep_list`), ask to be woken for what comes next
+//   4. keep the list subscription alive (`keep_list`), ask workers for their load (`probe`), ask to be woken
 //
 // A worker is picked by PLUD: the lowest L + I + X. The rest decides who may be ranked, when a job is held,
 // moved, repeated or given up, and what L is when reports are old, late or blind.
+#include "learn/books.h"
 #include "learn/learn.h"
 
 #include <willowrill/dispatcher.h>
@@ -45,6 +46,11 @@
 constexpr int most_strikes = 5;
 constexpr double most_resting = 0.34; // beyond this share of the workers, the trouble is not theirs
 constexpr double tiny = 1e-9;
+constexpr double last_resort = 1;        // the paper's I of the last tier: 100%
+constexpr double holder_spare = 1.5;     // workers that hold a key, over those that its jobs would fill
+constexpr double most_stretch = 10;      // times its hint that one run may count for
+constexpr double probes_per_worker = 10; // a second, by all dispatchers; at 1 ms each a hundredth of its time
+constexpr double most_probe_price = 0.015; // of all worth
 constexpr double unlimited = std::numeric_limits<double>::infinity();
 constexpr double hopeless_share = 0.8;  // share of the tolerable wait after which a job is given up
 constexpr double wide_patience = 0.25;  // share of its aim after which a job of many slots goes with one
@@ -54,39 +60,7 @@
 using learn::seconds;
 Duration from_seconds(double s) { return Duration(static_cast<Duration::rep>(s * 1e9)); }
 
-struct Worker {
-    WorkerEntry entry;
-    bool ready = false, home = false;
-    double load = 0;        // L: last reported load, in shares of its slots
-    double degradation = 0; // X
-    double sent_slots = 0;  // what X stands for, in slots: sent since the last fresh report
-    Time reported_at{-1};   // when L came; negative for never
-    std::optional<Report> last_report{};
-    Time changed_at{0};      // when it came first
-    Time connected_until{0}; // a connection that has served is kept so long at the least
-    double own_slots = 0;    // slots of this dispatcher's attempts that are out
-    double stuck_slots = 0;  // of these, slots of attempts that ought to have started by now
-    int strikes = 0;
-    Time full_until{0}, rest_until{0}, trusted_from{0};
-    learn::Window cold_sends; // work
-};
-
-struct Attempt {
-    WorkerId worker = 0;
-    Time sent{0};
-    bool out = true, started = false, cancelled = false, may_have_run = true;
-    bool stuck = false; // out for so long that it must be waiting at its worker
-};
-
-struct Job {
-    std::uint64_t serial = 0; // tells this job from others that had the same id
-    bool live = false, waiting = false, streaming = false;
-    JobArrived in;
-    Time asked_at{0}, arrived{0}, deadline{0}, look_at{0};
-    double value = 0; // worth for each slot-second
-    std::vector<Attempt> attempts{};
-    bool is_out() const { return std::ranges::count(attempts, true, &Attempt::out) > 0; }
-};
+using learn::Attempt, learn::Job, learn::Worker;
 
 } // namespace
 
@@ -103,9 +77,8 @@
     // ---- 1. Events -------------------------------------------------------------------------------------
 
     void on(const ListNews& news) {
-        watch_failed = news.kind == ListNews::Kind::broken;
-        if (watch_failed) return;
-        watching = watching || news.kind != ListNews::Kind::remembered;
+        list.told(news.kind == ListNews::Kind::broken, news.kind == ListNews::Kind::remembered);
+        if (news.kind == ListNews::Kind::broken) return;
         for (Worker& w : workers)
             w.ready = w.ready && news.kind == ListNews::Kind::changes;
         for (const WorkerEntry& entry : news.entries) {
@@ -133,11 +106,9 @@
             const WorkerEntry& e = workers[id].entry;
             return std::tuple(e.kind, e.key, id);
         });
-        for (std::size_t first = 0, end = 0; first < ready.size(); first = end) {
-            while (end < ready.size() && workers[ready[end]].entry.kind == workers[ready[first]].entry.kind)
-                ++end;
-            choose_homes(std::span(ready).subspan(first, end - first));
-        }
+        learn::each_run(
+            std::span<const WorkerId>(ready), [&](WorkerId id) { return workers[id].entry.kind; },
+            [&](std::span<const WorkerId> alike) { choose_homes(alike); });
         capacity_changed = true;
     }
 
@@ -165,6 +136,8 @@
         const double worth = c.worth * (within_quota(in) ? 1 : settings.over_quota_worth);
         job.value = worth / (job.in.slots * (settings.worth_by_work ? 1 : runs.run(in.job_class)));
         retries.add(retry_ratio, retry_burst);
+        arrivals.add(1, now);
+        if (in.key) keys.add(*in.key);
         offered.add(in.job_class, work_of(job), now);
         look_again(in.job, job.deadline);
         wait(in.job);
@@ -177,7 +150,10 @@
     }
 
     void on(const AttemptStarted& note) {
-        if (Attempt* attempt = find(note.job, note.attempt)) mark_started(jobs[note.job], *attempt);
+        Attempt* attempt = find(note.job, note.attempt);
+        if (attempt == nullptr) return;
+        if (attempt->started_at < 0ns) attempt->started_at = now;
+        mark_started(jobs[note.job], *attempt);
     }
 
     void on(const AttemptProgress& note) { on(AttemptStarted{note.job, note.attempt, note.worker}); }
@@ -202,17 +178,21 @@
         mark_started(job, *attempt);
         attempt->out = false;
         attempt->may_have_run = may_have_run(ended.outcome);
-        w.own_slots = std::max(0.0, w.own_slots - job.in.slots);
+        w.ended(job.in.slots);
         capacity_changed = true;
         // What it has finished, it had slots for. (A first report from a busy worker shows few.)
         if (ended.outcome == Outcome::served && ended.report && ended.report->free_slots)
             kind_slots.finished(w.entry.kind, job.in.slots);
-        if (ended.report) note_report(w, *ended.report, attempt->may_have_run ? job.in.slots : 0);
+        if (ended.report)
+            note_report(w, *ended.report, attempt->may_have_run ? job.in.slots : 0);
+        else if (!settings.reports_with_answers)
+            w.ended_untold(*attempt, job.in.slots, job.in.slots / warm_slots(w));
         judge(attempt->worker, ended.outcome, job.in.slots);
         if (ended.outcome == Outcome::served) {
             const bool had_room = !ended.report || ended.report->free_slots.value_or(1) > 0.5;
             w.connected_until = now + settings.connection_idle * 3 / 4;
-            runs.served(job.in.job_class, place_of(w), seconds(ended.latency), had_room, now);
+            note_run(job, *attempt, had_room ? seconds(ended.latency) : -1);
+            runs.served(job.in.job_class, w.place(), seconds(ended.latency), had_room, now);
         }
         if (ended.job_over) on(JobLeft{ended.job});
         if (!job.live || job.streaming || job.is_out()) return;
@@ -223,6 +203,25 @@
 
     void on(const Woken&) {} // nothing to learn from it
 
+    void on(const Probed& answer) {
+        if (answer.worker >= workers.size() || !std::exchange(workers[answer.worker].asked, false)) return;
+        Worker& w = workers[answer.worker];
+        using enum Outcome;
+        if (answer.outcome == served) zones[w.entry.zone] = {};
+        if (answer.outcome == served && answer.report) note_report(w, *answer.report, 0);
+        if (answer.outcome == connect_failed || answer.outcome == timed_out || answer.outcome == reset)
+            judge(answer.worker, connect_failed, 0); // it would cost a job the same
+        capacity_changed = true;
+    }
+
+    // How long the job ran, against its hint. Where starts are told, its wait is known apart.
+    void note_run(const Job& job, const Attempt& attempt, double with_room_s) {
+        const bool told = attempt.started_at >= 0ns;
+        const double ran = told ? seconds(now - attempt.started_at) : with_room_s;
+        if (job.in.hint <= 0ns || ran < 0 || (settings.tells_start && !told)) return;
+        ratios.add(workers[attempt.worker].entry.kind, std::min(ran / seconds(job.in.hint), most_stretch));
+    }
+
     // A fresh report replaces L and zeroes X. It left before the answer that carries it, so the job answered
     // is still counted in it: its slots are taken off.
     void note_report(Worker& w, const Report& report, double finished_slots) {
@@ -232,18 +231,13 @@
         }
         const double all = kind_slots.of(w.entry.kind);
         const double per_slot = all > 0 ? 1 / all : default_step;
-        double load = report.utilisation.value_or(usual_load(w));
-        // Utilisation ends at 1 and may lag behind the slots: take the fuller view, and add what waits.
-        if (report.free_slots && all > 0) load = std::max(load, 1 - *report.free_slots / all);
-        load += report.queued.value_or(0) * per_slot;
+        const double load = learn::load_in(report, usual_load(w), all, per_slot);
         // A worker whose reports have stopped repeats its last one for good: the same figures, noise and all,
         // for longer than any report lives are not news.
         if (std::exchange(w.last_report, report) != report) w.changed_at = now;
         if (now - w.changed_at > from_seconds(blind_s)) return;
-        w.load = std::max(0.0, load - finished_slots * per_slot);
-        loads.add(group_of(w), w.load);
-        w.degradation = w.sent_slots = 0;
-        w.reported_at = now;
+        w.report(load - finished_slots * per_slot, now);
+        loads.add(w.group(), w.load);
     }
 
     // A worker that fails rests, longer each time; afterwards jobs that may be repeated prove it well again,
@@ -259,17 +253,14 @@
         if (silent && zone.another_silent(id) && zone.silent >= 2)
             zone.out_until = now + rest_of(std::min(zone.silent, most_strikes) - 2);
         if (outcome == served) {
-            w.strikes /= 2;
-            if (w.strikes == 0) w.trusted_from = now;
+            w.proved_well(now);
         } else if (outcome == full) {
             if (slots > warm_slots(w)) return; // wider than the worker: it may have room for others
             // It turns away at once and looks idle, full or draining: it would keep winning.
             w.full_until = now + from_seconds(seconds(first_rest) * (0.25 + uniform() / 2));
         } else {
             w.strikes = std::min(w.strikes + 1, most_strikes);
-            const Duration rest = rest_of(w.strikes - 1);
-            w.rest_until = now + rest;
-            w.trusted_from = w.rest_until + (wary_rests - 1) * rest;
+            w.rest(now, rest_of(w.strikes - 1), wary_rests);
         }
     }
 
@@ -293,7 +284,7 @@
         if (job.waiting) return;
         Attempt& last = job.attempts.back();
         if (!last.out || last.started || last.cancelled || now - last.sent < start_notice(job, last)) return;
-        runs.outlasts(job.in.job_class, place_of(workers[last.worker]), seconds(now - last.sent), now);
+        runs.outlasts(job.in.job_class, workers[last.worker].place(), seconds(now - last.sent), now);
         if (!std::exchange(last.stuck, true)) workers[last.worker].stuck_slots += job.in.slots;
         if (!tells()) return look_again(id, now + (now - last.sent) / 4);
         // It waits in a queue there: where it may, it moves to a worker with room.
@@ -336,7 +327,7 @@
         if (more <= 0 && now == job.arrived) crowding += mean_gain * ((to == none ? 1 : 0) - crowding);
         const Duration pause = std::max(patience(job), (now - job.arrived) / 4);
         if (to == none) return look_again(id, std::min(now + pause, give_up_at(job)));
-        const double wait = runs.wait(job.in.job_class, group_of(workers[to]), now);
+        const double wait = runs.wait(job.in.job_class, workers[to].group(), now);
         if (class_of(job).kind != none && now + from_seconds(wait) > useful_until(job)) return end(id);
         job.waiting = false;
         send(id, to);
@@ -344,7 +335,7 @@
 
     // `need`: how many slots must be free.
     WorkerId pick_with_room(const Job& job, double allowance, double need) {
-        const bool anywhere = group_anchor(job) == none;
+        const bool anywhere = group_anchor(job) == none && !job.in.key; // its holders are its own
         double& no_room = no_room_for(job);
         if (anywhere && need >= no_room && (allowance < 1 || no_room <= 0)) return none;
         const WorkerId to = pick(job);
@@ -365,13 +356,19 @@
         const JobClass& c = class_of(job);
         const double run = runs.run(job.in.job_class);
         if (c.late_worth > 0) return job.deadline - from_seconds(run);
+        if (job.in.hint > 0ns) { // a hint tells its own aim, and the kind that is fastest what it needs
+            const double hint = seconds(job.in.hint);
+            const double spare = seconds(c.aim) + (c.aim_stretch - ratios.least(settings.kinds)) * hint;
+            return std::min(job.deadline, job.asked_at + from_seconds(std::max(0.0, spare)));
+        }
         const double spare = seconds(c.aim) + std::max(0.0, c.aim_stretch - 1) * run;
         return std::min(job.deadline, job.asked_at + from_seconds(hopeless_share * spare));
     }
 
     // When a job that waits is given up, whatever comes: it is of no use, or must not be sent any more.
     Time give_up_at(const Job& job) const {
-        const bool repeats = class_of(job).effect == Effect::keyed && first_that_may_have_run(job) != nullptr;
+        const bool repeats =
+            class_of(job).effect == Effect::keyed && job.first_that_may_have_run() != nullptr;
         return repeats ? std::min(useful_until(job), repeats_end(job)) : useful_until(job);
     }
 
@@ -423,12 +420,7 @@
         return fade_s / (fade_s + seconds(now - w.reported_at));
     }
 
-    // Workers of one kind and zone are alike: what is known of one holds for others.
-    std::size_t group_of(const Worker& w) const { return learn::group_of(w.entry.kind, w.entry.zone); }
-
-    learn::Runs::Place place_of(const Worker& w) const { return {w.entry.kind, group_of(w)}; }
-
-    double usual_load(const Worker& w) const { return loads.of(group_of(w)); }
+    double usual_load(const Worker& w) const { return loads.of(w.group()); }
 
     // I: the step of the job's slots, and more for each reason why the worker is of the next tier.
     double increment(const Worker& w, const Job& job) const {
@@ -440,26 +432,35 @@
             steps += next_tier;
         if (settings.cross_zone_price > 0 && w.entry.zone != settings.zone) steps += far_zone;
         if (settings.handshake_price > 0 && now >= w.connected_until) steps += no_connection;
-        return steps / warm_slots(w); // what a cold one bears is `cold_budget_allows`'s business
+        return steps / warm_slots(w) +
+               key_increment(job, w); // what a cold one bears is `cold_budget_allows`'s business
     }
 
     // What waits at workers like this one, by what answers took: a full worker's report does not tell. One
     // that has just shown room has no queue.
     double queue(const Worker& w, const Job& job) const {
         const double shows_room = w.load < full_load ? told(w) : 0;
-        return (1 - shows_room) * runs.wait(job.in.job_class, group_of(w), now) /
+        return (1 - shows_room) * runs.wait(job.in.job_class, w.group(), now) /
                runs.run(job.in.job_class, w.entry.kind);
     }
 
+    // What a job needs beside slots is kept by workers that lately had others with its key, and must be
+    // fetched by the rest, at the expense of all. Which keep it, all dispatchers agree on without a word: the
+    // first of an order by key and worker, as many as the key's share of the jobs fills. The others are the
+    // paper's last resort, whose increment is 100%; the nearer of them come first, so that an overflow stays
+    // together.
+    double key_increment(const Job& job, const Worker& w) const {
+        if (!job.in.key) return 0;
+        const double fills = keys.share(*job.in.key) * holder_spare * static_cast<double>(ready.size());
+        const double beyond = holders.before(w.entry.key) + 1 - std::max(1.0, std::ceil(fills));
+        return beyond <= 0 ? 0 : last_resort * beyond / (beyond + 1);
+    }
+
     WorkerId pick(const Job& job) {
         const WorkerId anchor = group_anchor(job);
+        if (job.in.key) holders.order(*job.in.key, ready, [&](WorkerId id) { return workers[id].entry.key; });
         // Those in health, those that rest, and those in a zone that seems lost.
-        struct Best {
-            WorkerId worker = none;
-            double score = unlimited;
-            int ties = 0;
-        };
-        std::array<Best, 3> best;
+        std::array<learn::Lowest, 3> best;
         std::size_t able = 0, resting = 0;
         for (const WorkerId id : ready) {
             Worker& w = workers[id];
@@ -467,28 +468,22 @@
             const bool shunned = shuns_zone(job, w), rest = rests(w, job);
             if (!shunned) ++able;
             if (!shunned && rest) ++resting;
-            Best& to = best[shunned ? 2 : rest ? 1 : 0];
             const double score = load_of(w, job.in.slots) + queue(w, job) + increment(w, job);
-            if (score < to.score - tiny)
-                to = {id, score, 1};
-            else if (score <= to.score + tiny && uniform() * ++to.ties < 1)
-                to.worker = id;
+            best[shunned ? 2 : rest ? 1 : 0].offer(id, score, [&] { return uniform(); });
         }
         const bool common_trouble = static_cast<double>(resting) > most_resting * static_cast<double>(able);
-        if (able == 0) return best[2].worker;
-        return common_trouble && best[1].score < best[0].score ? best[1].worker : best[0].worker;
+        if (able == 0) return best[2].id;
+        return common_trouble && best[1].score < best[0].score ? best[1].id : best[0].id;
     }
 
     std::size_t excluded(Time at) const {
-        std::size_t drain = 0, rest = 0, full = 0;
-        for (const Worker& w : workers) {
-            if (w.entry.condition == Condition::draining) ++drain;
-            if (w.ready && at < w.rest_until) ++rest;
-            if (w.ready && at >= w.rest_until && at < w.full_until) ++full;
-        }
+        const auto drain = std::ranges::count_if(
+            workers, [](const Worker& w) { return w.entry.condition == Condition::draining; });
+        const auto rest = std::ranges::count_if(ready, [&](WorkerId id) { return workers[id].rests(at); });
+        const auto full = std::ranges::count_if(ready, [&](WorkerId id) { return workers[id].is_full(at); });
         // As in `pick`, trouble that is common keeps nobody out.
         const bool common = static_cast<double>(rest) > most_resting * static_cast<double>(ready.size());
-        return drain + full + (common ? 0 : rest);
+        return static_cast<std::size_t>(drain + full + (common ? 0 : rest));
     }
 
     bool rests(const Worker& w, const Job& job) const {
@@ -511,12 +506,11 @@
     void send(JobId id, WorkerId to) {
         Job& job = jobs[id];
         Worker& w = workers[to];
-        w.degradation += increment(w, job);
-        w.sent_slots += job.in.slots;
-        w.own_slots += job.in.slots;
+        const double step = increment(w, job);
+        w.sent(job.in.slots, step);
         w.connected_until = 0ns; // this job has it
         if (is_cold(w)) w.cold_sends.add(work_of(job), now);
-        job.attempts.push_back({.worker = to, .sent = now});
+        job.attempts.push_back({.worker = to, .sent = now, .step = step});
         actions->emplace_back(Send{id, to, 0ns});
         look_again(id, now + start_notice(job, job.attempts.back()));
     }
@@ -541,31 +535,26 @@
 
     // ---- Rule 2: what may be sent again, where, and what may be refused ---------------------------------
 
-    static const Attempt* first_that_may_have_run(const Job& job) {
-        const auto found = std::ranges::find(job.attempts, true, &Attempt::may_have_run);
-        return found == job.attempts.end() ? nullptr : &*found;
-    }
-
     // `replacing`: the attempt that is out will be called off first.
     bool may_send(const Job& job, bool replacing = false) const {
         const JobClass& c = class_of(job);
         if (job.attempts.size() >= settings.max_attempts) return false;
         if (job.is_out() && !replacing) return false;
-        const Attempt* first = first_that_may_have_run(job);
+        const Attempt* first = job.first_that_may_have_run();
         if (first == nullptr || c.effect == Effect::repeatable) return true;
         return c.effect == Effect::keyed && now < repeats_end(job);
     }
 
     // Of a keyed job that may have run.
     Time repeats_end(const Job& job) const {
-        return first_that_may_have_run(job)->sent + class_of(job).repeat_window - 2 * settings.tick;
+        return job.first_that_may_have_run()->sent + class_of(job).repeat_window - 2 * settings.tick;
     }
 
     // The worker whose group a repeat must stay in, or none.
     WorkerId group_anchor(const Job& job) const {
         const JobClass& c = class_of(job);
         if (c.effect != Effect::keyed || c.repeat_scope == RepeatScope::all) return none;
-        const Attempt* first = first_that_may_have_run(job);
+        const Attempt* first = job.first_that_may_have_run();
         return first == nullptr ? none : first->worker;
     }
 
@@ -576,19 +565,15 @@
     bool may_refuse(const Job& job) const {
         const JobClass& c = class_of(job);
         const bool all_drop_repeats = c.effect == Effect::keyed && c.repeat_scope == RepeatScope::all;
-        return c.effect == Effect::repeatable || all_drop_repeats || first_that_may_have_run(job) == nullptr;
+        return c.effect == Effect::repeatable || all_drop_repeats || job.first_that_may_have_run() == nullptr;
     }
 
     // ---- Rule 4: this dispatcher's share of what a cold worker bears ------------------------------------
 
-    bool is_cold(const Worker& w) const {
-        return w.entry.up_since > 0ns && now - w.entry.up_since < settings.cold_time;
-    }
+    bool is_cold(const Worker& w) const { return w.is_cold(now, settings.cold_time); }
 
     double warmth(const Worker& w, Time at) const {
-        if (!is_cold(w)) return 1;
-        const double age = std::max(0.0, seconds(at - w.entry.up_since) / seconds(settings.cold_time));
-        return settings.cold_capacity + (1 - settings.cold_capacity) * age;
+        return is_cold(w) ? w.warmth(at, settings.cold_time, settings.cold_capacity) : 1;
     }
 
     double work_of(const Job& job) const {
@@ -648,24 +633,36 @@
 
     // ---- 4. The list -----------------------------------------------------------------------------------
 
-    // Where the list must be asked for, a subscription is kept. Calls are spread by chance, as all
-    // dispatchers may start at once; they recur often enough for the list to stay valid.
     void keep_list() {
         if (!settings.list_on_request) return;
-        if (ask_at < 0ns) ask_at = now + from_seconds(uniform() * seconds(settings.list_valid) / 8);
-        if (watching) watch_failures = 0;
-        if (std::exchange(watch_failed, false)) {
-            watching = false;
-            const double back_off =
-                std::min(seconds(settings.list_valid) / 2, std::ldexp(0.5, watch_failures++));
-            ask_at = now + from_seconds(back_off * (0.5 + uniform()));
-        }
-        if (watching) return;
-        if (now >= ask_at) {
+        if (list.due(now, settings.list_valid, [&] { return uniform(); }))
             actions->emplace_back(WatchList{true});
-            ask_at = now + settings.list_valid / 2;
+        wake_by = std::min(wake_by, list.next().value_or(wake_by));
+    }
+
+    // ---- 5. Probes -------------------------------------------------------------------------------------
+
+    // So many a second that all dispatchers together take no more than their share of a worker's time, and
+    // that their price stays small beside the jobs'.
+    double probes_per_s() const {
+        if (!settings.probes || !settings.reports_with_probes || ready.empty()) return 0;
+        const double bearable = probes_per_worker * static_cast<double>(ready.size()) / settings.dispatchers;
+        if (settings.probe_price <= 0) return bearable;
+        return std::min(bearable, most_probe_price / settings.probe_price * std::max(1.0, arrivals.per_s()));
+    }
+
+    // Asked is the worker whose report is the oldest, the sooner the more was sent to it since.
+    void probe() {
+        const double rate = probes_per_s();
+        if (rate <= 0) return;
+        if (probes.due(now, rate, [&] { return uniform(); })) {
+            const WorkerId id = *std::ranges::max_element(ready, {}, [&](WorkerId candidate) {
+                const Worker& w = workers[candidate];
+                return w.asked ? -1 : seconds(now - w.asked_at) * (1 + w.sent_slots / warm_slots(w));
+            });
+            if (workers[id].ask(now)) actions->emplace_back(Probe{id});
         }
-        wake_by = std::min(wake_by, ask_at);
+        wake_by = std::min(wake_by, probes.next());
     }
 
     bool is_void(const learn::Agenda::Entry& due) const {
@@ -688,6 +685,7 @@
         }
         std::erase_if(waiting, [&](JobId id) { return !jobs[id].waiting; });
         keep_list();
+        probe();
         wake_by = std::min(wake_by, reviews.next().value_or(wake_by));
         if (wake_by < Time::max() && (armed <= now || wake_by < armed)) {
             armed = std::max(wake_by, now + 1ns);
@@ -707,15 +705,20 @@
     std::vector<JobId> waiting;
     std::vector<double> no_room; // by kind of worker needed, 0 for any: slots for which there is no room now
     learn::Agenda reviews;
+    learn::Holders holders; // of the job that is being placed: how many workers come before another
+    learn::KeyShares keys;
+    learn::Rate arrivals;
+    learn::Pulse probes;
+    learn::GroupMeans ratios{1, mean_gain}; // run against hint, by kind
     std::uint64_t last_serial = 0;
     learn::GroupMeans loads{0.5, mean_gain}; // by kind and zone
     learn::Offered offered;                  // slot-seconds a second
     learn::Runs runs;
     double crowding = 0; // share of the jobs of one slot that found no room on arrival
     learn::TokenBucket retries{.tokens = retry_burst};
-    bool capacity_changed = false, watching = false, watch_failed = false;
-    int watch_failures = 0;
-    Time now{0}, ask_at{-1}, armed{-1}, wake_by{0};
+    bool capacity_changed = false;
+    learn::Subscription list;
+    Time now{0}, armed{-1}, wake_by{0};
     std::vector<Action>* actions = nullptr;
 };
 
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -205,9 +205,12 @@
     out.list_on_request = text_or(json, "discovery", "push") == "ask";
     out.tells_start = flag_or(family, "tells_start", false);
     out.progress_period = duration_or(family, "progress_ns");
-    out.reports_with_answers = text_or(section(json, "reporting"), "via", "silent") == "piggyback";
+    const std::string_view via = text_or(section(json, "reporting"), "via", "silent");
+    out.reports_with_answers = via == "piggyback";
+    out.reports_with_probes = via == "piggyback" || via == "pull";
 
     const Json& limits = section(json, "limits");
+    out.probes = flag_or(limits, "probes", false);
     out.may_cancel = flag_or(limits, "cancel", false);
     out.second_copies = flag_or(limits, "second_copies", false);
     out.takes_advice = flag_or(limits, "retry_after", false);
@@ -215,6 +218,7 @@
     out.max_stay_away = duration_or(limits, "max_retry_after_ns");
     out.cross_zone_price = number_or(section(json, "prices"), "cross_zone", 0);
     out.handshake_price = number_or(section(json, "prices"), "handshake", 0);
+    out.probe_price = number_or(section(json, "prices"), "probe", 0);
     out.connection_idle = duration_or(limits, "conn_idle_ns");
 
     const Json& safety = section(json, "safety");
@@ -462,8 +466,11 @@
         if (const auto job = known_job(event)) {
             events_.emplace_back(AnswerBegun{*job, attempt(), worker(), duration_or(event, "latency_ns")});
         }
-    } else if (kind == "pong" || kind == "peer_data") {
-        // None is asked for here, and the module knows neither: nothing to tell it.
+    } else if (kind == "pong") {
+        events_.emplace_back(
+            Probed{worker(), read_outcome(event), duration_or(event, "latency_ns"), read_report(event)});
+    } else if (kind == "peer_data") {
+        // None is asked for here, and the module does not know it: nothing to tell it.
     } else {
         throw WireError("unknown event '" + std::string(kind) + "'");
     }
@@ -513,6 +520,10 @@
                            job(cancel.job);
                            number("try", cancel.attempt);
                        },
+                       [&](const Probe& probe) {
+                           text("m", "ping");
+                           text("runner", worker_names_[probe.worker]);
+                       },
                        [&](const Wake& wake) {
                            text("m", "wake_at");
                            number("when_ns", wake.at.count());
--- a/tests/host_test.cpp
+++ b/tests/host_test.cpp
@@ -71,6 +71,7 @@
         out_[{job, attempt}] = {&requester, give_up};
     }
     void cancel(core::JobId job, core::Index attempt) override { end({job, attempt}, Outcome::cancelled); }
+    void probe(core::WorkerId) override { FAIL("probes are not allowed here"); }
     void watch(bool) override { watched = true; }
 
     void step() {
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -73,6 +73,8 @@
     CHECK(to.zone == 1);
     CHECK(to.tick == 5ms);
     CHECK(to.list_on_request);
+    CHECK_FALSE(to.probes);
+    CHECK(to.reports_with_probes);
     CHECK(to.takes_advice);
     REQUIRE(to.classes.size() == 2);
     CHECK(to.classes[0].effect == willowrill::Effect::once);
@@ -381,6 +383,30 @@
                     ->report);
 }
 
+TEST_CASE("the answer to a probe holds a load report, in whichever form, or none") {
+    const config::Settings settings = test_settings(); // its fields: load_share, x0
+    const relay::AnswerReader reader(settings.report_fields);
+    const auto read = [&](int status, const std::string& body, const net::http::Fields& fields = {}) {
+        net::http::Parser parser(net::http::Parser::Kind::answer);
+        parser.feed(net::http::write_answer(status, fields, body));
+        return reader.read_probe(parser);
+    };
+    for (const auto& report :
+         {read(200, R"({"qps":9.5,"util":0.61,"x0":3})"), read(200, R"({"load":{"util":0.61,"x0":3}})"),
+          read(200, "", {{"X-Server-Load", "util=0.61,x0=3"}})}) {
+        REQUIRE(report);
+        CHECK(report->utilisation == 0.61);
+        CHECK(report->free_slots == 3);
+    }
+    for (const char* nonsense :
+         {"", "{", "[]", "7", R"({"others":1})", R"({"x0":1e300})", R"({"x0":-1})", R"({"x0":"3"})"}) {
+        CAPTURE(nonsense);
+        CHECK_FALSE(read(200, nonsense));
+    }
+    CHECK_FALSE(read(404, R"({"util":0.61})"));
+    CHECK_FALSE(read(503, R"({"util":0.61})"));
+}
+
 TEST_CASE("clients' requests become messages, or are turned down as bad") {
     const config::Settings settings = test_settings();
     core::Message message;
@@ -408,6 +434,13 @@
     REQUIRE(read(once));
     CHECK(message.deadline == 105s); // the class's own time
     CHECK_FALSE(message.is_retry);
+    CHECK(message.hint == 0ns);
+    REQUIRE(read(once + "X-Cost: 340000\r\n"));
+    CHECK(message.hint == 340ms);
+    for (const char* none : {"0", "-5", "1e300", "soon", ""}) { // no estimate, but a job all the same
+        REQUIRE(read(once + "X-Cost: " + none + "\r\n"));
+        CHECK(message.hint == 0ns);
+    }
     for (const std::string& bad :
          {std::string("X-Priority-Class: once\r\n"), std::string("X-Request-ID: a\r\n"), keyed,
           std::string("X-Request-ID: a\r\nX-Priority-Class: unheard\r\n"), once + "X-Timeout-Ms: soon\r\n",
--- /dev/null
+++ b/tests/probing_test.cpp
@@ -0,0 +1,239 @@
+// Load learnt by probing: what the module asks and makes of the answers, and how the relay carries it.
+#include "learn/learn.h"
+
+#include <willowrill/dispatcher.h>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace willowrill::testing {
+namespace {
+
+using namespace std::chrono_literals;
+
+// A deployment whose workers are asked, tell of starts, and keep what keys need; hints are good.
+Settings asked_settings(Index self = 0, Index dispatchers = 5) {
+    Settings out;
+    out.seed = 11 + self;
+    out.self = self;
+    out.dispatchers = dispatchers;
+    out.classes = {{.effect = Effect::keyed,
+                    .repeat_scope = RepeatScope::zone,
+                    .repeat_window = 10s,
+                    .aim = 500ms,
+                    .aim_stretch = 2,
+                    .give_up = 6s}};
+    out.worth_by_work = true;
+    out.tick = 2ms;
+    out.tells_start = true;
+    out.reports_with_probes = out.probes = true;
+    out.probe_price = 0.01;
+    out.may_cancel = out.second_copies = out.takes_advice = true;
+    out.max_attempts = 4;
+    out.max_stay_away = 2s;
+    out.connection_idle = 5s;
+    return out;
+}
+
+// One module, its clock, and workers that answer each probe 5 ms later with what they have free.
+class Fleet {
+  public:
+    Fleet(Settings settings, WorkerId workers) : dispatcher_(settings), free_(workers, 6.0) {
+        ListNews list{ListNews::Kind::complete, {}};
+        for (WorkerId id = 0; id < workers; ++id)
+            list.entries.push_back({.worker = id, .key = learn::mixed(id + 1), .zone = id % 5});
+        step({list});
+    }
+    void step(std::vector<Event> events = {}) {
+        for (auto at = pending_.begin(); at != pending_.end() && at->first <= now;) {
+            const WorkerId id = at->second;
+            const bool fails = silent.contains(id);
+            const Report report{
+                .utilisation = 1 - free_[id] / 6, .free_slots = free_[id], .served_per_s = ++reports_};
+            events.emplace_back(Probed{id, fails ? Outcome::timed_out : Outcome::served, 5ms,
+                                       fails ? std::nullopt : std::optional(report)});
+            at = pending_.erase(at);
+        }
+        for (const Send& send : std::exchange(unstarted_, {}))
+            events.insert(events.begin(), AttemptStarted{send.job, 0, send.worker});
+        std::vector<Action> actions;
+        dispatcher_.handle(now, events, actions);
+        for (const Action& action : actions) {
+            if (const auto* send = std::get_if<Send>(&action)) {
+                sends.push_back(*send);
+                unstarted_.push_back(*send);
+            }
+            if (std::holds_alternative<Refuse>(action)) refused_at = now;
+            if (const auto* probe = std::get_if<Probe>(&action)) {
+                ++probes[probe->worker];
+                pending_.emplace(now + 5ms, probe->worker);
+            }
+        }
+    }
+    void run(Duration span) {
+        for (const Time end = now + span; now < end;) {
+            now += 2ms;
+            step();
+        }
+    }
+    // Gives a job in and says where it went, if it went at once.
+    WorkerId give(JobId id, std::optional<std::uint64_t> key = {}, Duration hint = 500ms) {
+        const std::size_t before = sends.size();
+        step({JobArrived{.job = id, .key = key, .left = 6s, .hint = hint}});
+        return sends.size() > before ? sends.back().worker : none;
+    }
+    void served(const Send& send, Duration latency = 500ms) {
+        step();
+        now += latency;
+        step({AttemptEnded{.job = send.job, .worker = send.worker, .latency = latency, .job_over = true}});
+    }
+    std::size_t all_probes() const {
+        std::size_t out = 0;
+        for (const auto& [id, count] : probes)
+            out += count;
+        return out;
+    }
+    void set_free(double slots) { std::ranges::fill(free_, slots); }
+
+    Time now{1s}, refused_at{0};
+    std::vector<Send> sends;
+    std::map<WorkerId, std::size_t> probes;
+    std::set<WorkerId> silent;
+
+  private:
+    Dispatcher dispatcher_;
+    std::vector<double> free_;
+    std::vector<Send> unstarted_;
+    double reports_ = 0; // no two alike, as a report that repeats itself is none
+    std::multimap<Time, WorkerId> pending_;
+};
+
+} // namespace
+
+TEST_CASE("where probes are not allowed, or tell nothing, none is ever sent") {
+    for (const bool allowed : {false, true}) {
+        Settings settings = asked_settings();
+        settings.probes = allowed;
+        settings.reports_with_probes = !allowed;
+        Fleet fleet(settings, 15);
+        for (JobId id = 0; id < 50; ++id) {
+            fleet.give(id);
+            fleet.run(100ms);
+        }
+        CHECK(fleet.all_probes() == 0);
+        CHECK_FALSE(fleet.sends.empty());
+    }
+}
+
+TEST_CASE(
+    "all dispatchers together ask a worker ten times a second at most, and each a job a time and a half") {
+    for (const Index dispatchers : {1U, 5U, 48U, 300U}) {
+        CAPTURE(dispatchers);
+        Fleet fleet(asked_settings(0, dispatchers), 20);
+        for (JobId id = 0; id < 400; ++id) { // twenty a second
+            fleet.give(id);
+            fleet.run(50ms);
+        }
+        const double of_each = 20.0 * 10 * 20 / dispatchers, of_jobs = 1.5 * 400;
+        CHECK(static_cast<double>(fleet.all_probes()) <= 1.1 * std::min(of_each, of_jobs) + 2);
+        CHECK(static_cast<double>(fleet.all_probes()) >= 0.5 * std::min(of_each, of_jobs));
+        if (dispatchers <= 5) CHECK(fleet.probes.size() == 20); // none is left alone
+    }
+}
+
+// X was cleared by answers alone, which carry no report here: a worker once sent to counted as full for good.
+TEST_CASE("a fresh report from a probe clears X, and so does the end of a job that was sent since") {
+    Settings settings = asked_settings(0, 1);
+    SUBCASE("a probe") {
+        Fleet fleet(settings, 1);
+        fleet.run(1s);
+        JobId id = 0;
+        while (fleet.give(id++) != none) {
+        }
+        CHECK(id >= 6);
+        const std::size_t full = fleet.sends.size();
+        fleet.run(1s); // the worker reports six free again
+        CHECK(fleet.sends.size() > full);
+    }
+    SUBCASE("an end, where probes are too few to tell") {
+        settings.probe_price = 1e9;
+        Fleet fleet(settings, 1);
+        fleet.run(1s);
+        JobId id = 0;
+        while (fleet.give(id++) != none) {
+        }
+        const std::size_t full = fleet.sends.size();
+        fleet.served(fleet.sends.front(), 100ms);
+        CHECK(fleet.sends.size() == full + 1);
+    }
+}
+
+TEST_CASE("jobs about one key go to the same few workers, at all dispatchers alike, and others elsewhere") {
+    std::map<std::uint64_t, std::set<WorkerId>> by_key;
+    std::set<WorkerId> all;
+    for (Index self = 0; self < 5; ++self) {
+        Fleet fleet(asked_settings(self), 15);
+        fleet.run(1s);
+        for (JobId id = 0; id < 120; ++id) {
+            const std::uint64_t key = id % 60;
+            if (fleet.give(id, key) == none) continue;
+            by_key[key].insert(fleet.sends.back().worker);
+            all.insert(fleet.sends.back().worker);
+            fleet.served(fleet.sends.back());
+            fleet.run(50ms);
+        }
+    }
+    CHECK(all.size() == 15);
+    for (const auto& [key, workers] : by_key)
+        CHECK(workers.size() <= 2);
+}
+
+TEST_CASE("a key that fills several workers has as many holders") {
+    Fleet fleet(asked_settings(), 15);
+    fleet.run(1s);
+    std::set<WorkerId> holders;
+    for (JobId id = 0; id < 400; ++id) { // three in ten of all jobs
+        if (fleet.give(id, id % 10 < 3 ? 7 : 1000 + id) != none) fleet.served(fleet.sends.back(), 20ms);
+    }
+    fleet.run(1s);
+    for (JobId id = 400; id < 424; ++id) // at one moment
+        holders.insert(fleet.give(id, 7));
+    CHECK(holders.size() >= 5);
+    CHECK(holders.size() <= 10);
+}
+
+// The mean of all jobs was taken for each job's time: heavy ones were given up too early, light ones held
+// until they were late.
+TEST_CASE("a job that is held is given up by its own hint") {
+    Duration light{}, heavy{};
+    for (const Duration hint : {100ms, 1000ms}) {
+        Settings settings = asked_settings(0, 1);
+        settings.probe_price = 0;
+        Fleet fleet(settings, 2);
+        fleet.run(2s);
+        fleet.set_free(0);
+        fleet.run(2s);
+        const Time begun = fleet.now;
+        REQUIRE(fleet.give(0, {}, hint) == none);
+        fleet.run(4s);
+        REQUIRE(fleet.refused_at > begun);
+        (hint == 100ms ? light : heavy) = fleet.refused_at - begun;
+    }
+    CHECK(light <= 600ms); // 500 ms and twice its run, less the run
+    CHECK(heavy >= 1400ms);
+    CHECK(heavy <= 1500ms);
+}
+
+TEST_CASE("a worker that does not answer its probes is avoided before a job has paid for it") {
+    Fleet fleet(asked_settings(0, 1), 4);
+    fleet.silent = {2};
+    fleet.run(6s);
+    for (JobId id = 0; id < 12; ++id)
+        CHECK(fleet.give(id) != 2);
+}
+
+} // namespace willowrill::testing
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -158,6 +158,52 @@
     CHECK(rig.host.counters().outcomes[static_cast<std::size_t>(willowrill::Outcome::reset)] == 0);
 }
 
+TEST_CASE("a probe asks on a kept connection, and whatever comes back is told once and counted") {
+    Rig rig;
+    const auto client = rig.client(Rig::job("a"));
+    REQUIRE(rig.worker_has(0, "\r\n\r\nhi"));
+    rig.worker.peers[0]->connection.write(Rig::done("a", "1"));
+    rig.settle([&] { return client->has("\r\n\r\n1"); });
+    rig.wait(30ms);
+    const relay::PoolCounters& counted = rig.pool.counters();
+    const auto answered = [&](const std::string& text, const std::uint64_t& counter) {
+        const std::size_t asked = counted.probes;
+        rig.worker.peers.back()->got.clear();
+        rig.pool.probe(0);
+        CHECK(counted.probes == asked + 1);
+        REQUIRE(rig.settle([&] { return rig.worker.peers.back()->has("GET /status/load HTTP/1.1\r\n"); }));
+        rig.worker.peers.back()->connection.write(text);
+        return rig.settle([&] { return counter == 1; });
+    };
+    CHECK(answered(net::http::write_answer(200, {}, R"({"util":0.5,"x0":2})"), counted.told));
+    CHECK(answered(net::http::write_answer(503, {}, ""), counted.unwilling));
+    CHECK(rig.worker.peers.size() == 1); // all on the connection that the job left
+    CHECK(answered("HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n", counted.nonsense));
+    CHECK(rig.pool.size() == 0); // a body that would never end is not read
+    // Silence is late, and a break is lost; neither is told twice.
+    rig.pool.probe(0);
+    CHECK(rig.settle([&] { return counted.late == 1; }));
+    rig.pool.probe(0);
+    REQUIRE(rig.settle([&] { return rig.worker.peers.size() == 3; }));
+    rig.worker.peers[2]->connection.close();
+    CHECK(rig.settle([&] { return counted.lost == 1; }));
+    CHECK(counted.told + counted.unwilling + counted.nonsense + counted.late + counted.lost ==
+          counted.probes);
+    CHECK(counted.written == 1); // none of them counts as an attempt
+}
+
+TEST_CASE("a probe never takes a connection that a job needs") {
+    Rig rig(10, 1); // room for one
+    rig.pool.probe(0);
+    const auto client = rig.client(Rig::job("a"));
+    REQUIRE(rig.settle([&] { return rig.pool.counters().crowded_out == 1; }));
+    CHECK(rig.settle([&] { return rig.worker.peers.size() == 2 && rig.worker.peers[1]->has("\r\n\r\nhi"); }));
+    rig.pool.probe(0); // the job has the one there is
+    CHECK(rig.pool.counters().crowded_out == 2);
+    rig.worker.peers[1]->connection.write(Rig::done("a", "1"));
+    CHECK(rig.settle([&] { return client->has("\r\n\r\n1"); }));
+}
+
 TEST_CASE("a job that may have run is failed and not sent again") {
     Rig rig;
     const auto client = rig.client(Rig::job("a"));
--- a/tests/property_test.cpp
+++ b/tests/property_test.cpp
@@ -196,6 +196,7 @@
         void cancel(core::JobId job, Index attempt) override {
             world.end({self, job, attempt}, Outcome::cancelled, 0);
         }
+        void probe(WorkerId) override { FAIL("probes are not allowed here"); }
         void watch(bool) override {
             world.ledger.asked_for_list(self);
             if (!std::exchange(watching, true))
@@ -410,6 +411,7 @@
     Settings settings;
     settings.classes = {{.effect = Effect::repeatable, .aim = 100ms, .give_up = 60s}};
     settings.tick = 5ms;
+    settings.reports_with_answers = true;
     settings.max_attempts = 4;
     Dispatcher dispatcher(settings);
     const auto count = *rc::gen::inRange<WorkerId>(2, 9);
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -125,6 +125,21 @@
                                 R"({"m":"heartbeat","job":"c:s","try":0,"runner":"10.0.0.1:80","what":1})"));
 }
 
+TEST_F(Wire, AProbeIsAPingAndItsAnswerAPong) {
+    std::string allowed = settings;
+    allowed.replace(allowed.find("\"cancel\""), 0, "\"probes\":true,");
+    allowed.replace(allowed.find("piggyback"), 9, "pull");
+    say("1000", R"({"m":"new_instance","init_seed":1,"settings":)" + allowed + "}," + list);
+    const std::string ping = R"({"m":"ping","runner":"10.0.0.1:80"})";
+    EXPECT_NE(say("2000000000", R"({"m":"bell","mark":0})").find(ping), std::string::npos);
+    EXPECT_EQ(say("4000000000", R"({"m":"bell","mark":0})").find(ping), std::string::npos); // one at a time
+    EXPECT_NE(say("4100000000", R"({"m":"pong","runner":"10.0.0.1:80","status":100,"latency_ns":5,)"
+                                R"("feedback":[0.5,3,1]})")
+                  .find(ping),
+              std::string::npos);
+    EXPECT_NO_THROW(say("7000000000", R"({"m":"pong","runner":"10.9.9.9:80","status":100,"latency_ns":5})"));
+}
+
 TEST_F(Wire, MalformedInputIsRefusedInPlainWords) {
     start();
     EXPECT_THROW(say("{"), WireError);
