--- a/include/willowrill/dispatcher.h
+++ b/include/willowrill/dispatcher.h
@@ -74,7 +74,6 @@
     bool reports_with_answers = false;
     bool reports_with_probes = false; // the answer to a probe carries a load report
 
-
     // What the site allows.
     bool may_cancel = false;
     bool second_copies = false; // two attempts of a job may be out at once
@@ -83,7 +82,7 @@
     Index max_attempts = 1;
     Duration max_stay_away{0};
     double cross_zone_price = 0, handshake_price = 0;
-    double probe_price = 0; // of one probe for each job, as a share of all worth
+    double probe_price = 0;      // of one probe for each job, as a share of all worth
     Duration connection_idle{0}; // a connection that has carried nothing for so long is closed
 
     // The figures of the four rules.
