Give opening connections their time, and hold back jobs that would come back late

The trace shows no refused connection at all, but 279 attempts called off after 63 ms: start_notice (rules.cpp) took an eighth of the aim for the sign of a queue, while a connection that is opened needs two or three round trips and the worker's handshake work first.

Change: an attempt that opens a connection has the settings' connect time-out more before it counts as waiting. Runs against hints are learnt apart for holders of a job's key and others (learn::HintedRuns), and a job is not sent to the worker it would go to if it is expected back too late from there.

--- a/include/willowrill/dispatcher.h
+++ b/include/willowrill/dispatcher.h
@@ -83,6 +83,7 @@
     Duration max_stay_away{0};
     double cross_zone_price = 0, handshake_price = 0;
     double probe_price = 0;      // of one probe for each job, as a share of all worth
+    Duration connect_timeout{0}; // a connection that is not made by then never comes up
     Duration connection_idle{0}; // a connection that has carried nothing for so long is closed
 
     // The figures of the four rules.
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -239,7 +239,7 @@
     to.handshake_price = number(section(json, "prices"), "handshake");
     to.probe_price = number(section(json, "prices"), "probe");
     out.connection_idle = to.connection_idle = duration(limits, "conn_idle_ns");
-    out.connect_timeout = duration(limits, "connect_timeout_ns");
+    out.connect_timeout = to.connect_timeout = duration(limits, "connect_timeout_ns");
     out.max_open = whole(limits, "max_open");
 
     const object safety = section(json, "safety");
--- a/src/learn/books.h
+++ b/src/learn/books.h
@@ -15,8 +15,11 @@
 
 struct Attempt {
     WorkerId worker = 0;
-    Time sent{0}, started_at{-1}; // negative: no word of its start came
-    double step = 0;              // what it added to X
+    Time sent{0};
+    double step = 0;     // what it added to X
+    bool opens = false;  // the connection it goes on
+    bool away = false;   // not at a holder of its key
+    Time started_at{-1}; // negative: no word of its start came
     bool out = true, started = false, cancelled = false, may_have_run = true;
     bool stuck = false; // out for so long that it must be waiting at its worker
 };
--- a/src/learn/learn.h
+++ b/src/learn/learn.h
@@ -256,6 +256,24 @@
     std::size_t tidy_at_ = enough_to_tidy;
 };
 
+// How long jobs run for each second of their hint, by kind of worker, at those that hold their key and
+// elsewhere.
+class HintedRuns {
+  public:
+    void ended(std::size_t kind, bool away, double ran_s, double hint_s) { // negative: not known
+        if (ran_s >= 0 && hint_s > 0) ratios_.add(place(kind, away), std::min(ran_s / hint_s, most));
+    }
+    double run(std::size_t kind, bool away, double hint_s) const {
+        return hint_s * ratios_.of(place(kind, away));
+    }
+    double fastest(std::size_t kinds, double hint_s) const { return hint_s * ratios_.least(2 * kinds); }
+
+  private:
+    static constexpr double least_weight = 0.05, most = 10; // times its hint that one run may count for
+    static std::size_t place(std::size_t kind, bool away) { return 2 * kind + (away ? 1 : 0); }
+    GroupMeans ratios_{1, least_weight};
+};
+
 // Which part of the jobs are about a key, by the last thousand or so.
 class KeyShares {
   public:
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -48,7 +48,6 @@
 constexpr double tiny = 1e-9;
 constexpr double last_resort = 1;        // the paper's I of the last tier: 100%
 constexpr double holder_spare = 1.5;     // workers that hold a key, over those that its jobs would fill
-constexpr double most_stretch = 10;      // times its hint that one run may count for
 constexpr double probes_per_worker = 10; // a second, by all dispatchers; at 1 ms each a hundredth of its time
 constexpr double most_probe_price = 0.015; // of all worth
 constexpr double unlimited = std::numeric_limits<double>::infinity();
@@ -191,7 +190,11 @@
         if (ended.outcome == Outcome::served) {
             const bool had_room = !ended.report || ended.report->free_slots.value_or(1) > 0.5;
             w.connected_until = now + settings.connection_idle * 3 / 4;
-            note_run(job, *attempt, had_room ? seconds(ended.latency) : -1);
+            // Where starts are told, the wait is known apart.
+            const double ran = attempt->started_at >= 0ns          ? seconds(now - attempt->started_at)
+                               : had_room && !settings.tells_start ? seconds(ended.latency)
+                                                                   : -1;
+            hinted.ended(w.entry.kind, attempt->away, ran, seconds(job.in.hint));
             runs.served(job.in.job_class, w.place(), seconds(ended.latency), had_room, now);
         }
         if (ended.job_over) on(JobLeft{ended.job});
@@ -214,14 +217,6 @@
         capacity_changed = true;
     }
 
-    // How long the job ran, against its hint. Where starts are told, its wait is known apart.
-    void note_run(const Job& job, const Attempt& attempt, double with_room_s) {
-        const bool told = attempt.started_at >= 0ns;
-        const double ran = told ? seconds(now - attempt.started_at) : with_room_s;
-        if (job.in.hint <= 0ns || ran < 0 || (settings.tells_start && !told)) return;
-        ratios.add(workers[attempt.worker].entry.kind, std::min(ran / seconds(job.in.hint), most_stretch));
-    }
-
     // A fresh report replaces L and zeroes X. It left before the answer that carries it, so the job answered
     // is still counted in it: its slots are taken off.
     void note_report(Worker& w, const Report& report, double finished_slots) {
@@ -302,7 +297,8 @@
     // How long after its send an attempt is known to wait, if nothing has been heard of it. Where workers
     // tell nothing of a job before its end, silence means that only when it is long for its class.
     Duration start_notice(const Job& job, const Attempt& attempt) const {
-        if (settings.tells_start) return patience(job);
+        if (settings.tells_start) // a connection may take its time to come up
+            return patience(job) + (attempt.opens ? settings.connect_timeout : 0ns);
         if (tells()) return settings.progress_period + 4 * settings.tick;
         return from_seconds(long_run * runs.run(job.in.job_class, workers[attempt.worker].entry.kind));
     }
@@ -333,6 +329,15 @@
         send(id, to);
     }
 
+    // If it is late from its best, another that has room is worse: it must fetch what the job needs.
+    bool in_time(const Job& job, const Worker& w) const {
+        const JobClass& c = class_of(job);
+        if (job.in.hint <= 0ns || c.late_worth > 0) return true;
+        const double hint = seconds(job.in.hint);
+        const double run = hinted.run(w.entry.kind, key_increment(job, w) > 0, hint);
+        return seconds(now - job.asked_at) + run <= seconds(c.aim) + c.aim_stretch * hint;
+    }
+
     // `need`: how many slots must be free.
     WorkerId pick_with_room(const Job& job, double allowance, double need) {
         const bool anywhere = group_anchor(job) == none && !job.in.key; // its holders are its own
@@ -340,7 +345,7 @@
         if (anywhere && need >= no_room && (allowance < 1 || no_room <= 0)) return none;
         const WorkerId to = pick(job);
         const double room = 1 + allowance + tiny;
-        if (to != none && has_room(workers[to], need, room)) return to;
+        if (to != none && has_room(workers[to], need, room) && in_time(job, workers[to])) return to;
         if (anywhere) no_room = to == none ? 0 : std::min(no_room, need);
         return none;
     }
@@ -357,9 +362,9 @@
         const double run = runs.run(job.in.job_class);
         if (c.late_worth > 0) return job.deadline - from_seconds(run);
         if (job.in.hint > 0ns) { // a hint tells its own aim, and the kind that is fastest what it needs
-            const double hint = seconds(job.in.hint);
-            const double spare = seconds(c.aim) + (c.aim_stretch - ratios.least(settings.kinds)) * hint;
-            return std::min(job.deadline, job.asked_at + from_seconds(std::max(0.0, spare)));
+            const double hint = seconds(job.in.hint), fastest = hinted.fastest(settings.kinds, hint);
+            const double spare = std::max(0.0, seconds(c.aim) + c.aim_stretch * hint - fastest);
+            return std::min(job.deadline, job.asked_at + from_seconds(spare));
         }
         const double spare = seconds(c.aim) + std::max(0.0, c.aim_stretch - 1) * run;
         return std::min(job.deadline, job.asked_at + from_seconds(hopeless_share * spare));
@@ -444,11 +449,10 @@
                runs.run(job.in.job_class, w.entry.kind);
     }
 
-    // What a job needs beside slots is kept by workers that lately had others with its key, and must be
-    // fetched by the rest, at the expense of all. Which keep it, all dispatchers agree on without a word: the
-    // first of an order by key and worker, as many as the key's share of the jobs fills. The others are the
-    // paper's last resort, whose increment is 100%; the nearer of them come first, so that an overflow stays
-    // together.
+    // What a job needs beside slots is kept by workers that lately had its key; others fetch it, at the
+    // expense of all. Its holders are the first of an order by key and worker that all dispatchers share, as
+    // many as its jobs fill. The rest are the paper's last resort, I of 100%; an overflow goes to the
+    // nearest.
     double key_increment(const Job& job, const Worker& w) const {
         if (!job.in.key) return 0;
         const double fills = keys.share(*job.in.key) * holder_spare * static_cast<double>(ready.size());
@@ -508,9 +512,9 @@
         Worker& w = workers[to];
         const double step = increment(w, job);
         w.sent(job.in.slots, step);
-        w.connected_until = 0ns; // this job has it
         if (is_cold(w)) w.cold_sends.add(work_of(job), now);
-        job.attempts.push_back({.worker = to, .sent = now, .step = step});
+        const bool opens = now >= std::exchange(w.connected_until, 0ns); // if there is one, this job has it
+        job.attempts.push_back({to, now, step, opens, key_increment(job, w) > 0});
         actions->emplace_back(Send{id, to, 0ns});
         look_again(id, now + start_notice(job, job.attempts.back()));
     }
@@ -642,8 +646,7 @@
 
     // ---- 5. Probes -------------------------------------------------------------------------------------
 
-    // So many a second that all dispatchers together take no more than their share of a worker's time, and
-    // that their price stays small beside the jobs'.
+    // Bounded by the workers' time, over all dispatchers, and by the price beside the jobs'.
     double probes_per_s() const {
         if (!settings.probes || !settings.reports_with_probes || ready.empty()) return 0;
         const double bearable = probes_per_worker * static_cast<double>(ready.size()) / settings.dispatchers;
@@ -709,7 +712,7 @@
     learn::KeyShares keys;
     learn::Rate arrivals;
     learn::Pulse probes;
-    learn::GroupMeans ratios{1, mean_gain}; // run against hint, by kind
+    learn::HintedRuns hinted;
     std::uint64_t last_serial = 0;
     learn::GroupMeans loads{0.5, mean_gain}; // by kind and zone
     learn::Offered offered;                  // slot-seconds a second
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -219,6 +219,7 @@
     out.cross_zone_price = number_or(section(json, "prices"), "cross_zone", 0);
     out.handshake_price = number_or(section(json, "prices"), "handshake", 0);
     out.probe_price = number_or(section(json, "prices"), "probe", 0);
+    out.connect_timeout = duration_or(limits, "connect_timeout_ns");
     out.connection_idle = duration_or(limits, "conn_idle_ns");
 
     const Json& safety = section(json, "safety");
--- a/tests/probing_test.cpp
+++ b/tests/probing_test.cpp
@@ -58,7 +58,7 @@
                                        fails ? std::nullopt : std::optional(report)});
             at = pending_.erase(at);
         }
-        for (const Send& send : std::exchange(unstarted_, {}))
+        for (const Send& send : tells ? std::exchange(unstarted_, {}) : std::vector<Send>())
             events.insert(events.begin(), AttemptStarted{send.job, 0, send.worker});
         std::vector<Action> actions;
         dispatcher_.handle(now, events, actions);
@@ -67,6 +67,7 @@
                 sends.push_back(*send);
                 unstarted_.push_back(*send);
             }
+            if (std::holds_alternative<Cancel>(action)) ++cancels;
             if (std::holds_alternative<Refuse>(action)) refused_at = now;
             if (const auto* probe = std::get_if<Probe>(&action)) {
                 ++probes[probe->worker];
@@ -102,6 +103,8 @@
     Time now{1s}, refused_at{0};
     std::vector<Send> sends;
     std::map<WorkerId, std::size_t> probes;
+    std::size_t cancels = 0;
+    bool tells = true; // of starts, at once
     std::set<WorkerId> silent;
 
   private:
@@ -228,6 +231,36 @@
     CHECK(heavy <= 1500ms);
 }
 
+// On real sockets a connection takes several round trips to come up. Attempts were called off before that and
+// sent to another worker, where another connection had to be opened.
+TEST_CASE("an attempt that opens a connection is given the time that one may take to come up") {
+    Settings settings = asked_settings(0, 1);
+    settings.connect_timeout = 200ms;
+    Fleet fleet(settings, 10); // two in each zone
+    fleet.tells = false;
+    fleet.run(2s);
+    REQUIRE(fleet.give(0) != none);
+    fleet.run(200ms); // an eighth of the aim has long passed
+    CHECK(fleet.cancels == 0);
+    fleet.run(100ms);
+    CHECK(fleet.cancels == 1);
+}
+
+// A tenth of a run more at a worker that was expected to take too long made the answer late, and worth
+// nothing.
+TEST_CASE("a job is not sent where it is expected back too late") {
+    Fleet fleet(asked_settings(0, 1), 1);
+    fleet.run(1s);
+    for (JobId id = 0; id < 20; ++id) { // 3.2 times its hint, where 1 s and twice the hint are allowed
+        if (fleet.give(id, {}, 500ms) != none) fleet.served(fleet.sends.back(), 1600ms);
+        fleet.run(100ms);
+    }
+    CHECK(fleet.sends.size() < 10);
+    const std::size_t before = fleet.sends.size();
+    CHECK(fleet.give(100, {}, 100ms) != none); // a light one has more to spare
+    CHECK(fleet.sends.size() == before + 1);
+}
+
 TEST_CASE("a worker that does not answer its probes is avoided before a job has paid for it") {
     Fleet fleet(asked_settings(0, 1), 4);
     fleet.silent = {2};
