--- a/examples/toy_servers.py
+++ b/examples/toy_servers.py
@@ -1,11 +1,13 @@
 #!/usr/bin/env python3
-"""Two toy workers and a toy discovery, to try willowrilld by hand. Standard library only; not for load.
+"""Two toy workers and a toy discovery, to try willowrilld by hand. Standard library only; not for load. With
+`--probed` the workers tell their load to probes alone, as examples/probed.json has it, and of each job's start.
 
     examples/toy_servers.py &
     PROXY_CONFIG=examples/config.json build/willowrilld &
     curl -i http://127.0.0.1:5000/api -H 'X-Request-ID: 1' -H 'X-Priority-Class: record' -d 'a job'
 """
 import json
+import sys
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -33,20 +35,49 @@
         self.wfile.write(body)
 
 
+PROBED = "--probed" in sys.argv[1:]
+SLOTS = 4
+busy = {name: 0 for name in WORKERS}
+lock = threading.Lock()
+
+
 class Worker(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
 
+    def name(self):
+        return next(n for n, (_, port, _) in WORKERS.items() if port == self.server.server_address[1])
+
+    def say(self, line):
+        text = json.dumps(line).encode() + b"\n"
+        self.wfile.write(b"%x\r\n%s\r\n" % (len(text), text))
+
+    def do_GET(self):  # a probe
+        known = PROBED and self.path in ("/health", "/status/load")
+        body = b""
+        if known and self.path == "/status/load":
+            jobs = busy[self.name()]
+            body = json.dumps({"util": min(1, jobs / SLOTS), "x0": max(0, SLOTS - jobs)}).encode()
+        self.send_response(200 if known else 404)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
     def do_POST(self):
         job = self.rfile.read(int(self.headers.get("Content-Length", "0"))).decode(errors="replace")
-        name = next(n for n, (_, port, _) in WORKERS.items() if port == self.server.server_address[1])
+        name, id = self.name(), self.headers["X-Request-ID"]
+        with lock:
+            busy[name] += 1
         self.send_response(200)
         self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
+        if PROBED:
+            self.say({"id": id, "from": name, "state": "started"})
         time.sleep(0.2)
-        line = json.dumps({"id": self.headers["X-Request-ID"], "from": name, "state": "done",
-                           "result": f"{name} ran: {job}\n",
-                           "load": {"util": 0.1, "latency_ms": 200, "x0": 4}}).encode() + b"\n"
-        self.wfile.write(b"%x\r\n%s\r\n0\r\n\r\n" % (len(line), line))
+        with lock:
+            busy[name] -= 1
+        load = {} if PROBED else {"load": {"util": 0.1, "latency_ms": 200, "x0": 4}}
+        self.say({"id": id, "from": name, "state": "done", "result": f"{name} ran: {job}\n", **load})
+        self.wfile.write(b"0\r\n\r\n")
 
 
 def main():
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -229,6 +229,12 @@
 
     const object limits = section(json, "limits");
     to.probes = flag(limits, "probes");
+    if (to.probes && !to.reports_with_probes)
+        out.remarks.emplace_back("probes are allowed but carry no load report: none is sent");
+    if (!to.probes && via == "pull")
+        out.remarks.emplace_back(
+            "load reports come by probe alone, and probes are not allowed: load is learnt from own "
+            "sends, starts and answers");
     to.may_cancel = flag(limits, "cancel");
     to.second_copies = flag(limits, "second_copies");
     to.takes_advice = flag(limits, "retry_after");
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -91,6 +91,8 @@
             log::event(spdlog::level::info, "mgmt.open", {{"address", desk_->address().text()}},
                        "operators' calls at " + desk_->address().text());
         }
+        for (const std::string& remark : settings_.remarks)
+            spdlog::warn("settings: {}", remark);
         spdlog::info("{} serves on {}, discovery at {}", settings_.name, front_.address().text(),
                      settings_.discovery.text());
         if (succession_.shared()) {
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -85,6 +85,23 @@
     CHECK(to.classes[1].kind == 0);
 }
 
+TEST_CASE("settings of probes and reports that contradict one another are served under, with a remark") {
+    const auto remarks = [](const std::string& via, bool probes) {
+        std::string text = config_text;
+        text.replace(text.find("piggyback"), 9, via);
+        if (probes) text.replace(text.find("\"cancel\""), 0, "\"probes\":true,");
+        return config::parse(text, no_variable).remarks;
+    };
+    CHECK(remarks("piggyback", false).empty());
+    CHECK(remarks("piggyback", true).empty());
+    CHECK(remarks("pull", true).empty());
+    CHECK(remarks("silent", false).empty());
+    REQUIRE(remarks("silent", true).size() == 1);
+    CHECK(remarks("silent", true)[0].find("no load report") != std::string::npos);
+    REQUIRE(remarks("pull", false).size() == 1);
+    CHECK(remarks("pull", false)[0].find("not allowed") != std::string::npos);
+}
+
 TEST_CASE("descriptors and memory bound the connections of each side") {
     config::Settings settings = test_settings();
     settings.sockets = 1024;
