Ask a worker once at a time, also where its process has started anew

Found by reading: the module forgets that it has asked a worker whose process restarts (rules.cpp, on(ListNews)). A second probe then took the first one's entry in Pool::asking_, so that connection's place was never given back and the first probe had no end. The pool now keeps to one a worker itself. The new test fails without it (two connections).

--- a/src/relay/pool.cpp
+++ b/src/relay/pool.cpp
@@ -312,6 +312,8 @@
 }
 
 void Pool::probe(core::WorkerId worker) {
+    // One that asks a former process of the worker may still be out.
+    if (asking_.contains(worker)) return host_->probed(worker, Outcome::not_sent, net::Duration(0), {});
     ++counters_.probes;
     auto channel = take_idle(worker);
     Outcome failure = Outcome::not_sent;
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -192,6 +192,21 @@
     CHECK(counted.written == 1); // none of them counts as an attempt
 }
 
+// A worker that has started anew is asked anew, though its former process has not answered: the first probe's
+// place was never given back, and nobody was told of its end.
+TEST_CASE("a worker is asked once at a time, whatever the module has forgotten") {
+    Rig rig;
+    rig.pool.probe(0);
+    rig.pool.probe(0);
+    CHECK(rig.pool.counters().probes == 1);
+    REQUIRE(
+        rig.settle([&] { return rig.worker.peers.size() == 1 && rig.worker.peers[0]->has("/status/load"); }));
+    rig.worker.peers[0]->connection.write(net::http::write_answer(200, {}, R"({"util":0.5})"));
+    CHECK(rig.settle([&] { return rig.pool.counters().told == 1; }));
+    rig.worker.peers[0]->connection.close();
+    CHECK(rig.settle([&] { return rig.pool.size() == 0; }));
+}
+
 TEST_CASE("a probe never takes a connection that a job needs") {
     Rig rig(10, 1); // room for one
     rig.pool.probe(0);
