Convert seconds in one place, and look a key's share up once for each pick

Found by reading the change again: the conversion from seconds stood in rules.cpp, in learn::Pulse and in learn::Subscription, and key_increment asked KeyShares anew for every worker of every pick, though the answer is one for the job. learn::from_seconds serves all three; learn::Holders is told the number of holders when it is ordered.

--- a/src/learn/books.h
+++ b/src/learn/books.h
@@ -123,13 +123,12 @@
     }
     // Whether to ask now; `chance` gives a number from 0 to 1 when it is needed.
     template <class Chance> bool due(Time now, Time valid, Chance chance) {
-        const auto after = [&](double s) { return now + Time(static_cast<Time::rep>(s * 1e9)); };
-        if (ask_at_ < Time(0)) ask_at_ = after(chance() * seconds(valid) / 8);
+        if (ask_at_ < Time(0)) ask_at_ = now + from_seconds(chance() * seconds(valid) / 8);
         if (watching_) failures_ = 0;
         if (std::exchange(failed_, false)) {
             watching_ = false;
             const double back_off = std::min(seconds(valid) / 2, std::ldexp(0.5, failures_++));
-            ask_at_ = after(back_off * (0.5 + chance()));
+            ask_at_ = now + from_seconds(back_off * (0.5 + chance()));
         }
         if (watching_ || now < ask_at_) return false;
         ask_at_ = now + valid / 2;
--- a/src/learn/learn.h
+++ b/src/learn/learn.h
@@ -22,6 +22,7 @@
 using Time = std::chrono::nanoseconds;
 
 inline double seconds(Time d) { return std::chrono::duration<double>(d).count(); }
+inline Time from_seconds(double s) { return Time(static_cast<Time::rep>(s * 1e9)); }
 
 // SplitMix64's last step: a hash that is the same everywhere.
 inline std::uint64_t mixed(std::uint64_t x) {
@@ -294,15 +295,18 @@
   private:
     static constexpr double most = 1024, some = 32;
     double all_ = 0;
-    std::unordered_map<std::uint64_t, double> counts_;
+    std::unordered_map<std::uint64_t, double> counts_; // 2 * `most` at the most, as none counts under a half
 };
 
 // Who holds a key: an order of workers by a hash of both, in which each key has its own, the same to whoever
 // makes it, and workers that come and go leave the others in theirs (rendezvous hashing).
 class Holders {
   public:
-    template <class Ids, class KeyOf> void order(std::uint64_t key, const Ids& ids, KeyOf key_of) {
+    // `holders`: how many of the first hold it, one at the least.
+    template <class Ids, class KeyOf>
+    void order(std::uint64_t key, double holders, const Ids& ids, KeyOf key_of) {
         key_ = mixed(key + 1);
+        holders_ = std::max(1.0, holders);
         first_ = {};
         for (const auto id : ids) {
             double height = height_of(key_of(id));
@@ -310,15 +314,18 @@
                 if (height > held) std::swap(height, held);
         }
     }
-    // How many come before this worker; as many as are kept where it is not among them.
-    double before(std::uint64_t worker) const {
+    // How far behind the last holder a worker comes, 0 or less for a holder. Beyond those that are kept all
+    // come alike.
+    double beyond(std::uint64_t worker) const {
         const double own = height_of(worker);
-        return static_cast<double>(std::ranges::count_if(first_, [&](double held) { return held > own; }));
+        const auto before = std::ranges::count_if(first_, [&](double held) { return held > own; });
+        return static_cast<double>(before) + 1 - holders_;
     }
 
   private:
     double height_of(std::uint64_t worker) const { return unit(mixed(key_ ^ worker)); }
     std::uint64_t key_ = 0;
+    double holders_ = 1;
     std::array<double, 16> first_{};
 };
 
@@ -341,12 +348,9 @@
 class Pulse {
   public:
     template <class Chance> bool due(Time now, double per_s, Chance chance) {
-        const auto after = [&](double beats) {
-            return now + Time(static_cast<Time::rep>(1e9 * beats / per_s));
-        };
-        if (next_ < Time(0)) next_ = after(chance());
+        if (next_ < Time(0)) next_ = now + from_seconds(chance() / per_s);
         if (now < next_) return false;
-        next_ = after(1);
+        next_ = now + from_seconds(1 / per_s);
         return true;
     }
     Time next() const { return next_; }
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -56,8 +56,7 @@
 constexpr double most_crowding = 0.35;  // but not if this share of small jobs finds no room at once
 constexpr double queue_allowance = 0.1; // load beyond full that a job accepts once it has waited its aim
 
-using learn::seconds;
-Duration from_seconds(double s) { return Duration(static_cast<Duration::rep>(s * 1e9)); }
+using learn::seconds, learn::from_seconds;
 
 using learn::Attempt, learn::Job, learn::Worker;
 
@@ -437,8 +436,7 @@
             steps += next_tier;
         if (settings.cross_zone_price > 0 && w.entry.zone != settings.zone) steps += far_zone;
         if (settings.handshake_price > 0 && now >= w.connected_until) steps += no_connection;
-        return steps / warm_slots(w) +
-               key_increment(job, w); // what a cold one bears is `cold_budget_allows`'s business
+        return steps / warm_slots(w) + key_increment(job, w); // a cold one: see `cold_budget_allows`
     }
 
     // What waits at workers like this one, by what answers took: a full worker's report does not tell. One
@@ -449,20 +447,22 @@
                runs.run(job.in.job_class, w.entry.kind);
     }
 
-    // What a job needs beside slots is kept by workers that lately had its key; others fetch it, at the
-    // expense of all. Its holders are the first of an order by key and worker that all dispatchers share, as
-    // many as its jobs fill. The rest are the paper's last resort, I of 100%; an overflow goes to the
-    // nearest.
+    // What a job needs beside slots is kept by workers that lately had its key; others fetch it, at all's
+    // expense. Its holders are the first of an order by key and worker that all dispatchers share. The rest
+    // are the paper's last resort, I of 100%; an overflow goes to the nearest.
     double key_increment(const Job& job, const Worker& w) const {
         if (!job.in.key) return 0;
-        const double fills = keys.share(*job.in.key) * holder_spare * static_cast<double>(ready.size());
-        const double beyond = holders.before(w.entry.key) + 1 - std::max(1.0, std::ceil(fills));
+        const double beyond = holders.beyond(w.entry.key); // of the order that `pick` made for this job
         return beyond <= 0 ? 0 : last_resort * beyond / (beyond + 1);
     }
 
     WorkerId pick(const Job& job) {
         const WorkerId anchor = group_anchor(job);
-        if (job.in.key) holders.order(*job.in.key, ready, [&](WorkerId id) { return workers[id].entry.key; });
+        if (job.in.key) {
+            const double fills = keys.share(*job.in.key) * holder_spare * static_cast<double>(ready.size());
+            holders.order(*job.in.key, std::ceil(fills), ready,
+                          [&](WorkerId id) { return workers[id].entry.key; });
+        }
         // Those in health, those that rest, and those in a zone that seems lost.
         std::array<learn::Lowest, 3> best;
         std::size_t able = 0, resting = 0;
