--- a/examples/toy_servers.py
+++ b/examples/toy_servers.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
 """Two toy workers and a toy discovery, to try willowrilld by hand. Standard library only; not for load. With
-`--probed` the workers tell their load to probes alone, as examples/probed.json has it, and of each job's start.
+`--probed` the workers tell their load to probes alone, as examples/probed.json has it, and of each job's start;
+with `--any-port` all listen where there is room, and the first line printed is discovery's address.
 
     examples/toy_servers.py &
     PROXY_CONFIG=examples/config.json build/willowrilld &
@@ -81,8 +82,13 @@
 
 
 def main():
-    servers = [ThreadingHTTPServer(DISCOVERY, Discovery)]
-    servers += [ThreadingHTTPServer((host, port), Worker) for host, port, _ in WORKERS.values()]
+    any_port = "--any-port" in sys.argv[1:]
+    servers = [ThreadingHTTPServer((DISCOVERY[0], 0) if any_port else DISCOVERY, Discovery)]
+    for name, (host, port, kind) in WORKERS.items():
+        servers.append(ThreadingHTTPServer((host, 0 if any_port else port), Worker))
+        WORKERS[name] = (host, servers[-1].server_address[1], kind)
+    if any_port:
+        print("%s:%d" % servers[0].server_address, flush=True)
     for server in servers[1:]:
         threading.Thread(target=server.serve_forever, daemon=True).start()
     try:
