Find workers that crawl by what their jobs take, and move what runs on there

Cause: a worker that crawls is given few jobs and so reports room; its jobs came back late, and their times went into the means for all its kind (on(AttemptEnded), in_time). Properties now also vary how load is told (answers, probes, none), hints, keys and progress; they found a worker asked twice at once after its restart, and a time that overflowed.

--- a/src/learn/books.h
+++ b/src/learn/books.h
@@ -39,6 +39,7 @@
     int strikes = 0;
     Time full_until{0}, rest_until{0}, trusted_from{0};
     Window cold_sends;  // work
+    Pace pace{};        // by jobs with hints
     bool asked = false; // a probe is out
     Time asked_at{0};
 
@@ -53,6 +54,14 @@
         return from + (1 - from) * std::max(0.0, seconds(at - entry.up_since) / seconds(cold_time));
     }
 
+    // A new process at its place: what was learnt is void, and what is out still is.
+    Worker anew() const {
+        Worker out;
+        out.own_slots = own_slots;
+        out.asked = asked;
+        out.asked_at = asked_at;
+        return out;
+    }
     bool rests(Time now) const { return now < rest_until; }
     bool is_full(Time now) const { return now >= rest_until && now < full_until; }
     void rest(Time now, Time span, int wary_spans) {
@@ -105,6 +114,38 @@
     bool is_out() const { return std::ranges::count(attempts, true, &Attempt::out) > 0; }
 };
 
+// How long jobs take: by class and place, and by their hints.
+struct Times {
+    Runs runs;
+    HintedRuns hinted;
+
+    // What an attempt of a job with a hint is expected to run, in seconds.
+    double expected(const Job& job, bool away, const Worker& w) const {
+        return std::max(0.001, hinted.run(w.entry.kind, away, seconds(job.in.hint)));
+    }
+    // It says that it is so far; at that pace, it takes so long. What cannot be says nothing.
+    void progressed(const Job& job, const Attempt& attempt, Worker& w, double done, Time now) const {
+        if (job.in.hint <= Time(0) || attempt.started_at < Time(0) || !(done > 0) || done > 1) return;
+        w.pace.outlasts(seconds(now - attempt.started_at) / (done * expected(job, attempt.away, w)), now);
+    }
+    // It was served. What it ran is known where starts are told or, elsewhere, where there was room.
+    void served(const Job& job, const Attempt& attempt, Worker& w, Time took, bool had_room, bool tells_start,
+                Time now) {
+        const double ran = attempt.started_at >= Time(0) ? seconds(now - attempt.started_at)
+                           : had_room && !tells_start    ? seconds(took)
+                                                         : -1;
+        if (job.in.hint > Time(0) && ran >= 0) w.pace.ran(ran / expected(job, attempt.away, w), now);
+        if (!w.pace.crawls(now)) hinted.ended(w.entry.kind, attempt.away, ran, seconds(job.in.hint));
+        runs.served(job.in.job_class, w.place(), seconds(took), had_room, now);
+    }
+};
+
+// The slots of a worker that tells how many are free.
+inline double slots_in(const Report& report) {
+    return report.free_slots.value_or(0) +
+           std::max(0.0, report.in_flight.value_or(0) - report.queued.value_or(0));
+}
+
 // The load in a report. Utilisation ends at 1 and may lag behind the slots: the fuller view counts, and what
 // waits is added. `fallback`: where it tells neither; `all`: the worker's slots, 0 while none are known.
 inline double load_in(const Report& report, double fallback, double all, double per_slot) {
--- a/src/learn/learn.h
+++ b/src/learn/learn.h
@@ -22,7 +22,8 @@
 using Time = std::chrono::nanoseconds;
 
 inline double seconds(Time d) { return std::chrono::duration<double>(d).count(); }
-inline Time from_seconds(double s) { return Time(static_cast<Time::rep>(s * 1e9)); }
+// To 30 years at the most: what is longer never comes, and must not overflow.
+inline Time from_seconds(double s) { return Time(static_cast<Time::rep>(std::clamp(s, -1e9, 1e9) * 1e9)); }
 
 // SplitMix64's last step: a hash that is the same everywhere.
 inline std::uint64_t mixed(std::uint64_t x) {
@@ -275,6 +276,29 @@
     GroupMeans ratios_{1, least_weight};
 };
 
+// How many times as long as expected a worker's jobs run. One that crawls is known by several, or by those
+// that are out for very long. Word of it fades, as only a job sent there can tell that it has recovered.
+class Pace {
+  public:
+    void ran(double times, Time now) {
+        const double known = of(now);
+        value_ = known + weight * (std::min(times, most) - known);
+        at_ = now;
+    }
+    void outlasts(double times, Time now) { // a job has run so long, and still does
+        if (times > of(now)) ran(times, now);
+    }
+    double of(Time now) const { return 1 + (value_ - 1) * std::exp2(-seconds(now - at_) / half_s); }
+    bool crawls(Time now) const { return of(now) > crawling; }
+    // What a run is expected to take here: the usual, unless it crawls.
+    double stretch(Time now) const { return crawls(now) ? of(now) : 1; }
+
+  private:
+    static constexpr double weight = 0.3, most = 6, half_s = 10, crawling = 2;
+    double value_ = 1;
+    Time at_{0};
+};
+
 // Which part of the jobs are about a key, by the last thousand or so.
 class KeyShares {
   public:
@@ -302,11 +326,12 @@
 // makes it, and workers that come and go leave the others in theirs (rendezvous hashing).
 class Holders {
   public:
-    // `holders`: how many of the first hold it, one at the least.
+    void asked_for(std::uint64_t key) { shares_.add(key); } // by a job that came
+    // As many of the first hold it as its share of the jobs fills, times `spare`; one at the least.
     template <class Ids, class KeyOf>
-    void order(std::uint64_t key, double holders, const Ids& ids, KeyOf key_of) {
+    void order(std::uint64_t key, double spare, const Ids& ids, KeyOf key_of) {
         key_ = mixed(key + 1);
-        holders_ = std::max(1.0, holders);
+        holders_ = std::max(1.0, std::ceil(shares_.share(key) * spare * static_cast<double>(ids.size())));
         first_ = {};
         for (const auto id : ids) {
             double height = height_of(key_of(id));
@@ -324,6 +349,7 @@
 
   private:
     double height_of(std::uint64_t worker) const { return unit(mixed(key_ ^ worker)); }
+    KeyShares shares_;
     std::uint64_t key_ = 0;
     double holders_ = 1;
     std::array<double, 16> first_{};
@@ -359,6 +385,15 @@
     Time next_{-1};
 };
 
+// Which workers of one kind are a dispatcher's homes, by their rank among `count` of them: its slice or,
+// where there are more dispatchers than workers, the first `few` of an order of its own.
+struct Homes {
+    std::size_t self = 0, dispatchers = 1, count = 0, few = 4;
+    bool own_order() const { return dispatchers > count; }
+    std::uint64_t place(std::uint64_t worker) const { return mixed(worker ^ mixed(self + 1)); }
+    bool has(std::size_t rank) const { return own_order() ? rank < few : rank * dispatchers / count == self; }
+};
+
 // Calls `then` with each run of neighbours for which `what` gives the same.
 template <class Id, class What, class Then> void each_run(std::span<Id> ids, What what, Then then) {
     for (std::size_t first = 0, end = 0; first < ids.size(); first = end) {
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -34,6 +34,7 @@
 constexpr double mean_gain = 0.05;   // least weight of a new sample in running means
 constexpr std::size_t few_homes = 4; // of a kind, where there are more dispatchers than that allows
 constexpr double long_run = 3;       // times its usual time, after which a job out is taken to wait
+constexpr double overrun = 1.7;      // times its expected run, after which a job's worker may crawl
 constexpr double cold_more = 0.5;    // load beyond the usual that a cold worker is given
 constexpr double full_load = 0.9;    // from which on a report may hide a queue
 constexpr double far_zone = 0.75;    // steps more for another zone, which costs little beside a late job
@@ -56,16 +57,14 @@
 constexpr double most_crowding = 0.35;  // but not if this share of small jobs finds no room at once
 constexpr double queue_allowance = 0.1; // load beyond full that a job accepts once it has waited its aim
 
-using learn::seconds, learn::from_seconds;
-
-using learn::Attempt, learn::Job, learn::Worker;
+using learn::Attempt, learn::Job, learn::Worker, learn::seconds, learn::from_seconds;
 
 } // namespace
 
 struct Dispatcher::Impl {
     explicit Impl(Settings s) : settings(std::move(s)), random(settings.seed) {
         for (const JobClass& c : settings.classes) {
-            runs.add_class(std::max(0.001, seconds(c.aim)), mean_gain);
+            times.runs.add_class(std::max(0.001, seconds(c.aim)), mean_gain);
             first_tries.add_class(c.give_up);
             offered.add_class(c.kind == none ? learn::Offered::anywhere : c.kind);
         }
@@ -84,7 +83,7 @@
             kind_slots.know(entry.kind);
             Worker& w = workers[entry.worker];
             if (w.entry.up_since != entry.up_since) // a new process: what was learnt is void
-                w.own_slots = std::exchange(w, Worker{}).own_slots;
+                w = w.anew();
             if (zones.size() <= entry.zone) zones.resize(entry.zone + 1);
             w.entry = entry;
             w.ready = entry.condition == Condition::ready;
@@ -111,14 +110,12 @@
     }
 
     void choose_homes(std::span<const WorkerId> alike) {
-        const std::size_t n = settings.dispatchers, count = alike.size();
+        const learn::Homes homes{settings.self, settings.dispatchers, alike.size(), few_homes};
         std::vector<WorkerId> order(alike.begin(), alike.end());
-        const auto pair = [&](WorkerId id) {
-            return learn::mixed(workers[id].entry.key ^ learn::mixed(settings.self + 1));
-        };
-        if (n > count) std::ranges::sort(order, {}, pair);
-        for (std::size_t rank = 0; rank < count; ++rank)
-            workers[order[rank]].home = n > count ? rank < few_homes : rank * n / count == settings.self;
+        const auto place = [&](WorkerId id) { return homes.place(workers[id].entry.key); };
+        if (homes.own_order()) std::ranges::sort(order, {}, place);
+        for (std::size_t rank = 0; rank < order.size(); ++rank)
+            workers[order[rank]].home = homes.has(rank);
     }
 
     void on(const JobArrived& in) {
@@ -132,10 +129,10 @@
         kind_slots.wide_job(job.in.slots);
         job.deadline = now + in.left - settings.tick;
         const double worth = c.worth * (within_quota(in) ? 1 : settings.over_quota_worth);
-        job.value = worth / (job.in.slots * (settings.worth_by_work ? 1 : runs.run(in.job_class)));
+        job.value = worth / (job.in.slots * (settings.worth_by_work ? 1 : times.runs.run(in.job_class)));
         retries.add(retry_ratio, retry_burst);
         arrivals.add(1, now);
-        if (in.key) keys.add(*in.key);
+        if (in.key) holders.asked_for(*in.key);
         offered.add(in.job_class, work_of(job), now);
         look_again(in.job, job.deadline);
         wait(in.job);
@@ -154,7 +151,11 @@
         mark_started(jobs[note.job], *attempt);
     }
 
-    void on(const AttemptProgress& note) { on(AttemptStarted{note.job, note.attempt, note.worker}); }
+    void on(const AttemptProgress& note) {
+        on(AttemptStarted{note.job, note.attempt, note.worker});
+        if (const Attempt* attempt = find(note.job, note.attempt))
+            times.progressed(jobs[note.job], *attempt, workers[attempt->worker], note.done, now);
+    }
 
     void mark_started(const Job& job, Attempt& attempt) {
         attempt.started = true;
@@ -189,12 +190,7 @@
         if (ended.outcome == Outcome::served) {
             const bool had_room = !ended.report || ended.report->free_slots.value_or(1) > 0.5;
             w.connected_until = now + settings.connection_idle * 3 / 4;
-            // Where starts are told, the wait is known apart.
-            const double ran = attempt->started_at >= 0ns          ? seconds(now - attempt->started_at)
-                               : had_room && !settings.tells_start ? seconds(ended.latency)
-                                                                   : -1;
-            hinted.ended(w.entry.kind, attempt->away, ran, seconds(job.in.hint));
-            runs.served(job.in.job_class, w.place(), seconds(ended.latency), had_room, now);
+            times.served(job, *attempt, w, ended.latency, had_room, settings.tells_start, now);
         }
         if (ended.job_over) on(JobLeft{ended.job});
         if (!job.live || job.streaming || job.is_out()) return;
@@ -219,10 +215,7 @@
     // A fresh report replaces L and zeroes X. It left before the answer that carries it, so the job answered
     // is still counted in it: its slots are taken off.
     void note_report(Worker& w, const Report& report, double finished_slots) {
-        if (report.free_slots) {
-            const double in_work = report.in_flight.value_or(0) - report.queued.value_or(0);
-            kind_slots.reported(w.entry.kind, *report.free_slots + std::max(0.0, in_work));
-        }
+        if (report.free_slots) kind_slots.reported(w.entry.kind, learn::slots_in(report));
         const double all = kind_slots.of(w.entry.kind);
         const double per_slot = all > 0 ? 1 / all : default_step;
         const double load = learn::load_in(report, usual_load(w), all, per_slot);
@@ -277,12 +270,29 @@
         capacity_changed = capacity_changed || job.waiting; // all that wait are looked at, the best first
         if (job.waiting) return;
         Attempt& last = job.attempts.back();
-        if (!last.out || last.started || last.cancelled || now - last.sent < start_notice(job, last)) return;
-        runs.outlasts(job.in.job_class, workers[last.worker].place(), seconds(now - last.sent), now);
+        if (!last.out || last.cancelled) return;
+        if (last.started) return review_run(id, last);
+        if (now - last.sent < start_notice(job, last)) return;
+        times.runs.outlasts(job.in.job_class, workers[last.worker].place(), seconds(now - last.sent), now);
         if (!std::exchange(last.stuck, true)) workers[last.worker].stuck_slots += job.in.slots;
         if (!tells()) return look_again(id, now + (now - last.sent) / 4);
         // It waits in a queue there: where it may, it moves to a worker with room.
-        if (!settings.tells_start || !settings.may_cancel || !may_send(job, true)) return;
+        if (settings.tells_start) move(id, last);
+    }
+
+    // It runs on long past its expected end. Where its worker is known to crawl, it moves.
+    void review_run(JobId id, Attempt& last) {
+        if (jobs[id].in.hint <= 0ns || last.started_at < 0ns) return;
+        Worker& w = workers[last.worker];
+        const Time due = last.started_at + from_seconds(overrun * times.expected(jobs[id], last.away, w));
+        if (now < due) return look_again(id, due);
+        times.progressed(jobs[id], last, w, 1, now); // all but done, at the best
+        if (w.pace.crawls(now)) move(id, last);
+    }
+
+    void move(JobId id, Attempt& last) {
+        const Job& job = jobs[id];
+        if (!settings.may_cancel || !may_send(job, true)) return;
         const WorkerId to = pick_with_room(job, 0, job.in.slots);
         if (to == none || !retries.take())
             return look_again(id, now + std::max(patience(job), (now - last.sent) / 2));
@@ -293,13 +303,12 @@
 
     bool tells() const { return settings.tells_start || settings.progress_period > 0ns; }
 
-    // How long after its send an attempt is known to wait, if nothing has been heard of it. Where workers
-    // tell nothing of a job before its end, silence means that only when it is long for its class.
+    // How long after its send an attempt of which nothing has been heard is known to wait.
     Duration start_notice(const Job& job, const Attempt& attempt) const {
         if (settings.tells_start) // a connection may take its time to come up
             return patience(job) + (attempt.opens ? settings.connect_timeout : 0ns);
         if (tells()) return settings.progress_period + 4 * settings.tick;
-        return from_seconds(long_run * runs.run(job.in.job_class, workers[attempt.worker].entry.kind));
+        return from_seconds(long_run * times.runs.run(job.in.job_class, workers[attempt.worker].entry.kind));
     }
 
     Duration patience(const Job& job) const { return std::max(settings.tick, class_of(job).aim / 8); }
@@ -322,7 +331,7 @@
         if (more <= 0 && now == job.arrived) crowding += mean_gain * ((to == none ? 1 : 0) - crowding);
         const Duration pause = std::max(patience(job), (now - job.arrived) / 4);
         if (to == none) return look_again(id, std::min(now + pause, give_up_at(job)));
-        const double wait = runs.wait(job.in.job_class, workers[to].group(), now);
+        const double wait = times.runs.wait(job.in.job_class, workers[to].group(), now);
         if (class_of(job).kind != none && now + from_seconds(wait) > useful_until(job)) return end(id);
         job.waiting = false;
         send(id, to);
@@ -332,12 +341,10 @@
     bool in_time(const Job& job, const Worker& w) const {
         const JobClass& c = class_of(job);
         if (job.in.hint <= 0ns || c.late_worth > 0) return true;
-        const double hint = seconds(job.in.hint);
-        const double run = hinted.run(w.entry.kind, key_increment(job, w) > 0, hint);
-        return seconds(now - job.asked_at) + run <= seconds(c.aim) + c.aim_stretch * hint;
+        const double run = times.expected(job, key_increment(job, w) > 0, w) * w.pace.stretch(now);
+        return seconds(now - job.asked_at) + run <= seconds(c.aim) + c.aim_stretch * seconds(job.in.hint);
     }
 
-    // `need`: how many slots must be free.
     WorkerId pick_with_room(const Job& job, double allowance, double need) {
         const bool anywhere = group_anchor(job) == none && !job.in.key; // its holders are its own
         double& no_room = no_room_for(job);
@@ -358,10 +365,10 @@
     // From then on a job cannot be in time or, where a late answer earns something, before its client leaves.
     Time useful_until(const Job& job) const {
         const JobClass& c = class_of(job);
-        const double run = runs.run(job.in.job_class);
+        const double run = times.runs.run(job.in.job_class);
         if (c.late_worth > 0) return job.deadline - from_seconds(run);
         if (job.in.hint > 0ns) { // a hint tells its own aim, and the kind that is fastest what it needs
-            const double hint = seconds(job.in.hint), fastest = hinted.fastest(settings.kinds, hint);
+            const double hint = seconds(job.in.hint), fastest = times.hinted.fastest(settings.kinds, hint);
             const double spare = std::max(0.0, seconds(c.aim) + c.aim_stretch * hint - fastest);
             return std::min(job.deadline, job.asked_at + from_seconds(spare));
         }
@@ -390,20 +397,15 @@
 
     double slots_of(const Worker& w) const { return warm_slots(w) * warmth(w, now); }
 
-    // L + X, with three exceptions. L fades towards the mean of the loads seen: an old report says little,
-    // and a worker once seen as busy must come up again. A report that left before the last sends arrived
-    // clears X all the same, so the sum is never less than what this dispatcher itself has out there. And
-    // free slots mean nothing while a job that needs more of them waits at the head of the queue.
-    //
-    // A worker that has nothing of ours and has not reported for long is taken to have room for one job:
-    // else, where the first reports come from a busy fleet, all others count as full and are never heard of.
-    double load_of(const Worker& w, double more) const { return load_of(w, more, w.degradation); }
-
     // Being of a far tier makes a worker come later, not smaller: room is counted in the slots sent.
     bool has_room(const Worker& w, double need, double room) const {
         return load_of(w, need, w.sent_slots / slots_of(w)) + need / slots_of(w) <= room;
     }
 
+    // L + X. L fades towards the mean of the loads seen; the sum is never less than what this dispatcher has
+    // out there, as a report may have left before its last sends arrived; and free slots mean nothing while a
+    // wider job waits at the head of the queue. A worker that has nothing of ours and has not reported for
+    // long is taken to have room for one job, or it would never be heard of.
     double load_of(const Worker& w, double more, double x) const {
         const double load = believed_load(w, x);
         const bool blind =
@@ -436,6 +438,7 @@
             steps += next_tier;
         if (settings.cross_zone_price > 0 && w.entry.zone != settings.zone) steps += far_zone;
         if (settings.handshake_price > 0 && now >= w.connected_until) steps += no_connection;
+        if (w.pace.crawls(now)) steps += last_resort * warm_slots(w);
         return steps / warm_slots(w) + key_increment(job, w); // a cold one: see `cold_budget_allows`
     }
 
@@ -443,13 +446,12 @@
     // that has just shown room has no queue.
     double queue(const Worker& w, const Job& job) const {
         const double shows_room = w.load < full_load ? told(w) : 0;
-        return (1 - shows_room) * runs.wait(job.in.job_class, w.group(), now) /
-               runs.run(job.in.job_class, w.entry.kind);
+        return (1 - shows_room) * times.runs.wait(job.in.job_class, w.group(), now) /
+               times.runs.run(job.in.job_class, w.entry.kind);
     }
 
-    // What a job needs beside slots is kept by workers that lately had its key; others fetch it, at all's
-    // expense. Its holders are the first of an order by key and worker that all dispatchers share. The rest
-    // are the paper's last resort, I of 100%; an overflow goes to the nearest.
+    // What a job needs beside slots is kept by workers that lately had its key: its holders, the first of an
+    // order that all dispatchers share. The rest fetch it, at all's expense: the paper's last resort.
     double key_increment(const Job& job, const Worker& w) const {
         if (!job.in.key) return 0;
         const double beyond = holders.beyond(w.entry.key); // of the order that `pick` made for this job
@@ -458,11 +460,8 @@
 
     WorkerId pick(const Job& job) {
         const WorkerId anchor = group_anchor(job);
-        if (job.in.key) {
-            const double fills = keys.share(*job.in.key) * holder_spare * static_cast<double>(ready.size());
-            holders.order(*job.in.key, std::ceil(fills), ready,
-                          [&](WorkerId id) { return workers[id].entry.key; });
-        }
+        const auto key_of = [&](WorkerId id) { return workers[id].entry.key; };
+        if (job.in.key) holders.order(*job.in.key, holder_spare, ready, key_of);
         // Those in health, those that rest, and those in a zone that seems lost.
         std::array<learn::Lowest, 3> best;
         std::size_t able = 0, resting = 0;
@@ -472,22 +471,26 @@
             const bool shunned = shuns_zone(job, w), rest = rests(w, job);
             if (!shunned) ++able;
             if (!shunned && rest) ++resting;
-            const double score = load_of(w, job.in.slots) + queue(w, job) + increment(w, job);
+            const double score = load_of(w, job.in.slots, w.degradation) + queue(w, job) + increment(w, job);
             best[shunned ? 2 : rest ? 1 : 0].offer(id, score, [&] { return uniform(); });
         }
-        const bool common_trouble = static_cast<double>(resting) > most_resting * static_cast<double>(able);
         if (able == 0) return best[2].id;
-        return common_trouble && best[1].score < best[0].score ? best[1].id : best[0].id;
+        return is_common(resting, able) && best[1].score < best[0].score ? best[1].id : best[0].id;
     }
 
     std::size_t excluded(Time at) const {
-        const auto drain = std::ranges::count_if(
-            workers, [](const Worker& w) { return w.entry.condition == Condition::draining; });
-        const auto rest = std::ranges::count_if(ready, [&](WorkerId id) { return workers[id].rests(at); });
-        const auto full = std::ranges::count_if(ready, [&](WorkerId id) { return workers[id].is_full(at); });
+        std::size_t drain = 0, rest = 0, full = 0;
+        for (const Worker& w : workers) {
+            drain += w.entry.condition == Condition::draining ? 1 : 0;
+            rest += w.ready && w.rests(at) ? 1 : 0;
+            full += w.ready && w.is_full(at) ? 1 : 0;
+        }
         // As in `pick`, trouble that is common keeps nobody out.
-        const bool common = static_cast<double>(rest) > most_resting * static_cast<double>(ready.size());
-        return static_cast<std::size_t>(drain + full + (common ? 0 : rest));
+        return drain + full + (is_common(rest, ready.size()) ? 0 : rest);
+    }
+
+    static bool is_common(std::size_t resting, std::size_t able) {
+        return static_cast<double>(resting) > most_resting * static_cast<double>(able);
     }
 
     bool rests(const Worker& w, const Job& job) const {
@@ -581,7 +584,7 @@
     }
 
     double work_of(const Job& job) const {
-        return job.in.slots * std::max(runs.run(job.in.job_class), seconds(job.in.hint));
+        return job.in.slots * std::max(times.runs.run(job.in.job_class), seconds(job.in.hint));
     }
 
     // Counted over a sliding window. Where a fair share is less than one job, each has a chance, by the share
@@ -668,10 +671,6 @@
         wake_by = std::min(wake_by, probes.next());
     }
 
-    bool is_void(const learn::Agenda::Entry& due) const {
-        return !jobs[due.id].live || jobs[due.id].serial != due.serial;
-    }
-
     void handle(Time at, std::span<const Event> events, std::vector<Action>& out) {
         now = at;
         actions = &out;
@@ -679,7 +678,10 @@
         for (const Event& event : events)
             std::visit([&](const auto& e) { on(e); }, event);
         no_room.assign(std::max<std::size_t>(settings.kinds, kind_slots.kinds()) + 1, unlimited);
-        while (const auto due = reviews.due(now, [&](const auto& entry) { return is_void(entry); }))
+        const auto is_void = [&](const learn::Agenda::Entry& due) {
+            return !jobs[due.id].live || jobs[due.id].serial != due.serial;
+        };
+        while (const auto due = reviews.due(now, is_void))
             review(due->id);
         if (std::exchange(capacity_changed, false)) {
             std::ranges::stable_sort(waiting, std::greater<>(), [&](JobId id) { return jobs[id].value; });
@@ -709,14 +711,12 @@
     std::vector<double> no_room; // by kind of worker needed, 0 for any: slots for which there is no room now
     learn::Agenda reviews;
     learn::Holders holders; // of the job that is being placed: how many workers come before another
-    learn::KeyShares keys;
     learn::Rate arrivals;
     learn::Pulse probes;
-    learn::HintedRuns hinted;
     std::uint64_t last_serial = 0;
     learn::GroupMeans loads{0.5, mean_gain}; // by kind and zone
     learn::Offered offered;                  // slot-seconds a second
-    learn::Runs runs;
+    learn::Times times;
     double crowding = 0; // share of the jobs of one slot that found no room on arrival
     learn::TokenBucket retries{.tokens = retry_burst};
     bool capacity_changed = false;
--- a/tests/probing_test.cpp
+++ b/tests/probing_test.cpp
@@ -6,6 +6,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <set>
 #include <utility>
@@ -49,7 +50,7 @@
         step({list});
     }
     void step(std::vector<Event> events = {}) {
-        for (auto at = pending_.begin(); at != pending_.end() && at->first <= now;) {
+        for (auto at = pending_.begin(); answers && at != pending_.end() && at->first <= now;) {
             const WorkerId id = at->second;
             const bool fails = silent.contains(id);
             const Report report{
@@ -104,7 +105,8 @@
     std::vector<Send> sends;
     std::map<WorkerId, std::size_t> probes;
     std::size_t cancels = 0;
-    bool tells = true; // of starts, at once
+    bool tells = true;   // of starts, at once
+    bool answers = true; // to probes
     std::set<WorkerId> silent;
 
   private:
@@ -261,6 +263,86 @@
     CHECK(fleet.sends.size() == before + 1);
 }
 
+// A worker that crawls looks free: its few jobs are all it is given. Only what they take tells.
+TEST_CASE("a worker that crawls is found by its answers, and tried again after a while") {
+    Fleet fleet(asked_settings(0, 1), 2); // in two zones, so that nothing moves
+    fleet.run(1s);
+    const auto to_crawler = [&](JobId first) {
+        int out = 0;
+        for (JobId id = first; id < first + 24; ++id) {
+            const WorkerId to = fleet.give(id, {}, 200ms);
+            if (to == 1) ++out;
+            if (to != none) fleet.served(fleet.sends.back(), to == 1 ? 900ms : 200ms);
+        }
+        return out;
+    };
+    CHECK(to_crawler(0) <= 4); // of two dozen
+    CHECK(to_crawler(24) <= 2);
+    fleet.run(40s);
+    int again = 0;
+    for (JobId id = 100; id < 112; ++id) {
+        if (fleet.give(id, {}, 200ms) == 1) ++again;
+        fleet.served(fleet.sends.back(), 200ms);
+    }
+    CHECK(again >= 3);
+}
+
+TEST_CASE("a worker that crawls is found by its progress, and what is out there moves in time") {
+    Fleet fleet(asked_settings(0, 1), 10); // two in each zone
+    fleet.run(1s);
+    const WorkerId slow = fleet.give(0);
+    REQUIRE(slow != none);
+    fleet.step(); // it starts
+    std::vector<Event> notes;
+    for (const double done : {0.01, -0.5, 1e9, 0.01, 0.01, std::nan(""), 0.02}) // some of them cannot be
+        notes.emplace_back(AttemptProgress{0, 0, slow, done});
+    fleet.now += 200ms;
+    fleet.step(notes);
+    CHECK(fleet.cancels == 0); // its run is not overdue yet
+    fleet.run(700ms);
+    CHECK(fleet.cancels == 1);
+    REQUIRE(fleet.sends.size() == 2);
+    CHECK(fleet.sends[1].worker != slow);
+    CHECK(fleet.sends[1].worker % 5 == slow % 5); // its zone drops repeats
+    for (JobId id = 1; id < 12; ++id)
+        CHECK(fleet.give(id) != slow);
+}
+
+TEST_CASE("progress that cannot be says nothing") {
+    for (const double done : {0.0, -1.0, 1.5, 1e300, std::nan("")}) {
+        Fleet fleet(asked_settings(0, 1), 10);
+        fleet.run(1s);
+        const WorkerId to = fleet.give(0);
+        fleet.step();
+        fleet.now += 300ms;
+        fleet.step(std::vector<Event>(5, AttemptProgress{0, 0, to, done}));
+        fleet.run(700ms); // at twice its time it would move, were the worker known to crawl
+        CHECK(fleet.cancels == 0);
+    }
+}
+
+TEST_CASE("without a budget for probes none is sent, and jobs are served by what their ends tell") {
+    Settings settings = asked_settings();
+    settings.probe_price = 1e300;
+    Fleet fleet(settings, 15);
+    for (JobId id = 0; id < 50; ++id) {
+        if (fleet.give(id) != none) fleet.served(fleet.sends.back());
+    }
+    CHECK(fleet.all_probes() <= 1); // the first beat
+    CHECK(fleet.sends.size() == 50);
+}
+
+// It was asked again while the first question was out, and the relay's connection bore both.
+TEST_CASE("a worker whose process starts anew is not asked twice at once") {
+    Fleet fleet(asked_settings(0, 1), 1);
+    fleet.answers = false;
+    fleet.run(1s);
+    REQUIRE(fleet.all_probes() == 1);
+    fleet.step({ListNews{ListNews::Kind::changes, {{.worker = 0, .key = 7, .up_since = 2s}}}});
+    fleet.run(1s);
+    CHECK(fleet.all_probes() == 1);
+}
+
 TEST_CASE("a worker that does not answer its probes is avoided before a job has paid for it") {
     Fleet fleet(asked_settings(0, 1), 4);
     fleet.silent = {2};
--- a/tests/property_test.cpp
+++ b/tests/property_test.cpp
@@ -51,6 +51,10 @@
     out.second_copies = (variant & 2U) != 0;
     out.tells_start = (variant & 4U) != 0;
     out.cross_zone_price = out.handshake_price = (variant & 8U) != 0 ? 0.02 : 0;
+    out.reports_with_answers = (variant & 16U) == 0; // with both bits, load is never told
+    out.probes = out.reports_with_probes = (variant & 32U) == 0 && !out.reports_with_answers;
+    out.probe_price = (variant & 1U) != 0 ? 0.01 : 0;
+    out.progress_period = out.tells_start ? 100ms : 0ms;
     return out;
 }
 
@@ -98,8 +102,8 @@
             if (out_.empty()) return;
             if (const auto& [key, out] = *pick(out_, step.a); step.what == 6)
                 out.node->host.attempt_started(key.job, key.attempt);
-            else
-                out.node->host.attempt_progress(key.job, key.attempt, 0.5);
+            else // also backwards, and past its end
+                out.node->host.attempt_progress(key.job, key.attempt, step.b / 50.0 - 0.3);
             return;
         case 7: // at a reload, perhaps below what is in use
             return node.host.limit(step.b % 3 == 0 ? 0 : 1U << 20U);
@@ -175,6 +179,7 @@
         Index attempt;
         auto operator<=>(const Key&) const = default;
     };
+    using Asked = std::pair<Index, WorkerId>; // by whom, and whom
     struct Out {
         Node* node = nullptr;
         std::string id;
@@ -184,7 +189,8 @@
 
     struct Node final : core::Relays, core::Inventory {
         Node(World& in, const Settings& settings)
-            : world(in), self(settings.self), host(settings, 200, 1U << 20U, *this, *this) {}
+            : world(in), self(settings.self), probes(settings.probes), reports(settings.reports_with_answers),
+              host(settings, 200, 1U << 20U, *this, *this) {}
         void start(core::JobId job, Index attempt, WorkerId worker, Time give_up,
                    const core::Message& message) override {
             // A job is no more work than its worker has slots for, whatever its client claims.
@@ -196,7 +202,11 @@
         void cancel(core::JobId job, Index attempt) override {
             world.end({self, job, attempt}, Outcome::cancelled, 0);
         }
-        void probe(WorkerId) override { FAIL("probes are not allowed here"); }
+        void probe(WorkerId worker) override {
+            if (!probes) return world.say("a probe where none is allowed");
+            if (!world.probed_.emplace(Asked{self, worker}, world.now + 20ms).second)
+                world.say("a worker was asked twice at once");
+        }
         void watch(bool) override {
             world.ledger.asked_for_list(self);
             if (!std::exchange(watching, true))
@@ -205,6 +215,7 @@
 
         World& world;
         Index self;
+        bool probes, reports;
         Host host;
         bool watching = true;
     };
@@ -235,6 +246,23 @@
         return open.empty() ? nullptr : open[number % open.size()];
     }
 
+    static Duration hint_of(unsigned number) { // none, good, poor, too small and absurd
+        constexpr std::array<Duration, 5> hints{0ns, 100ms, 300ms, 1ns, 1000h};
+        return hints.at(number % hints.size());
+    }
+    static Report report_of(unsigned number) {
+        if (number % 13 == 12) return {.utilisation = 0.5, .free_slots = 2}; // the same for good
+        return {.utilisation = number % 11 / 10.0, .free_slots = worker_slots * (1 - number % 11 / 10.0)};
+    }
+    // One answers in its time, late, with nonsense, or not at all.
+    void answer(Asked asked) {
+        const unsigned number = ++probes_answered_;
+        const std::optional<Report> report =
+            number % 3 == 0 ? std::nullopt : std::optional(report_of(number));
+        nodes_[asked.first].host.probed(
+            asked.second, number % 7 == 0 ? Outcome::timed_out : outcome_of(number), 20ms, report);
+    }
+
     void arrive(Node& node, unsigned job_class, unsigned more) {
         Requester& one = requesters_.emplace_back();
         one.world = this;
@@ -243,6 +271,8 @@
         one.deadline = now + std::chrono::milliseconds(50 + more * 29);
         core::Message message{.id = one.id,
                               .job_class = job_class % 6,
+                              .key = more % 4 == 0 ? std::optional<std::uint64_t>(more) : std::nullopt,
+                              .hint = hint_of(more),
                               .slots = more % 50 == 49 ? 1e5 : 1.0 + more % 3, // a client may claim anything
                               .deadline = one.deadline};
         const Index known = message.job_class;
@@ -258,12 +288,11 @@
         const Out out = found->second;
         out_.erase(found);
         ledger.ended(key.self, key.job, key.attempt, outcome);
-        Report report{.utilisation = more % 11 / 10.0, .free_slots = worker_slots * (1 - more % 11 / 10.0)};
-        if (more % 13 == 12) report = {.utilisation = 0.5, .free_slots = 2}; // the same for good
+        const bool reports = more % 4 != 0 && out.node->reports;
         const std::string result = "of " + out.id + " by " + std::to_string(key.attempt);
         if (outcome == Outcome::served) given_[out.id] = result;
         out.node->host.attempt_ended(key.job, key.attempt, outcome, now,
-                                     more % 4 == 0 ? std::nullopt : std::optional(report), result);
+                                     reports ? std::optional(report_of(more)) : std::nullopt, result);
     }
 
     // Discovery's word comes to each scheduler in its own time.
@@ -327,11 +356,21 @@
             }
             for (const Node& node : nodes_)
                 next = std::min(next, node.host.next_batch().value_or(until));
+            for (const auto& [asked, at] : probed_)
+                next = std::min(next, at);
             now = std::clamp(next, now, until);
             while (!news_.empty() && news_.begin()->first <= now) {
                 const auto [node, news] = news_.extract(news_.begin()).mapped();
                 if (node->watching) tell(*node, news);
             }
+            while (true) {
+                const auto due =
+                    std::ranges::find_if(probed_, [&](const auto& item) { return item.second <= now; });
+                if (due == probed_.end()) break;
+                const Asked asked = due->first;
+                probed_.erase(due);
+                answer(asked);
+            }
             while (true) {
                 const auto late =
                     std::ranges::find_if(out_, [&](const auto& item) { return item.second.give_up <= now; });
@@ -358,6 +397,8 @@
     std::vector<WorkerEntry> workers_;
     std::deque<Requester> requesters_;
     std::map<Key, Out> out_;
+    std::map<Asked, Time> probed_; // when each comes back
+    unsigned probes_answered_ = 0;
     std::map<std::string, std::string> given_; // by message: the result that its worker gave last
     std::multimap<Time, std::pair<Node*, ListNews>> news_;
 };
@@ -382,7 +423,7 @@
     check_property(
         "rules with " + std::to_string(dispatchers) + " schedulers", cases,
         [&, dispatchers] {
-            World world(dispatchers, *rc::gen::inRange(0U, 16U));
+            World world(dispatchers, *rc::gen::inRange(0U, 64U));
             for (const Step& step : *events()) {
                 world.play(step);
                 if (!world.broken().empty()) RC_FAIL(world.broken());
