Give cold workers the whole of their budget, by shares that add up

Cause: with six in ten workers replaced, warm ones queue to their limit beside cold ones that are idle by 80%, and it stays so for 8 s after (virtual time, 50 by 60). The trace of the module: (1) cold_budget_allows drew a chance for each pair of job and cold worker apart, so many jobs had several and most none; a worker just sent to was closed for the window, with nothing to make up for it; (2) queue() counted at cold workers the wait learnt at warm ones of their group, so that a full warm one came first; (3) pick_with_room's shortcut let the first job that found no room answer for those whose chance it was. Change: learn::Shares lays the shares end to end, and makes up for the closed time; no wait at cold ones; a first look is a whole one.

--- a/src/learn/books.h
+++ b/src/learn/books.h
@@ -159,8 +159,9 @@
 class Subscription {
   public:
     void told(bool broken, bool remembered) {
-        failed_ = broken;
-        if (!broken) watching_ = watching_ || !remembered;
+        failed_ = failed_ || broken;
+        asked_ = asked_ && !broken; // what still comes of the one that broke is no sign of a new one
+        if (!broken && asked_) watching_ = watching_ || !remembered;
     }
     // Whether to ask now; `chance` gives a number from 0 to 1 when it is needed.
     template <class Chance> bool due(Time now, Time valid, Chance chance) {
@@ -173,12 +174,12 @@
         }
         if (watching_ || now < ask_at_) return false;
         ask_at_ = now + valid / 2;
-        return true;
+        return asked_ = true;
     }
     std::optional<Time> next() const { return watching_ ? std::nullopt : std::optional(ask_at_); }
 
   private:
-    bool watching_ = false, failed_ = false;
+    bool watching_ = false, failed_ = false, asked_ = true;
     int failures_ = 0;
     Time ask_at_{-1};
 };
--- a/src/learn/learn.h
+++ b/src/learn/learn.h
@@ -370,6 +370,25 @@
     }
 };
 
+// Shares of one thing after the other, laid end to end. A point of chance from 0 to 1 falls to a share by its
+// length, and to one alone as long as all of them are no more than 1 (systematic sampling).
+class Shares {
+  public:
+    // Whether a job of this work, of so much work that comes in all, falls to the next taker. That is due
+    // `fair` of it, and closed for as long as it takes until one job more is due; while it is open, it takes
+    // more.
+    bool falls_to_next(double fair, double work, double all, double point) {
+        const double open = 1 - std::min(most_closed, fair / std::max(work, tiny));
+        const double share = fair / open / std::max(all, tiny);
+        const double from = std::exchange(end_, end_ + share) - point;
+        return std::ceil(from + share) > std::ceil(from);
+    }
+
+  private:
+    static constexpr double most_closed = 0.75, tiny = 1e-9;
+    double end_ = 0;
+};
+
 // Beats, so many a second, that begin at a time of chance and never come in bursts.
 class Pulse {
   public:
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -91,10 +91,9 @@
         rebuild_ready();
     }
 
-    // Each dispatcher has a slice of every kind for home, so that many dispatchers don't all rank the same
-    // newly reported empty worker first, and so that one sees its home workers often enough for L to be
-    // young. Where there are more dispatchers than workers of a kind, each has a few by a hash of both, in
-    // all zones alike, as zones differ in load: other workers that come and go leave them as they are.
+    // Each dispatcher has a slice of every kind for home, so that not all rank the same newly reported empty
+    // worker first, and one sees its own often enough for L to be young. Where there are more of them than of
+    // a kind's workers, each has a few by a hash of both, in all zones, whatever others come and go.
     void rebuild_ready() {
         ready.clear();
         for (WorkerId id = 0; id < workers.size(); ++id)
@@ -227,9 +226,9 @@
         loads.add(w.group(), w.load);
     }
 
-    // A worker that fails rests, longer each time; afterwards jobs that may be repeated prove it well again,
-    // and those that must not run twice stay away for ten rests. Workers that err at once look idle, and each
-    // of many dispatchers pays for what it learns.
+    // A worker that fails rests, longer each time; then jobs that may be repeated prove it well again, and
+    // the others stay away for ten rests. Workers that err at once look idle, and each dispatcher pays to
+    // learn it.
     void judge(WorkerId id, Outcome outcome, double slots) {
         Worker& w = workers[id];
         learn::Zone& zone = zones[w.entry.zone];
@@ -348,7 +347,7 @@
     WorkerId pick_with_room(const Job& job, double allowance, double need) {
         const bool anywhere = group_anchor(job) == none && !job.in.key; // its holders are its own
         double& no_room = no_room_for(job);
-        if (anywhere && need >= no_room && (allowance < 1 || no_room <= 0)) return none;
+        if (anywhere && now > job.arrived && need >= no_room && (allowance < 1 || no_room <= 0)) return none;
         const WorkerId to = pick(job);
         const double room = 1 + allowance + tiny;
         if (to != none && has_room(workers[to], need, room) && in_time(job, workers[to])) return to;
@@ -445,6 +444,7 @@
     // What waits at workers like this one, by what answers took: a full worker's report does not tell. One
     // that has just shown room has no queue.
     double queue(const Worker& w, const Job& job) const {
+        if (is_cold(w)) return 0; // its budget keeps it empty
         const double shows_room = w.load < full_load ? told(w) : 0;
         return (1 - shows_room) * times.runs.wait(job.in.job_class, w.group(), now) /
                times.runs.run(job.in.job_class, w.entry.kind);
@@ -464,6 +464,7 @@
         if (job.in.key) holders.order(*job.in.key, holder_spare, ready, key_of);
         // Those in health, those that rest, and those in a zone that seems lost.
         std::array<learn::Lowest, 3> best;
+        cold_shares = {};
         std::size_t able = 0, resting = 0;
         for (const WorkerId id : ready) {
             Worker& w = workers[id];
@@ -552,8 +553,7 @@
         return c.effect == Effect::keyed && now < repeats_end(job);
     }
 
-    // Of a keyed job that may have run.
-    Time repeats_end(const Job& job) const {
+    Time repeats_end(const Job& job) const { // of a keyed job that may have run
         return job.first_that_may_have_run()->sent + class_of(job).repeat_window - 2 * settings.tick;
     }
 
@@ -587,8 +587,9 @@
         return job.in.slots * std::max(times.runs.run(job.in.job_class), seconds(job.in.hint));
     }
 
-    // Counted over a sliding window. Where a fair share is less than one job, each has a chance, by the share
-    // in all the work that comes here, so that the dispatchers together stay within the whole and use it.
+    // Counted over a sliding window. Where a fair share is less than one job, a job falls to some of the cold
+    // workers by their shares in all the work that comes here, so that the dispatchers together use the
+    // whole.
     bool cold_budget_allows(Worker& w, const Job& job) {
         if (!is_cold(w)) return true;
         const Duration window = settings.overload_time;
@@ -597,24 +598,21 @@
         const double bears = warmth(w, now - window) * slots * seconds(window) / settings.dispatchers;
         const double most = cold_margin * settings.overload_multiple;
         if (sent + work_of(job) <= most * bears) return true;
-        return sent <= 0 && chance(job, w) * offered.to(w.entry.kind) * seconds(window) <
-                                std::min(most, usual_load(w) + cold_more) * bears;
+        const double fair = std::min(most, usual_load(w) + cold_more) * bears;
+        const double all = offered.to(w.entry.kind) * seconds(window);
+        return cold_shares.falls_to_next(fair, work_of(job), all, chance(job)) && sent <= 0;
     }
 
-    // ---- Small helpers ---------------------------------------------------------------------------------
-
     const JobClass& class_of(const Job& job) const { return settings.classes[job.in.job_class]; }
 
-    // The same, however often it is asked for this job and worker.
-    double chance(const Job& job, const Worker& w) const {
-        return learn::unit(learn::mixed(settings.seed + job.serial * 0x9e3779b97f4a7c15ULL + w.entry.key));
+    double chance(const Job& job) const { // the same, however often it is asked for this job
+        return learn::unit(learn::mixed(settings.seed + job.serial * 0x9e3779b97f4a7c15ULL));
     }
 
     double uniform() { return learn::unit(random()); }
 
     Attempt* find(JobId id, Index attempt) {
-        if (id >= jobs.size() || attempt >= jobs[id].attempts.size()) return nullptr;
-        return &jobs[id].attempts[attempt];
+        return id < jobs.size() && attempt < jobs[id].attempts.size() ? &jobs[id].attempts[attempt] : nullptr;
     }
 
     bool within_quota(const JobArrived& in) {
@@ -710,7 +708,8 @@
     std::vector<JobId> waiting;
     std::vector<double> no_room; // by kind of worker needed, 0 for any: slots for which there is no room now
     learn::Agenda reviews;
-    learn::Holders holders; // of the job that is being placed: how many workers come before another
+    learn::Holders holders;    // of the job that is being placed: how many workers come before another
+    learn::Shares cold_shares; // of the job that is being placed
     learn::Rate arrivals;
     learn::Pulse probes;
     std::uint64_t last_serial = 0;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -346,6 +346,26 @@
     EXPECT_GT(last_asked, 100s);
 }
 
+// It was taken for the new subscription's first word.
+TEST(RuleThree, TheListIsAskedForThoughSomeOfTheBrokenWatchStillComes) {
+    Settings s = settings();
+    s.list_on_request = true;
+    for (const bool at_once : {false, true}) {
+        Stand stand(s);
+        stand.at(0s, {whole_list(2)});
+        if (at_once) {
+            stand.at(1ms, {ListNews{ListNews::Kind::broken, {}}, whole_list(2)});
+        } else {
+            stand.at(1ms, {ListNews{ListNews::Kind::broken, {}}});
+            stand.at(2ms, {whole_list(2)});
+        }
+        bool asked = false;
+        for (Time t = 5ms; t < s.list_valid; t += 5ms)
+            asked = asked || !all<WatchList>(stand.at(t, {Woken{}})).empty();
+        EXPECT_TRUE(asked);
+    }
+}
+
 TEST(RuleThree, DispatchersThatStartTogetherAskAtDifferentTimes) {
     std::set<Time> asked;
     for (std::uint64_t seed = 0; seed < 20; ++seed) {
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -226,6 +226,37 @@
 
 } // namespace
 
+TEST_CASE("shares laid end to end: a point falls to one of them by its length, and to several beyond all") {
+    constexpr int points = 10000;
+    std::array<int, 5> fell{};
+    int most = 0, least = 5;
+    for (int i = 0; i < points; ++i) {
+        learn::Shares shares;
+        int here = 0;
+        for (std::size_t taker = 0; taker < fell.size(); ++taker) { // due 0.1 of work each, of 1 that comes
+            if (!shares.falls_to_next(0.1, 1e9, 1, (i + 0.5) / points)) continue;
+            ++fell[taker];
+            ++here;
+        }
+        most = std::max(most, here);
+    }
+    CHECK(most == 1);
+    for (const int one : fell)
+        CHECK(one == doctest::Approx(points / 10).epsilon(0.01));
+    for (int i = 0; i < points; ++i) {
+        learn::Shares shares;
+        int here = 0;
+        for (int taker = 0; taker < 5; ++taker)
+            here += shares.falls_to_next(0.5, 1e9, 1, (i + 0.5) / points) ? 1 : 0;
+        least = std::min(least, here);
+        most = std::max(most, here);
+    }
+    CHECK(least == 2); // 2.5 times the whole
+    CHECK(most == 3);
+    learn::Shares shares; // closed for half of the time: twice as open else
+    CHECK(shares.falls_to_next(0.1, 0.2, 1, 0.19));
+}
+
 // With 100 schedulers each had a turn worth a job at a cold worker in 70 windows, and used few of them: 18
 // cold workers got one job in 2.5 s while the warm ones queued.
 TEST_CASE("cold workers get their share of the work, and no more than they bear") {
