Take a job sent at the moment of a report off X at its end, not off L

The trace of the module shows workers with nothing of ours that count three jobs in X: held jobs go in the batch of a report, so that sent equals reported_at, and ended_untold (books.h) took their ends off L, which was 0, while X kept them until the next report. Change: a job goes out after the reports of its own moment.

--- a/src/learn/books.h
+++ b/src/learn/books.h
@@ -89,9 +89,10 @@
     }
     void ended(double slots) { own_slots = std::max(0.0, own_slots - slots); }
     // An end that no report came with: until the next one, what this dispatcher knows to be over counts no
-    // more, be it in X or, if the last report was made after the job was sent, in L. `share`: of all slots.
+    // more, be it in X or, if the last report was made after the job was sent, in L. `share`: of all slots. A
+    // job goes out after the reports of its own moment have been taken in.
     void ended_untold(const Attempt& attempt, double slots, double share) {
-        if (attempt.sent <= reported_at) {
+        if (attempt.sent < reported_at) {
             load = std::max(0.0, load - share);
         } else {
             sent_slots = std::max(0.0, sent_slots - slots);
--- a/tests/probing_test.cpp
+++ b/tests/probing_test.cpp
@@ -1,4 +1,5 @@
 // Load learnt by probing: what the module asks and makes of the answers, and how the relay carries it.
+#include "learn/books.h"
 #include "learn/learn.h"
 
 #include <willowrill/dispatcher.h>
@@ -280,8 +281,11 @@
     CHECK(to_crawler(24) <= 2);
     fleet.run(40s);
     int again = 0;
-    for (JobId id = 100; id < 112; ++id) {
-        if (fleet.give(id, {}, 200ms) == 1) ++again;
+    for (JobId id = 100; id < 112; id += 2) { // two at once: the other one's turn comes
+        for (const JobId one : {id, id + 1}) {
+            if (fleet.give(one, {}, 200ms) == 1) ++again;
+        }
+        fleet.served(fleet.sends[fleet.sends.size() - 2], 200ms);
         fleet.served(fleet.sends.back(), 200ms);
     }
     CHECK(again >= 3);
@@ -332,6 +336,27 @@
     CHECK(fleet.sends.size() == 50);
 }
 
+// Held jobs go at the moment of a report. Their ends were taken off L, where they were not, and X kept them
+// until the next one: a worker with nothing of ours counted as full.
+TEST_CASE(
+    "what was sent at the moment of a report is taken off X at its end, and what was sent before off L") {
+    learn::Worker worker;
+    worker.sent(1, 0.25);
+    const learn::Attempt before{.worker = 0, .sent = 1s, .step = 0.25};
+    worker.report(0.5, 2s);
+    worker.sent(1, 0.25);
+    const learn::Attempt with{.worker = 0, .sent = 2s, .step = 0.25};
+    worker.ended(1);
+    worker.ended_untold(with, 1, 0.25);
+    CHECK(worker.sent_slots == 0);
+    CHECK(worker.degradation == 0);
+    CHECK(worker.load == doctest::Approx(0.5));
+    worker.ended(1);
+    worker.ended_untold(before, 1, 0.25);
+    CHECK(worker.load == doctest::Approx(0.25));
+    CHECK(worker.own_slots == 0);
+}
+
 // It was asked again while the first question was out, and the relay's connection bore both.
 TEST_CASE("a worker whose process starts anew is not asked twice at once") {
     Fleet fleet(asked_settings(0, 1), 1);
