Use the project's own hash and times in the laboratory, and drop what nothing read

Cause: read over, src/lab/spread had a SplitMix64 and five conversions of seconds beside those of src/learn, fields that were written and never read (Ask::had, Scheduler::stopped, Watch::from, Server::stop), and 99 timers to wait for one restart. Change: learn::mixed, unit, seconds and from_seconds; one look again every 20 ms until a restarted scheduler serves.

--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -52,8 +52,7 @@
     Names names;
     std::vector<ReportName> report_fields; // those that the settings name
     willowrill::Settings decisions;
-    std::vector<std::string>
-        remarks; // on settings that are served under, but can hardly be meant; for the log
+    std::vector<std::string> remarks; // for the log, on what is served under but can hardly be meant
 };
 
 using Environment = std::function<const char*(const char*)>; // as std::getenv
--- a/src/lab/spread/chance.h
+++ b/src/lab/spread/chance.h
@@ -1,6 +1,8 @@
 // What an experiment draws: the same for a seed, in virtual time and with real processes.
 #pragma once
 
+#include "learn/learn.h"
+
 #include <pcg_random.hpp>
 
 #include <chrono>
@@ -11,16 +13,11 @@
 
 namespace willowrill::lab::spread {
 
-inline std::uint64_t mixed(std::uint64_t x) { // SplitMix64's last step
-    x = (x ^ (x >> 30U)) * 0xbf58476d1ce4e5b9ULL;
-    x = (x ^ (x >> 27U)) * 0x94d049bb133111ebULL;
-    return x ^ (x >> 31U);
-}
+using learn::mixed, learn::seconds, learn::from_seconds;
 
 // Whether a fault hits this one of many: the same for a whole run.
 inline bool chosen(std::uint64_t seed, std::size_t which, double share, std::uint64_t salt) {
-    const std::uint64_t hash = mixed(mixed(which + 1) ^ mixed(seed * 1000 + salt));
-    return static_cast<double>(hash >> 11U) * 0x1.0p-53 < share;
+    return learn::unit(mixed(mixed(which + 1) ^ mixed(seed * 1000 + salt))) < share;
 }
 
 class Chance {
--- a/src/lab/spread/crew.cpp
+++ b/src/lab/spread/crew.cpp
@@ -1,12 +1,14 @@
 #include "lab/spread/crew.h"
 
+#include "learn/learn.h"
+
 #include <algorithm>
 #include <cmath>
 
 namespace willowrill::lab::spread {
 namespace {
 
-double seconds(Time time) { return std::chrono::duration<double>(time).count(); }
+using learn::seconds;
 constexpr double tiny = 1e-10;
 
 } // namespace
--- a/src/lab/spread/live.cpp
+++ b/src/lab/spread/live.cpp
@@ -37,7 +37,6 @@
     int tries;
     std::string id;
     std::size_t at_workers = 0;
-    std::set<std::size_t> had; // workers that ran it, or may have
 
   private:
     void on_input() override {
@@ -72,7 +71,7 @@
     if (next >= experiment_.lasts) return;
     at(next, [this, scheduler, per_s] {
         const Number job = works_.size();
-        works_.push_back(chance_.work(in_s(experiment_.run), experiment_.run_spread));
+        works_.push_back(chance_.work(seconds(experiment_.run), experiment_.run_spread));
         wanted_at_.push_back(now());
         const double kind = chance_.uniform();
         effects_.push_back(kind < 0.6 ? Effect::repeatable : kind < 0.8 ? Effect::keyed : Effect::once);
@@ -124,10 +123,7 @@
 void LiveWorld::arrive(std::size_t at, Server::Call call, const net::http::Head& head) {
     Worker& worker = *workers_[at];
     const std::string* id = head.find("x-request-id");
-    if (head.method == "GET") { // a probe
-        const std::size_t braces = report(at).find('{');
-        return worker.server.answer(call, write_answer(200, {}, report(at).substr(braces)));
-    }
+    if (head.method == "GET") return worker.server.answer(call, write_answer(200, {}, report(at))); // a probe
     if (id == nullptr || id->empty()) return worker.server.answer(call, write_answer(400, {}, ""));
     const Number job = std::stoull(id->substr(1));
     const auto ask = by_id_.find(*id);
@@ -238,14 +234,12 @@
                                      " schedulers have started within a minute");
     }
     begun_ = loop_.now();
-    for (auto& [when, action] : std::exchange(events_, {})) // watches
-        at(when, std::move(action));
     const auto weight = [&](std::size_t i) { return i % 10 == 3 ? experiment_.uneven : 1.0; };
     double weights = 0;
     for (std::size_t i = 0; i < schedulers_.size(); ++i)
         weights += weight(i);
     const double all = experiment_.load * static_cast<double>(experiment_.workers) * experiment_.slots /
-                       in_s(experiment_.run);
+                       seconds(experiment_.run);
     for (std::size_t i = 0; i < schedulers_.size(); ++i)
         load(i, all * weight(i) / weights);
     for (const Fault& fault : experiment_.faults) {
@@ -257,7 +251,7 @@
             one->busy_at_warm = one->crew.busy_s(now());
     });
     at(experiment_.lasts, [this] {
-        const double span = in_s(now() - experiment_.warm_up) * experiment_.slots;
+        const double span = seconds(now() - experiment_.warm_up) * experiment_.slots;
         for (std::size_t id = 0; id < experiment_.workers; ++id) {
             const Worker& one = *workers_[id];
             if (is_sound(one)) truth_.busy_share((one.crew.busy_s(now()) - one.busy_at_warm) / span);
--- a/src/lab/spread/live_schedulers.cpp
+++ b/src/lab/spread/live_schedulers.cpp
@@ -61,12 +61,11 @@
     Scheduler& one = schedulers_[at];
     if (!one.discovery)
         one.discovery = std::make_unique<Server>(
-            loop_, Server::Handler{[this, at](Server::Call call, const net::http::Head& head,
-                                              const std::string&) { on_discovery(at, call, head); },
-                                   [this, at](Server::Call call) {
-                                       std::erase_if(schedulers_[at].watches,
-                                                     [&](const Watch& watch) { return watch.call == call; });
-                                   }});
+            loop_,
+            Server::Handler{[this, at](Server::Call call, const net::http::Head& head, const std::string&) {
+                                on_discovery(at, call, head);
+                            },
+                            [this, at](Server::Call call) { std::erase(schedulers_[at].watches, call); }});
     one.listed.clear();
     for (const auto& worker : workers_)
         one.listed.push_back(!worker->gone);
@@ -87,6 +86,11 @@
     return one.up = true;
 }
 
+void LiveWorld::await(std::size_t at) {
+    if (schedulers_[at].process == nullptr || ready(at)) return; // it was killed once more, or is up
+    this->at(now() + 20ms, [this, at] { await(at); });
+}
+
 std::string LiveWorld::list(std::size_t at) const {
     const Scheduler& one = schedulers_[at];
     std::string out = "{\"version\":" + std::to_string(one.version) + ",\"full\":true,\"servers\":[";
@@ -106,11 +110,11 @@
     const std::size_t from = head.target.find("from=");
     const std::uint64_t has = from == std::string::npos ? 0 : std::stoull(head.target.substr(from + 5));
     if (has < one.version) return one.discovery->answer(call, list(at));
-    one.watches.push_back({call, has});
+    one.watches.push_back(call);
     // Held for less than it may be: whoever asks again at once is told what has changed meanwhile.
     this->at(now() + 5s, [this, at, call] {
         Scheduler& late = schedulers_[at];
-        if (std::erase_if(late.watches, [&](const Watch& watch) { return watch.call == call; }) > 0)
+        if (std::erase(late.watches, call) > 0)
             late.discovery->answer(call, write_answer(200, {},
                                                       "{\"version\":" + std::to_string(late.version) +
                                                           ",\"full\":false,\"servers\":[]}"));
@@ -128,11 +132,8 @@
             one.up = false;
             one.process.reset(); // SIGKILL
         }
-        if (fault.what == stop) {
-            one.process->signal(SIGSTOP);
-            one.stopped = true;
-        }
-        if (fault.what == late_list) one.late = Time(static_cast<Time::rep>(fault.size * 1e9));
+        if (fault.what == stop) one.process->signal(SIGSTOP);
+        if (fault.what == late_list) one.late = from_seconds(fault.size);
     }
     if (fault.what == cut) cuts_.push_back(&fault);
     for (std::size_t id = 0; id < experiment_.workers; ++id) {
@@ -143,9 +144,7 @@
         if (fault.what == fail) one.failing = true;
         if (fault.what == freeze) one.frozen = true;
         if (fault.what == Fault::What::replace) {
-            const double part = chance_.uniform();
-            at(fault.from +
-                   Time(static_cast<Time::rep>(part * static_cast<double>((fault.to - fault.from).count()))),
+            at(fault.from + from_seconds(chance_.uniform() * seconds(fault.to - fault.from)),
                [this, id] { this->replace(id); });
         }
     }
@@ -158,16 +157,9 @@
         if (!hit(i, fault.schedulers, fault, false)) continue;
         if (fault.what == kill) {
             launch(i);
-            const std::function<void()> look_in = [this, i] {
-                if (!ready(i)) at(now() + 20ms, [this, i] { ready(i); });
-            };
-            for (int step = 1; step < 100; ++step)
-                at(now() + step * 20ms, look_in);
-        }
-        if (fault.what == stop) {
-            one.process->signal(SIGCONT);
-            one.stopped = false;
+            await(i);
         }
+        if (fault.what == stop) one.process->signal(SIGCONT);
         if (fault.what == late_list) one.late = Time(0);
     }
     std::erase(cuts_, &fault);
@@ -192,10 +184,8 @@
     set_speed(fresh);
     Time last = now();
     for (std::size_t i = 0; i < schedulers_.size(); ++i) {
-        const Time heard = now() +
-                           Time(static_cast<Time::rep>(chance_.uniform() *
-                                                       static_cast<double>(experiment_.list_late.count()))) +
-                           schedulers_[i].late;
+        const Time heard =
+            now() + from_seconds(chance_.uniform() * seconds(experiment_.list_late)) + schedulers_[i].late;
         last = std::max(last, heard);
         at(heard, [this, i, id, fresh] {
             Scheduler& one = schedulers_[i];
@@ -203,8 +193,8 @@
             one.listed[id] = false;
             one.listed[fresh] = true;
             ++one.version;
-            for (const Watch& watch : std::exchange(one.watches, {}))
-                one.discovery->answer(watch.call, list(i));
+            for (const Server::Call watch : std::exchange(one.watches, {}))
+                one.discovery->answer(watch, list(i));
         });
     }
     truth_.drained_by(id, last + 250ms); // one watch may be on its way: it is asked again within 200 ms
@@ -215,7 +205,7 @@
     double warmth = 1;
     if (one.started_ms > 0 && now() - one.up_since < experiment_.cold) {
         warmth = experiment_.cold_capacity +
-                 (1 - experiment_.cold_capacity) * in_s(now() - one.up_since) / in_s(experiment_.cold);
+                 (1 - experiment_.cold_capacity) * seconds(now() - one.up_since) / seconds(experiment_.cold);
         at(now() + warming_step, [this, id] { set_speed(id); });
     }
     one.crew.set_speed(warmth / one.slow, now());
--- a/src/lab/spread/live_world.h
+++ b/src/lab/spread/live_world.h
@@ -11,15 +11,12 @@
 #include <list>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
 namespace willowrill::lab::spread {
 
-inline double in_s(Time time) { return std::chrono::duration<double>(time).count(); }
-
 class LiveWorld {
   public:
     LiveWorld(const Experiment& experiment, const LiveOptions& options)
@@ -51,19 +48,15 @@
         std::string report{}; // as last made up
         double busy_at_warm = 0;
     };
-    struct Watch {
-        Server::Call call = 0;
-        std::uint64_t from = 0;
-    };
     struct Scheduler {
         std::unique_ptr<Process> process{};
         std::unique_ptr<Server> discovery{};
         net::Endpoint serves{};
-        bool up = false, stopped = false;
+        bool up = false;
         Time late{0};
         std::vector<bool> listed{}; // by worker, as discovery has told it
         std::uint64_t version = 1;
-        std::vector<Watch> watches{};
+        std::vector<Server::Call> watches{};
     };
     class Ask;
 
@@ -92,6 +85,7 @@
 
     void launch(std::size_t scheduler);
     bool ready(std::size_t scheduler);
+    void await(std::size_t scheduler); // looks again and again until it is
     std::string config(std::size_t scheduler) const;
     std::string list(std::size_t scheduler) const;
     void on_discovery(std::size_t scheduler, Server::Call call, const net::http::Head& head);
--- a/src/lab/spread/server.cpp
+++ b/src/lab/spread/server.cpp
@@ -54,17 +54,7 @@
     loop_.watch(listener_.get(), POLLIN, *this);
 }
 
-Server::~Server() { stop(); }
-
-void Server::stop() {
-    if (!listener_.valid()) return;
-    loop_.forget(listener_.get());
-    listener_.reset();
-    waiting_.clear();
-    for (auto& caller : callers_)
-        loop_.bury(std::move(caller));
-    callers_.clear();
-}
+Server::~Server() { loop_.forget(listener_.get()); }
 
 void Server::answer(Call call, std::string bytes) {
     const auto found = waiting_.find(call);
--- a/src/lab/spread/server.h
+++ b/src/lab/spread/server.h
@@ -26,8 +26,6 @@
     ~Server() override;
     net::Endpoint address() const { return net::local_address(listener_); }
     void answer(Call call, std::string bytes); // nothing, if its caller is gone
-    void stop();                               // no caller any more, and nobody listens
-    std::size_t callers() const { return callers_.size(); }
 
   private:
     class Caller;
--- a/src/lab/spread/truth.cpp
+++ b/src/lab/spread/truth.cpp
@@ -1,5 +1,7 @@
 #include "lab/spread/truth.h"
 
+#include "learn/learn.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -8,12 +10,11 @@
 namespace {
 
 using namespace std::chrono_literals;
+using learn::seconds;
 
 constexpr std::uint32_t most_attempts = 4;
 constexpr Time keyed_window = 10s, drain_grace = 1s, answer_slack = 20ms;
 
-double seconds(Time time) { return std::chrono::duration<double>(time).count(); }
-
 double quantile(std::vector<double> values, double share) {
     if (values.empty()) return 0;
     const auto at = static_cast<std::ptrdiff_t>(share * static_cast<double>(values.size() - 1));
--- a/src/lab/spread/world.cpp
+++ b/src/lab/spread/world.cpp
@@ -12,9 +12,6 @@
 constexpr int most_tries = 4; // of a client
 constexpr std::size_t most_open = 20000, most_bytes = 1U << 30U;
 
-double seconds(Time time) { return std::chrono::duration<double>(time).count(); }
-Time from_seconds(double s) { return Time(static_cast<Time::rep>(s * 1e9)); }
-
 } // namespace
 
 SpreadWorld::SpreadWorld(const Experiment& experiment, Way way)
@@ -123,7 +120,6 @@
         ++sound;
         if (one.crew.free() > 0) ++with_room;
     }
-
     truth_.state(sound, with_room, held_ + queued_, now_);
 }
 
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -275,6 +275,7 @@
 }
 
 } // namespace
+
 // Their pipes were full after some hundred jobs, and they stood still.
 TEST_CASE(
     "real processes whose logs nobody reads serve on, and say what was dropped when they are read again") {
