Give both worlds of an experiment one stage

Cause: virtual time and real processes each had their own faults on workers, cut test, warming, figures, soundness, queue count, arrivals, jobs and clients' retries, line by line alike, and a calendar each; the queue count was kept by hand in six places though each look sums over the workers.

--- a/src/lab/spread/attempts.cpp
+++ b/src/lab/spread/attempts.cpp
@@ -19,7 +19,7 @@
     ask.attempts.push_back(attempt);
     ++ask.out;
     held_ -= std::exchange(ask.held, false) ? 1 : 0;
-    if (is_cut(ask.scheduler, worker)) {
+    if (faults_.is_cut(ask.scheduler, worker)) {
         at(now_ + connect_timeout, [this, attempt] { end(attempt, Outcome::connect_failed, {}); });
     } else {
         attempts_[attempt].coming = true;
@@ -40,55 +40,39 @@
     const auto back = [&](Outcome outcome, std::optional<Report> report) {
         at(now_ + experiment_.delay, [this, number, outcome, report] { end(number, outcome, report); });
     };
-    if (worker.gone && worker.crew.busy() == 0)
+    if (worker.post.gone && worker.post.crew.busy() == 0)
         return back(Outcome::connect_failed, {}); // its process has ended
     const Number job = asks_[one.ask].job;
-    truth_.reached(job, one.worker, worker.entry.zone, one.scheduler, works_[job],
-                   worker.crew.slots() * std::max(0.01, worker.crew.speed()), now_);
-    if (worker.failing) return back(Outcome::error, report_of(one.worker));
-    const std::size_t before = worker.crew.queued();
-    if (worker.crew.take(number, works_[job], now_) == Crew::Taken::full) {
+    truth_.reached(job, one.worker, worker.entry.zone, one.scheduler, jobs_.work_s(job), worker.post.can_do(),
+                   now_);
+    if (worker.post.failing) return back(Outcome::error, report_of(one.worker));
+    if (worker.post.crew.take(number, jobs_.work_s(job), now_) == Crew::Taken::full) {
         truth_.turned_away(job);
         return back(Outcome::full, report_of(one.worker));
     }
     one.at_worker = true;
-    queued_ += worker.crew.queued() - before;
     look(one.worker);
 }
 
 void SpreadWorld::look(std::size_t id) {
-    Worker& worker = workers_[id];
-    const std::size_t before = worker.crew.queued();
-    for (const Ticket ticket : worker.crew.ended(now_)) {
+    Post& post = workers_[id].post;
+    for (const Ticket ticket : post.crew.ended(now_)) {
         Attempt& one = attempts_[ticket];
         one.at_worker = false;
-        if (is_cut(one.scheduler, id)) continue; // the answer is lost
+        if (faults_.is_cut(one.scheduler, id)) continue; // the answer is lost
         at(now_ + experiment_.delay,
            [this, ticket, report = report_of(id)] { end(ticket, Outcome::served, report); });
     }
-    queued_ -= before - worker.crew.queued();
-    const auto next = worker.crew.next();
-    if (!next || (worker.due >= now_ && worker.due <= *next && worker.due > now_)) return;
-    worker.due = *next;
+    const auto next = post.to_wait_for(now_);
+    if (!next) return;
     at(*next, [this, id, when = *next] {
-        if (workers_[id].due != when) return;
-        workers_[id].due = Time(-1);
-        look(id);
+        if (workers_[id].post.reached(when)) look(id);
     });
 }
 
-// Figures are made up every so often, with some noise, and told until the next.
 Report SpreadWorld::report_of(std::size_t id) {
-    Worker& worker = workers_[id];
-    if (worker.report_at >= 0ns && now_ - worker.report_at < experiment_.report_every) return worker.report;
-    const double noise = 1 + experiment_.report_noise * (2 * chance_.uniform() - 1);
-    const double busy = worker.frozen || worker.failing ? 0 : worker.crew.busy();
-    const double slots = worker.crew.slots();
-    worker.report_at = now_;
-    worker.report = {.utilisation = std::min(1.0, busy / slots * noise),
-                     .free_slots = slots - busy,
-                     .service_ms = 100 * noise};
-    return worker.report;
+    const Figures& told = workers_[id].post.figures(now_, chance_);
+    return {.utilisation = told.utilisation, .free_slots = told.free_slots, .service_ms = told.service_ms};
 }
 
 void SpreadWorld::end(std::size_t number, Outcome outcome, std::optional<Report> report) {
@@ -112,19 +96,16 @@
     if (told) to.reported[one.worker] = 1 - told->free_slots.value_or(0) / experiment_.slots;
     if (!ask.open) return;
     if (outcome == Outcome::served) return answered(ask, Ending::served, {}, true);
-    const bool again = !may_have_run(outcome) || effects_[ask.job] == Effect::repeatable;
+    const bool again = !may_have_run(outcome) || jobs_.effect(ask.job) == Effect::repeatable;
     again ? choose(ask) : answered(ask, Ending::failed, {}, false);
 }
 
 // Called off by its scheduler, or as its time is over: the worker drops it.
 void SpreadWorld::call_off(std::size_t number) {
     Attempt& one = attempts_[number];
-    const bool late = now_ >= wanted_at_[asks_[one.ask].job] + experiment_.limit;
-    if (one.at_worker && !is_cut(one.scheduler, one.worker)) {
-        Worker& worker = workers_[one.worker];
-        const std::size_t before = worker.crew.queued();
-        worker.crew.drop(number, now_);
-        queued_ -= before - worker.crew.queued();
+    const bool late = now_ >= jobs_.limit(asks_[one.ask].job);
+    if (one.at_worker && !faults_.is_cut(one.scheduler, one.worker)) {
+        workers_[one.worker].post.crew.drop(number, now_);
         one.at_worker = false;
         look(one.worker);
     }
@@ -141,7 +122,7 @@
             pump(scheduler);
         });
     };
-    if (is_cut(scheduler, worker)) return back(Outcome::timed_out, {}, now_ + connect_timeout);
+    if (faults_.is_cut(scheduler, worker)) return back(Outcome::timed_out, {}, now_ + connect_timeout);
     back(Outcome::served, report_of(worker), now_ + 2 * experiment_.delay);
 }
 
--- a/src/lab/spread/live.cpp
+++ b/src/lab/spread/live.cpp
@@ -10,8 +10,7 @@
 using namespace std::chrono_literals;
 using net::http::write_answer;
 
-constexpr Time front_notices = 50ms, patience = 60s;
-constexpr int most_tries = 4;
+constexpr Time patience = 60s;
 
 } // namespace
 
@@ -22,10 +21,10 @@
         : world(in), job(of), scheduler(to), tries(so_many), id(std::move(as)),
           connection_(in.loop_, *this, net::connect_to(in.schedulers_[to].serves),
                       net::Connection::State::opening, 1U << 16U) {
-        const Time left = in.wanted_at_[job] + in.experiment_.limit - in.now();
+        const Time left = in.jobs_.limit(job) - in.now();
         const char* const classes[] = {"read", "keyed", "once"};
         connection_.write("POST /api HTTP/1.1\r\nHost: h\r\nX-Request-ID: " + id +
-                          "\r\nX-Priority-Class: " + classes[static_cast<std::size_t>(in.effects_[job])] +
+                          "\r\nX-Priority-Class: " + classes[static_cast<std::size_t>(in.jobs_.effect(job))] +
                           "\r\nX-Timeout-Ms: " + std::to_string(left / 1ms) + "\r\nIdempotency-Key: k" +
                           std::to_string(job) + "\r\nContent-Length: 2\r\n\r\nhi");
     }
@@ -70,19 +69,13 @@
     const Time next = now() + chance_.wait(per_s);
     if (next >= experiment_.lasts) return;
     at(next, [this, scheduler, per_s] {
-        const Number job = works_.size();
-        works_.push_back(chance_.work(seconds(experiment_.run), experiment_.run_spread));
-        wanted_at_.push_back(now());
-        const double kind = chance_.uniform();
-        effects_.push_back(kind < 0.6 ? Effect::repeatable : kind < 0.8 ? Effect::keyed : Effect::once);
-        truth_.wants(job, effects_.back(), now());
-        ask(job, scheduler, 1);
+        ask(jobs_.want(chance_, now()), scheduler, 1);
         load(scheduler, per_s);
     });
 }
 
 void LiveWorld::ask(Number job, std::size_t scheduler, int tries) {
-    const Time limit = wanted_at_[job] + experiment_.limit;
+    const Time limit = jobs_.limit(job);
     if (now() + 20ms >= limit) return truth_.lost_with_scheduler(job, now());
     if (!schedulers_[scheduler].up) { // the front finds another
         return at(now() + front_notices,
@@ -98,7 +91,6 @@
 }
 
 void LiveWorld::answered(Ask& ask, int status, Time stay_away, bool by_a_worker) {
-    const Time limit = wanted_at_[ask.job] + experiment_.limit;
     const bool broken = status < 0; // a connection that did not come up, or broke: with its scheduler
     const bool refused = status == 503 || status == 429;
     const auto again = [&](Time when) {
@@ -106,16 +98,15 @@
             this->ask(job, chance_.below(schedulers_.size()), tries + 1);
         });
     };
-    if (refused && ask.tries < most_tries && now() + stay_away + experiment_.run < limit)
-        return again(now() + stay_away);
-    if (broken && effects_[ask.job] == Effect::repeatable && ask.tries < most_tries)
-        return again(now() + front_notices);
+    if (refused && jobs_.comes_back(ask.job, ask.tries, now() + stay_away)) return again(now() + stay_away);
+    if (broken && jobs_.asks_again(ask.job, ask.tries)) return again(now() + front_notices);
     const Ending ending = status == 200 ? Ending::served
                           : refused     ? Ending::refused
                           : status == 0 ? Ending::left
                                         : Ending::failed;
     if (broken) return truth_.lost_with_scheduler(ask.job, now());
-    truth_.answered(ask.job, ending, by_a_worker, now(), limit + 1s); // this process itself may lag
+    truth_.answered(ask.job, ending, by_a_worker, now(),
+                    jobs_.limit(ask.job) + 1s); // this process itself may lag
 }
 
 // ----------------------------------------------------------------------------------------------- workers
@@ -128,88 +119,67 @@
     const Number job = std::stoull(id->substr(1));
     const auto ask = by_id_.find(*id);
     const std::size_t scheduler = ask == by_id_.end() ? 0 : ask->second->scheduler;
-    if (ask != by_id_.end() && is_cut(scheduler, at)) return; // it never came
-    truth_.reached(job, at, at % experiment_.zones, scheduler, works_[job],
-                   worker.crew.slots() * std::max(0.01, worker.crew.speed()), now());
-    if (worker.failing) return worker.server.answer(call, write_answer(500, {{"X-Load", report(at)}}, ""));
-    const std::size_t before = worker.crew.queued();
-    if (worker.crew.take(call, works_[job], now()) == Crew::Taken::full) {
+    if (ask != by_id_.end() && faults_.is_cut(scheduler, at)) return; // it never came
+    truth_.reached(job, at, at % experiment_.zones, scheduler, jobs_.work_s(job), worker.post.can_do(),
+                   now());
+    if (worker.post.failing)
+        return worker.server.answer(call, write_answer(500, {{"X-Load", report(at)}}, ""));
+    if (worker.post.crew.take(call, jobs_.work_s(job), now()) == Crew::Taken::full) {
         truth_.turned_away(job);
         return worker.server.answer(call, write_answer(503, {{"X-Not-Processed", "1"}}, ""));
     }
-    queued_ += worker.crew.queued() - before;
     worker.held[call] = {job, scheduler, *id};
     if (ask != by_id_.end() && ask->second->at_workers++ == 0) ++at_workers_;
     look(at);
 }
 
-void LiveWorld::called_off(std::size_t at, Server::Call call) {
-    Worker& worker = *workers_[at];
+std::optional<LiveWorld::Held> LiveWorld::let_go(Worker& worker, Server::Call call) {
     const auto found = worker.held.find(call);
-    if (found == worker.held.end()) return;
-    if (const auto ask = by_id_.find(found->second.id); ask != by_id_.end() && --ask->second->at_workers == 0)
-        --at_workers_;
+    if (found == worker.held.end()) return std::nullopt;
+    Held held = std::move(found->second);
     worker.held.erase(found);
-    const std::size_t before = worker.crew.queued();
-    worker.crew.drop(call, now());
-    queued_ -= before - worker.crew.queued();
+    if (const auto ask = by_id_.find(held.id); ask != by_id_.end() && --ask->second->at_workers == 0)
+        --at_workers_;
+    return held;
+}
+
+void LiveWorld::called_off(std::size_t at, Server::Call call) {
+    Worker& worker = *workers_[at];
+    if (!let_go(worker, call)) return;
+    worker.post.crew.drop(call, now());
     look(at);
 }
 
 void LiveWorld::look(std::size_t id) {
     Worker& worker = *workers_[id];
-    const std::size_t before = worker.crew.queued();
-    const auto ended = worker.crew.ended(now());
-    queued_ -= before - worker.crew.queued();
-    for (const Ticket call : ended) {
-        const auto found = worker.held.find(call);
-        if (found == worker.held.end()) continue;
-        const Held held = std::move(found->second);
-        worker.held.erase(found);
-        if (const auto ask = by_id_.find(held.id); ask != by_id_.end() && --ask->second->at_workers == 0)
-            --at_workers_;
-        if (is_cut(held.scheduler, id)) continue; // the answer is lost
+    for (const Ticket call : worker.post.crew.ended(now())) {
+        const auto held = let_go(worker, call);
+        if (!held || faults_.is_cut(held->scheduler, id)) continue; // the answer is lost
         const std::string load = experiment_.reports == Reports::answers ? ",\"load\":" + report(id) : "";
         worker.server.answer(call,
                              write_answer(200, {},
-                                          "{\"id\":\"" + held.id + "\",\"from\":\"w" + std::to_string(id) +
+                                          "{\"id\":\"" + held->id + "\",\"from\":\"w" + std::to_string(id) +
                                               "\",\"state\":\"done\",\"result\":\"r\"" + load + "}\n"));
     }
-    const auto next = worker.crew.next();
-    if (!next || (worker.due > now() && worker.due <= *next)) return;
-    worker.due = *next;
+    const auto next = worker.post.to_wait_for(now());
+    if (!next) return;
     at(*next, [this, id, when = *next] {
-        if (workers_[id]->due != when) return;
-        workers_[id]->due = Time(-1);
-        look(id);
+        if (workers_[id]->post.reached(when)) look(id);
     });
 }
 
 std::string LiveWorld::report(std::size_t id) {
-    Worker& worker = *workers_[id];
-    if (worker.report_at >= 0ns && now() - worker.report_at < experiment_.report_every) return worker.report;
-    const double noise = 1 + experiment_.report_noise * (2 * chance_.uniform() - 1);
-    const int busy = worker.frozen || worker.failing ? 0 : worker.crew.busy();
-    worker.report_at = now();
-    worker.report = "{\"util\":" + std::to_string(std::min(1.0, busy * noise / worker.crew.slots())) +
-                    ",\"latency_ms\":" + std::to_string(100 * noise) +
-                    ",\"x0\":" + std::to_string(worker.crew.slots() - busy) + "}";
-    return worker.report;
-}
-
-bool LiveWorld::is_sound(const Worker& one) const {
-    const bool cold = one.started_ms > 0 && now() - one.up_since < experiment_.cold;
-    return !one.gone && !one.failing && one.slow <= 1 && !cold;
+    const Figures& told = workers_[id]->post.figures(now(), chance_);
+    return "{\"util\":" + std::to_string(told.utilisation) +
+           ",\"latency_ms\":" + std::to_string(told.service_ms) +
+           ",\"x0\":" + std::to_string(told.free_slots) + "}";
 }
 
 void LiveWorld::note_state() {
-    std::size_t sound = 0, with_room = 0;
-    for (const auto& one : workers_) {
-        if (!is_sound(*one)) continue;
-        ++sound;
-        if (one->crew.free() > 0) ++with_room;
-    }
-    truth_.state(sound, with_room, asks_.size() - at_workers_ + queued_, now());
+    Standing all;
+    for (const auto& one : workers_)
+        all.add(one->post, now());
+    truth_.state(all.sound, all.with_room, asks_.size() - at_workers_ + all.queued, now());
 }
 
 // --------------------------------------------------------------------------------------------------- run
@@ -217,7 +187,7 @@
 Measures LiveWorld::run(const std::function<void(const std::string&)>& progress) {
     begun_ = loop_.now();
     for (std::size_t id = 0; id < experiment_.workers; ++id)
-        workers_.push_back(std::make_unique<Worker>(*this, id));
+        workers_.push_back(std::make_unique<Worker>(*this, id, Time(-1)));
     schedulers_.resize(experiment_.schedulers);
     for (std::size_t i = 0; i < schedulers_.size(); ++i) {
         launch(i);
@@ -234,27 +204,22 @@
                                      " schedulers have started within a minute");
     }
     begun_ = loop_.now();
-    const auto weight = [&](std::size_t i) { return i % 10 == 3 ? experiment_.uneven : 1.0; };
-    double weights = 0;
-    for (std::size_t i = 0; i < schedulers_.size(); ++i)
-        weights += weight(i);
-    const double all = experiment_.load * static_cast<double>(experiment_.workers) * experiment_.slots /
-                       seconds(experiment_.run);
+    const std::vector<double> per_s = arrivals(experiment_);
     for (std::size_t i = 0; i < schedulers_.size(); ++i)
-        load(i, all * weight(i) / weights);
+        load(i, per_s[i]);
     for (const Fault& fault : experiment_.faults) {
         at(fault.from, [this, &fault] { begin(fault); });
         at(fault.to, [this, &fault] { end(fault); });
     }
     at(experiment_.warm_up, [this] {
         for (const auto& one : workers_)
-            one->busy_at_warm = one->crew.busy_s(now());
+            one->post.mark_busy(now());
     });
     at(experiment_.lasts, [this] {
         const double span = seconds(now() - experiment_.warm_up) * experiment_.slots;
         for (std::size_t id = 0; id < experiment_.workers; ++id) {
-            const Worker& one = *workers_[id];
-            if (is_sound(one)) truth_.busy_share((one.crew.busy_s(now()) - one.busy_at_warm) / span);
+            const Post& one = workers_[id]->post;
+            if (one.is_sound(now())) truth_.busy_share(one.busy_since_mark(now()) / span);
         }
     });
     Time told{-1s};
--- a/src/lab/spread/live_schedulers.cpp
+++ b/src/lab/spread/live_schedulers.cpp
@@ -11,8 +11,6 @@
 using namespace std::chrono_literals;
 using net::http::write_answer;
 
-constexpr Time warming_step = 250ms;
-
 } // namespace
 
 // ------------------------------------------------------------------------------------------- schedulers
@@ -68,7 +66,7 @@
                             [this, at](Server::Call call) { std::erase(schedulers_[at].watches, call); }});
     one.listed.clear();
     for (const auto& worker : workers_)
-        one.listed.push_back(!worker->gone);
+        one.listed.push_back(!worker->post.gone);
     const std::string file = options_.folder + "/config" + std::to_string(at) + ".json";
     std::ofstream(file) << config(at);
     one.process = std::make_unique<Process>(
@@ -127,7 +125,7 @@
     using enum Fault::What;
     for (std::size_t i = 0; i < schedulers_.size(); ++i) {
         Scheduler& one = schedulers_[i];
-        if (!hit(i, fault.schedulers, fault, false)) continue;
+        if (!faults_.hits_scheduler(fault, i)) continue;
         if (fault.what == kill) {
             one.up = false;
             one.process.reset(); // SIGKILL
@@ -135,14 +133,10 @@
         if (fault.what == stop) one.process->signal(SIGSTOP);
         if (fault.what == late_list) one.late = from_seconds(fault.size);
     }
-    if (fault.what == cut) cuts_.push_back(&fault);
+    faults_.begin(fault);
     for (std::size_t id = 0; id < experiment_.workers; ++id) {
-        Worker& one = *workers_[id];
-        if (!hit(id, fault.workers, fault, true) || one.gone) continue;
-        if (fault.what == slow) one.slow = fault.size;
-        if (fault.what == slow) set_speed(id);
-        if (fault.what == fail) one.failing = true;
-        if (fault.what == freeze) one.frozen = true;
+        if (!faults_.hits_worker(fault, id) || workers_[id]->post.gone) continue;
+        if (Faults::strike(fault, workers_[id]->post)) set_speed(id);
         if (fault.what == Fault::What::replace) {
             at(fault.from + from_seconds(chance_.uniform() * seconds(fault.to - fault.from)),
                [this, id] { this->replace(id); });
@@ -154,7 +148,7 @@
     using enum Fault::What;
     for (std::size_t i = 0; i < schedulers_.size(); ++i) {
         Scheduler& one = schedulers_[i];
-        if (!hit(i, fault.schedulers, fault, false)) continue;
+        if (!faults_.hits_scheduler(fault, i)) continue;
         if (fault.what == kill) {
             launch(i);
             await(i);
@@ -162,22 +156,15 @@
         if (fault.what == stop) one.process->signal(SIGCONT);
         if (fault.what == late_list) one.late = Time(0);
     }
-    std::erase(cuts_, &fault);
-    for (std::size_t id = 0; id < experiment_.workers; ++id) {
-        Worker& one = *workers_[id];
-        if (!hit(id, fault.workers, fault, true)) continue;
-        if (fault.what == slow) one.slow = 1;
-        if (fault.what == slow) set_speed(id);
-        if (fault.what == fail) one.failing = false;
-        if (fault.what == freeze) one.frozen = false;
-    }
+    faults_.end(fault);
+    for (std::size_t id = 0; id < experiment_.workers; ++id)
+        if (faults_.hits_worker(fault, id) && Faults::heal(fault, workers_[id]->post)) set_speed(id);
 }
 
 void LiveWorld::replace(std::size_t id) {
-    workers_[id]->gone = true;
+    workers_[id]->post.gone = true;
     const std::size_t fresh = workers_.size();
-    workers_.push_back(std::make_unique<Worker>(*this, fresh));
-    workers_[fresh]->up_since = now();
+    workers_.push_back(std::make_unique<Worker>(*this, fresh, now()));
     workers_[fresh]->started_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
                                       std::chrono::system_clock::now().time_since_epoch())
                                       .count();
@@ -201,14 +188,9 @@
 }
 
 void LiveWorld::set_speed(std::size_t id) {
-    Worker& one = *workers_[id];
-    double warmth = 1;
-    if (one.started_ms > 0 && now() - one.up_since < experiment_.cold) {
-        warmth = experiment_.cold_capacity +
-                 (1 - experiment_.cold_capacity) * seconds(now() - one.up_since) / seconds(experiment_.cold);
-        at(now() + warming_step, [this, id] { set_speed(id); });
-    }
-    one.crew.set_speed(warmth / one.slow, now());
+    Post& one = workers_[id]->post;
+    if (one.is_cold(now())) at(now() + warming_step, [this, id] { set_speed(id); });
+    one.crew.set_speed(one.speed(now()), now());
     look(id);
 }
 
--- a/src/lab/spread/live_world.h
+++ b/src/lab/spread/live_world.h
@@ -2,15 +2,15 @@
 #pragma once
 
 #include "lab/process.h"
-#include "lab/spread/chance.h"
-#include "lab/spread/crew.h"
 #include "lab/spread/live.h"
 #include "lab/spread/server.h"
+#include "lab/spread/stage.h"
 
 #include <algorithm>
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -21,7 +21,7 @@
   public:
     LiveWorld(const Experiment& experiment, const LiveOptions& options)
         : experiment_(experiment), options_(options), chance_(experiment.seed), truth_(experiment_),
-          timer_(loop_.wheel(), [this] { due(); }) {}
+          jobs_(experiment_, truth_), faults_(experiment_), timer_(loop_.wheel(), [this] { due(); }) {}
 
     Measures run(const std::function<void(const std::string&)>& progress);
 
@@ -32,21 +32,15 @@
         std::string id;
     };
     struct Worker {
-        Worker(LiveWorld& world, std::size_t at)
-            : crew(world.experiment_.slots, world.experiment_.queue),
+        Worker(LiveWorld& world, std::size_t at, Time up_since)
+            : post(world.experiment_, up_since),
               server(world.loop_, {[&world, at](Server::Call call, const net::http::Head& head,
                                                 const std::string&) { world.arrive(at, call, head); },
                                    [&world, at](Server::Call call) { world.called_off(at, call); }}) {}
-        Crew crew;
+        Post post;
         Server server;
         std::map<Server::Call, Held> held{};
-        bool failing = false, frozen = false, gone = false;
-        double slow = 1;
-        Time up_since{0};
-        std::int64_t started_ms = 0;
-        Time due{-1}, report_at{-1};
-        std::string report{}; // as last made up
-        double busy_at_warm = 0;
+        std::int64_t started_ms = 0; // Unix time; 0 for long ago
     };
     struct Scheduler {
         std::unique_ptr<Process> process{};
@@ -62,25 +56,14 @@
 
     Time now() const { return loop_.now() - begun_; }
     void at(Time when, std::function<void()> action) {
-        events_.emplace(std::max(when, now()), std::move(action));
-        timer_.arm(begun_ + events_.begin()->first);
+        calendar_.add(std::max(when, now()), std::move(action));
+        timer_.arm(begun_ + *calendar_.next());
     }
     void due() {
-        while (!events_.empty() && events_.begin()->first <= now()) {
-            const auto action = std::move(events_.extract(events_.begin()).mapped());
-            action();
-        }
-        if (!events_.empty()) timer_.arm(begun_ + events_.begin()->first);
-    }
-    bool hit(std::size_t which, double share, const Fault& fault, bool worker) const {
-        const auto salt = static_cast<std::uint64_t>(&fault - experiment_.faults.data()) + (worker ? 500 : 0);
-        return chosen(experiment_.seed, which, share, salt);
-    }
-    bool is_cut(std::size_t scheduler, std::size_t worker) const {
-        for (const Fault* one : cuts_)
-            if (hit(scheduler, one->schedulers, *one, false) && hit(worker, one->workers, *one, true))
-                return true;
-        return false;
+        auto next = calendar_.next();
+        for (; next && *next <= now(); next = calendar_.next())
+            calendar_.take()();
+        if (next) timer_.arm(begun_ + *next);
     }
 
     void launch(std::size_t scheduler);
@@ -100,9 +83,9 @@
 
     void arrive(std::size_t worker, Server::Call call, const net::http::Head& head);
     void called_off(std::size_t worker, Server::Call call);
+    std::optional<Held> let_go(Worker& worker, Server::Call call); // it is at that worker no more
     void look(std::size_t worker);
     std::string report(std::size_t worker);
-    bool is_sound(const Worker& one) const;
     void note_state();
 
     const Experiment experiment_;
@@ -111,19 +94,16 @@
     net::Loop loop_;
     Time begun_{0};
     Truth truth_;
+    Jobs jobs_;
+    Faults faults_;
     net::Timer timer_;
-    std::multimap<Time, std::function<void()>> events_;
+    Calendar calendar_;
     std::vector<std::unique_ptr<Worker>> workers_;
     std::vector<Scheduler> schedulers_;
-    std::vector<const Fault*> cuts_;
-    std::vector<Effect> effects_; // by job, as the next two
-    std::vector<double> works_;
-    std::vector<Time> wanted_at_;
     std::list<std::shared_ptr<Ask>> asks_;
     std::map<std::string, Ask*> by_id_; // of those open
     std::uint64_t last_id_ = 0;
     std::size_t at_workers_ = 0; // asks that some worker has
-    std::size_t queued_ = 0;
 };
 
 } // namespace willowrill::lab::spread
--- a/src/lab/spread/world.cpp
+++ b/src/lab/spread/world.cpp
@@ -8,24 +8,16 @@
 
 using namespace std::chrono_literals;
 
-constexpr Time connect_timeout = 250ms, front_notices = 50ms, answer_slack = 20ms, warming_step = 250ms;
-constexpr int most_tries = 4; // of a client
+constexpr Time connect_timeout = 250ms, answer_slack = 20ms;
 constexpr std::size_t most_open = 20000, most_bytes = 1U << 30U;
 
 } // namespace
 
 SpreadWorld::SpreadWorld(const Experiment& experiment, Way way)
-    : experiment_(experiment), way_(way), chance_(experiment.seed), truth_(experiment_) {}
+    : experiment_(experiment), way_(way), chance_(experiment.seed), truth_(experiment_),
+      jobs_(experiment_, truth_), faults_(experiment_) {}
 SpreadWorld::~SpreadWorld() = default;
 
-void SpreadWorld::at(Time when, std::function<void()> action) {
-    due_.push({std::max(when, now_), ++order_, std::make_shared<std::function<void()>>(std::move(action))});
-}
-
-bool SpreadWorld::hit(std::size_t which, double share, std::uint64_t salt) const {
-    return chosen(experiment_.seed, which, share, salt);
-}
-
 Settings SpreadWorld::settings_of(std::size_t scheduler) const {
     Settings out;
     out.seed = mixed(experiment_.seed * 100000 + scheduler);
@@ -60,21 +52,16 @@
 
 Measures SpreadWorld::run(const std::function<void(Time)>& progress) {
     for (std::size_t id = 0; id < experiment_.workers; ++id) {
-        workers_.emplace_back(experiment_.slots, experiment_.queue);
+        workers_.push_back({.post = Post(experiment_)});
         workers_.back().entry = {.worker = static_cast<WorkerId>(id),
                                  .key = mixed(id + 1),
                                  .zone = static_cast<Index>(id % experiment_.zones)};
     }
-    const double all = experiment_.load * static_cast<double>(experiment_.workers) * experiment_.slots /
-                       seconds(experiment_.run);
-    double weights = 0;
-    const auto weight = [&](std::size_t i) { return i % 10 == 3 ? experiment_.uneven : 1.0; };
-    for (std::size_t i = 0; i < experiment_.schedulers; ++i)
-        weights += weight(i);
+    const std::vector<double> per_s = arrivals(experiment_);
     for (std::size_t i = 0; i < experiment_.schedulers; ++i) {
         schedulers_.push_back(std::make_unique<Scheduler>(*this, i));
         start(i);
-        load(i, all * weight(i) / weights);
+        load(i, per_s[i]);
     }
     for (const Fault& fault : experiment_.faults) {
         at(fault.from, [this, &fault] { begin(fault); });
@@ -82,55 +69,44 @@
     }
     at(experiment_.warm_up, [this] {
         for (Worker& one : workers_)
-            one.busy_at_warm = one.crew.busy_s(now_);
+            one.post.mark_busy(now_);
     });
     const Time end =
         experiment_.lasts + experiment_.limit + 1s; // all that was asked has been answered by then
     Time told{-1s};
     bool measured = false;
-    while (!due_.empty() && due_.top().at <= end) {
-        const Due next = due_.top();
-        due_.pop();
-        now_ = next.at;
+    for (auto next = calendar_.next(); next && *next <= end; next = calendar_.next()) {
+        now_ = *next;
         if (!measured && now_ >= experiment_.lasts) {
             measured = true;
             const double span = seconds(now_ - experiment_.warm_up) * experiment_.slots;
             for (std::size_t id = 0; id < experiment_.workers; ++id) {
-                const Worker& one = workers_[id];
-                if (is_sound(one)) truth_.busy_share((one.crew.busy_s(now_) - one.busy_at_warm) / span);
+                const Post& one = workers_[id].post;
+                if (one.is_sound(now_)) truth_.busy_share(one.busy_since_mark(now_) / span);
             }
             truth_.state(0, 0, 0, now_);
         }
-        (*next.action)();
+        calendar_.take()();
         if (!measured) note_state();
         if (progress && now_ - told >= 1s) progress(told = now_);
     }
     return truth_.measures(experiment_.lasts);
 }
 
-bool SpreadWorld::is_sound(const Worker& one) const {
-    const bool cold = one.entry.up_since > 0ns && now_ - one.entry.up_since < experiment_.cold;
-    return !one.gone && !one.failing && one.slow <= 1 && !cold;
-}
-
 void SpreadWorld::note_state() {
-    std::size_t sound = 0, with_room = 0;
-    for (const Worker& one : workers_) {
-        if (!is_sound(one)) continue;
-        ++sound;
-        if (one.crew.free() > 0) ++with_room;
-    }
-    truth_.state(sound, with_room, held_ + queued_, now_);
+    Standing all;
+    for (const Worker& one : workers_)
+        all.add(one.post, now_);
+    truth_.state(all.sound, all.with_room, held_ + all.queued, now_);
 }
 
 // ---------------------------------------------------------------------------------- faults and the list
 
 void SpreadWorld::begin(const Fault& fault) {
     using enum Fault::What;
-    const auto salt = static_cast<std::uint64_t>(&fault - experiment_.faults.data());
     for (std::size_t i = 0; i < schedulers_.size(); ++i) {
         Scheduler& one = *schedulers_[i];
-        if (!hit(i, fault.schedulers, salt)) continue;
+        if (!faults_.hits_scheduler(fault, i)) continue;
         if (fault.what == kill) {
             one.up = false;
             ++one.life;
@@ -140,7 +116,7 @@
                 ask.open = false;
                 held_ -= std::exchange(ask.held, false) ? 1 : 0;
                 // Its connection breaks: what may be asked again is, elsewhere.
-                if (effects_[ask.job] != Effect::repeatable || ask.tries >= most_tries) {
+                if (!jobs_.asks_again(ask.job, ask.tries)) {
                     truth_.lost_with_scheduler(ask.job, now_);
                 } else {
                     at(now_ + front_notices, [this, job = ask.job, tries = ask.tries] {
@@ -152,14 +128,10 @@
         if (fault.what == stop) one.stopped_until = fault.to;
         if (fault.what == late_list) one.late = from_seconds(fault.size);
     }
-    if (fault.what == cut) cuts_.push_back(&fault);
+    faults_.begin(fault);
     for (std::size_t id = 0; id < experiment_.workers; ++id) {
-        if (!hit(id, fault.workers, salt + 500) || workers_[id].gone) continue;
-        Worker& one = workers_[id];
-        if (fault.what == slow) one.slow = fault.size;
-        if (fault.what == slow) set_speed(id);
-        if (fault.what == fail) one.failing = true;
-        if (fault.what == freeze) one.frozen = true;
+        if (!faults_.hits_worker(fault, id) || workers_[id].post.gone) continue;
+        if (Faults::strike(fault, workers_[id].post)) set_speed(id);
         if (fault.what == replace)
             at(fault.from + from_seconds(chance_.uniform() * seconds(fault.to - fault.from)),
                [this, id] { this->replace(id); });
@@ -168,29 +140,23 @@
 
 void SpreadWorld::end(const Fault& fault) {
     using enum Fault::What;
-    const auto salt = static_cast<std::uint64_t>(&fault - experiment_.faults.data());
     for (std::size_t i = 0; i < schedulers_.size(); ++i) {
-        if (!hit(i, fault.schedulers, salt)) continue;
+        if (!faults_.hits_scheduler(fault, i)) continue;
         if (fault.what == kill) start(i);
         if (fault.what == stop) pump(i);
         if (fault.what == late_list) schedulers_[i]->late = Time(0);
     }
-    std::erase(cuts_, &fault);
-    for (std::size_t id = 0; id < experiment_.workers; ++id) {
-        if (!hit(id, fault.workers, salt + 500)) continue;
-        if (fault.what == slow) workers_[id].slow = 1;
-        if (fault.what == slow) set_speed(id);
-        if (fault.what == fail) workers_[id].failing = false;
-        if (fault.what == freeze) workers_[id].frozen = false;
-    }
+    faults_.end(fault);
+    for (std::size_t id = 0; id < experiment_.workers; ++id)
+        if (faults_.hits_worker(fault, id) && Faults::heal(fault, workers_[id].post)) set_speed(id);
 }
 
 // It drains: what it has, it ends. A cold one comes under another name.
 void SpreadWorld::replace(std::size_t id) {
-    workers_[id].gone = true;
+    workers_[id].post.gone = true;
     workers_[id].entry.condition = Condition::gone;
     const std::size_t fresh = workers_.size();
-    workers_.emplace_back(experiment_.slots, experiment_.queue);
+    workers_.push_back({.post = Post(experiment_, now_)});
     workers_[fresh].entry = {.worker = static_cast<WorkerId>(fresh),
                              .key = mixed(fresh + 1),
                              .up_since = now_,
@@ -200,14 +166,9 @@
 }
 
 void SpreadWorld::set_speed(std::size_t id) {
-    Worker& one = workers_[id];
-    double warmth = 1;
-    if (one.entry.up_since > 0ns && now_ - one.entry.up_since < experiment_.cold) {
-        const double age = seconds(now_ - one.entry.up_since) / seconds(experiment_.cold);
-        warmth = experiment_.cold_capacity + (1 - experiment_.cold_capacity) * age;
-        at(now_ + warming_step, [this, id] { set_speed(id); });
-    }
-    one.crew.set_speed(warmth / one.slow, now_);
+    Post& one = workers_[id].post;
+    if (one.is_cold(now_)) at(now_ + warming_step, [this, id] { set_speed(id); });
+    one.crew.set_speed(one.speed(now_), now_);
     look(id);
 }
 
@@ -232,17 +193,10 @@
         if (entry.condition == Condition::gone) truth_.drained_by(entry.worker, last);
 }
 
-bool SpreadWorld::is_cut(std::size_t scheduler, std::size_t worker) const {
-    return std::ranges::any_of(cuts_, [&](const Fault* fault) {
-        const auto salt = static_cast<std::uint64_t>(fault - experiment_.faults.data());
-        return hit(scheduler, fault->schedulers, salt) && hit(worker, fault->workers, salt + 500);
-    });
-}
-
 ListNews SpreadWorld::whole_list() const {
     ListNews out{ListNews::Kind::complete, {}};
     for (const Worker& one : workers_)
-        if (!one.gone) out.entries.push_back(one.entry);
+        if (!one.post.gone) out.entries.push_back(one.entry);
     return out;
 }
 
@@ -253,7 +207,7 @@
     one.reported.clear();
     one.listed.clear();
     for (const Worker& worker : workers_)
-        one.listed.push_back(!worker.gone);
+        one.listed.push_back(!worker.post.gone);
     if (way_ != Way::module) return;
     one.host = std::make_unique<core::Host>(settings_of(at), most_open, most_bytes, one, one);
     one.host->list_news(whole_list());
@@ -266,23 +220,13 @@
     const Time next = now_ + chance_.wait(per_s);
     if (next >= experiment_.lasts) return;
     at(next, [this, scheduler, per_s] {
-        want(scheduler);
+        ask(jobs_.want(chance_, now_), scheduler, 1);
         load(scheduler, per_s);
     });
 }
 
-void SpreadWorld::want(std::size_t scheduler) {
-    const Number job = works_.size();
-    works_.push_back(chance_.work(seconds(experiment_.run), experiment_.run_spread));
-    wanted_at_.push_back(now_);
-    const double kind = chance_.uniform(); // most may be repeated, as it is where errors are taken in
-    effects_.push_back(kind < 0.6 ? Effect::repeatable : kind < 0.8 ? Effect::keyed : Effect::once);
-    truth_.wants(job, effects_.back(), now_);
-    ask(job, scheduler, 1);
-}
-
 void SpreadWorld::ask(Number job, std::size_t scheduler, int tries) {
-    const Time limit = wanted_at_[job] + experiment_.limit;
+    const Time limit = jobs_.limit(job);
     if (now_ + 20ms >= limit) return truth_.lost_with_scheduler(job, now_);
     Scheduler& to = *schedulers_[scheduler];
     if (!to.up) { // the front finds another
@@ -309,8 +253,8 @@
     });
     if (way_ != Way::module) return choose(one);
     core::Message message{.id = std::to_string(number),
-                          .job_class = static_cast<Index>(effects_[job]),
-                          .repeatable = effects_[job] == Effect::repeatable,
+                          .job_class = static_cast<Index>(jobs_.effect(job)),
+                          .repeatable = jobs_.effect(job) == Effect::repeatable,
                           .deadline = limit};
     if (!to.host->take_in(std::move(message), one, one.id)) return answered(one, Ending::refused, 1s, false);
     at(limit + 1ms, [this, number] {
@@ -325,9 +269,9 @@
 void SpreadWorld::answered(Ask& ask, Ending ending, Time stay_away, bool by_a_worker) {
     if (!std::exchange(ask.open, false)) return truth_.broke("answered twice", ask.job);
     held_ -= std::exchange(ask.held, false) ? 1 : 0;
-    const Time limit = wanted_at_[ask.job] + experiment_.limit;
+    const Time limit = jobs_.limit(ask.job);
     // A client that is sent away comes back when it was told to, to whichever scheduler the front picks.
-    if (ending == Ending::refused && ask.tries < most_tries && now_ + stay_away + experiment_.run < limit) {
+    if (ending == Ending::refused && jobs_.comes_back(ask.job, ask.tries, now_ + stay_away)) {
         return at(now_ + stay_away, [this, job = ask.job, tries = ask.tries] {
             this->ask(job, chance_.below(schedulers_.size()), tries + 1);
         });
@@ -357,7 +301,7 @@
 void SpreadWorld::choose(Ask& ask) {
     const auto to = pick(ask);
     if (!to || ask.attempts.size() >= 4) return answered(ask, Ending::refused, 1s, false);
-    send(ask, 0, static_cast<Index>(ask.attempts.size()), *to, wanted_at_[ask.job] + experiment_.limit);
+    send(ask, 0, static_cast<Index>(ask.attempts.size()), *to, jobs_.limit(ask.job));
 }
 
 std::optional<std::size_t> SpreadWorld::pick(const Ask& ask) {
@@ -371,7 +315,8 @@
     }
     if (way_ == Way::oracle)
         std::erase_if(able, [&](std::size_t id) {
-            return workers_[id].failing || workers_[id].gone || is_cut(ask.scheduler, id);
+            const Post& one = workers_[id].post;
+            return one.failing || one.gone || faults_.is_cut(ask.scheduler, id);
         });
     if (able.empty()) return std::nullopt;
     const auto any = [&] { return able[chance_.below(able.size())]; };
@@ -381,7 +326,7 @@
         return from.reported[one] <= from.reported[other] ? one : other;
     }
     const auto wait = [&](std::size_t id) { // of a job that comes now, in runs; ties go round by chance
-        const Crew& crew = workers_[id].crew;
+        const Crew& crew = workers_[id].post.crew;
         const double ahead =
             static_cast<double>(crew.busy() + static_cast<int>(crew.queued()) + workers_[id].coming + 1);
         return std::max(1.0, ahead / crew.slots()) / std::max(0.01, crew.speed()) + ahead * 1e-3;
--- a/src/lab/spread/world.h
+++ b/src/lab/spread/world.h
@@ -2,17 +2,15 @@
 #pragma once
 
 #include "core/host.h"
-#include "lab/spread/chance.h"
-#include "lab/spread/crew.h"
-#include "lab/spread/truth.h"
+#include "lab/spread/stage.h"
 #include "lab/spread/virtual.h"
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -28,16 +26,9 @@
 
   private:
     struct Worker {
-        Worker(int slots, std::size_t queue) : crew(slots, queue) {}
-        Crew crew;
+        Post post;
         WorkerEntry entry{};
-        bool failing = false, frozen = false, gone = false;
-        double slow = 1;
-        int coming = 0;  // attempts on their way to it
-        Time due{-1};    // of the event that waits for it
-        Report report{}; // as last made up
-        Time report_at{-1};
-        double busy_at_warm = 0; // slot-seconds
+        int coming = 0; // attempts on their way to it
     };
     struct Ask; // of a client, at one scheduler
     struct Scheduler;
@@ -47,17 +38,9 @@
         Index number = 0;
         bool over = false, at_worker = false, coming = false;
     };
-    struct Due {
-        Time at;
-        std::uint64_t order;
-        std::shared_ptr<std::function<void()>> action;
-        bool operator>(const Due& other) const {
-            return at != other.at ? at > other.at : order > other.order;
-        }
-    };
-
-    void at(Time when, std::function<void()> action);
-    bool hit(std::size_t which, double share, std::uint64_t salt) const; // by a fault, for a whole run
+    void at(Time when, std::function<void()> action) {
+        calendar_.add(std::max(when, now_), std::move(action));
+    }
     Settings settings_of(std::size_t scheduler) const;
 
     // ---- faults and the list
@@ -65,13 +48,11 @@
     void end(const Fault& fault);
     void replace(std::size_t worker);
     void announce(std::vector<WorkerEntry> entries);
-    bool is_cut(std::size_t scheduler, std::size_t worker) const;
     void start(std::size_t scheduler);
     ListNews whole_list() const;
 
     // ---- clients
     void load(std::size_t scheduler, double per_s);
-    void want(std::size_t scheduler);
     void ask(Number job, std::size_t scheduler, int tries);
     void answered(Ask& ask, Ending ending, Time stay_away, bool by_a_worker);
 
@@ -85,7 +66,6 @@
     Report report_of(std::size_t worker);
     void set_speed(std::size_t worker);
     void note_state();
-    bool is_sound(const Worker& one) const;
 
     // ---- schedulers
     void pump(std::size_t scheduler);
@@ -96,18 +76,15 @@
     Way way_;
     Chance chance_;
     Time now_{0};
-    std::uint64_t order_ = 0;
-    std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
+    Calendar calendar_;
     Truth truth_;
+    Jobs jobs_;
+    Faults faults_;
     std::deque<Worker> workers_;
     std::vector<std::unique_ptr<Scheduler>> schedulers_;
     std::deque<Ask> asks_;
     std::vector<Attempt> attempts_;
-    std::vector<Effect> effects_; // by job
-    std::vector<double> works_;   // by job: slot-seconds
-    std::vector<Time> wanted_at_; // by job
-    std::vector<const Fault*> cuts_;
-    std::size_t held_ = 0, queued_ = 0; // jobs: at schedulers, and at workers
+    std::size_t held_ = 0; // asks at schedulers
 };
 
 struct SpreadWorld::Ask final : core::Client {
