One server and one folder for the laboratory, and its experiments read in one place

Cause: Server was Responder written again with answers that may come later; four places made and removed a folder of their own; three read an experiment's file, one of them without the checks of net::read_file; the command nested five loops. Change: LiveFleet answers through lab::Server, and Responder is gone; lab::Folder; read_experiment_file; the cases are made first and played in one loop.

--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -17,53 +17,6 @@
 
 } // namespace
 
-// ---------------------------------------------------------------------------------------------- responder
-
-class Responder::Caller final : public net::Connection::Owner {
-  public:
-    Caller(Responder& responder, net::Fd fd)
-        : responder_(responder), connection_(responder.loop_, *this, std::move(fd),
-                                             net::Connection::State::open, net::http::read_ahead) {}
-
-  private:
-    void on_input() override {
-        while (!connection_.input().empty()) {
-            connection_.consume(parser_.feed(connection_.input()));
-            if (parser_.bad()) return gone();
-            if (!parser_.done()) return;
-            connection_.write(responder_.action_(parser_.head(), parser_.body()));
-            parser_.restart();
-        }
-    }
-    void on_closed() override { gone(); }
-    void gone() {
-        connection_.close();
-        for (auto at = responder_.callers_.begin(); at != responder_.callers_.end(); ++at) {
-            if (at->get() != this) continue;
-            responder_.loop_.bury(std::move(*at));
-            responder_.callers_.erase(at);
-            return;
-        }
-    }
-
-    Responder& responder_;
-    net::Connection connection_;
-    net::http::Parser parser_{net::http::Parser::Kind::request};
-};
-
-Responder::Responder(net::Loop& loop, Action action)
-    : loop_(loop), action_(std::move(action)),
-      listener_(net::listen_on(*net::Endpoint::parse("127.0.0.1:0"))) {
-    loop_.watch(listener_.get(), POLLIN, *this);
-}
-
-Responder::~Responder() { loop_.forget(listener_.get()); }
-
-void Responder::on_ready(short) {
-    for (net::Fd fd = net::accept_from(listener_); fd.valid(); fd = net::accept_from(listener_))
-        callers_.push_back(std::make_shared<Caller>(*this, std::move(fd)));
-}
-
 // -------------------------------------------------------------------------------------------------- fleet
 
 // A job on a connection of its own.
@@ -103,23 +56,24 @@
 
 LiveFleet::LiveFleet(net::Loop& loop, Options options)
     : loop_(loop), options_(std::move(options)), proxy_(loop, options_.seed),
-      worker_(loop,
-              [](const net::http::Head& head, const std::string&) {
+      worker_(loop, {[this](Server::Call call, const net::http::Head& head, const std::string&) {
                   const std::string* id = head.find("x-request-id");
-                  return write_answer(200, {},
-                                      "{\"id\":\"" + (id != nullptr ? *id : "") +
-                                          "\",\"state\":\"done\",\"result\":\"r\"}\n");
-              }),
-      discovery_(loop, [this](const net::http::Head& head, const std::string&) {
-          // A watch that asks from the version it has is answered at once, with nothing new, and slowly
-          // enough.
-          const bool watch = head.target.find("from=") != std::string::npos;
-          if (watch) return write_answer(503, {}, "");
-          return write_answer(200, {},
-                              R"({"version":1,"full":true,"servers":[{"id":"w1","addr":")" +
-                                  worker_.address().text() +
-                                  R"(","zone":"here","kind":"small","state":"up","started_ms":0}]})");
-      }) {
+                  worker_.answer(call, write_answer(200, {},
+                                                    "{\"id\":\"" + (id != nullptr ? *id : "") +
+                                                        "\",\"state\":\"done\",\"result\":\"r\"}\n"));
+              }}),
+      discovery_(
+          loop, {[this](Server::Call call, const net::http::Head& head, const std::string&) {
+              // A watch that asks from the version it has is answered at once, with nothing new, and slowly
+              // enough.
+              const bool watch = head.target.find("from=") != std::string::npos;
+              if (watch) return discovery_.answer(call, write_answer(503, {}, ""));
+              discovery_.answer(
+                  call, write_answer(200, {},
+                                     R"({"version":1,"full":true,"servers":[{"id":"w1","addr":")" +
+                                         worker_.address().text() +
+                                         R"(","zone":"here","kind":"small","state":"up","started_ms":0}]})"));
+          }}) {
     write("1.key", std::string(64, '1'));
     write("2.key", std::string(64, '2'));
 }
--- a/src/lab/fleet.h
+++ b/src/lab/fleet.h
@@ -5,6 +5,7 @@
 
 #include "lab/process.h"
 #include "lab/proxy.h"
+#include "lab/server.h"
 #include "net/connection.h"
 #include "net/http.h"
 
@@ -17,24 +18,6 @@
 
 namespace willowrill::lab {
 
-// Answers each request of its callers by `action`, on a port of the system's choice.
-class Responder final : private net::Pollable {
-  public:
-    using Action = std::function<std::string(const net::http::Head&, const std::string& body)>;
-    Responder(net::Loop& loop, Action action);
-    ~Responder() override;
-    net::Endpoint address() const { return net::local_address(listener_); }
-
-  private:
-    class Caller;
-    void on_ready(short events) override;
-
-    net::Loop& loop_;
-    Action action_;
-    net::Fd listener_;
-    std::list<std::shared_ptr<Caller>> callers_;
-};
-
 struct Told { // by one instance, of one tenant's served jobs
     std::uint64_t low = 0, estimate = 0, high = 0;
 };
@@ -84,7 +67,7 @@
     net::Loop& loop_;
     Options options_;
     Proxy proxy_;
-    Responder worker_, discovery_;
+    Server worker_, discovery_;
     std::vector<std::unique_ptr<Instance>> instances_;
     std::list<std::shared_ptr<Job>> jobs_;
     std::map<std::string, std::uint64_t> truth_;
--- a/src/lab/live_experiment.cpp
+++ b/src/lab/live_experiment.cpp
@@ -1,10 +1,9 @@
 #include "lab/live_experiment.h"
 
 #include "lab/fleet.h"
+#include "lab/folder.h"
 
 #include <algorithm>
-#include <cstdlib>
-#include <filesystem>
 #include <iostream>
 #include <stdexcept>
 
@@ -19,11 +18,8 @@
   public:
     Live(const LiveCase& one, std::ostream& csv, const std::function<void(const std::string&)>& progress)
         : case_(one), csv_(csv), progress_(progress) {
-        std::string name = "/tmp/willowrill-live-XXXXXX";
-        if (::mkdtemp(name.data()) == nullptr) throw std::runtime_error("no folder in /tmp");
-        folder_ = name;
         fleet_ = std::make_unique<LiveFleet>(loop_, LiveFleet::Options{.program = one.program,
-                                                                       .folder = folder_,
+                                                                       .folder = folder_.path,
                                                                        .seed = one.seed,
                                                                        .interval = "250ms",
                                                                        .fold_after = "1h"});
@@ -31,10 +27,6 @@
         fleet_->proxy().delay_most =
             std::chrono::microseconds(static_cast<std::int64_t>(one.delay_most_ms * 1000));
     }
-    ~Live() {
-        fleet_.reset();
-        std::filesystem::remove_all(folder_);
-    }
 
     bool run() {
         progress_("starting");
@@ -130,8 +122,8 @@
     const LiveCase& case_;
     std::ostream& csv_;
     const std::function<void(const std::string&)>& progress_;
-    std::string folder_;
     net::Loop loop_;
+    const Folder folder_;
     std::unique_ptr<LiveFleet> fleet_;
     std::size_t sent_ = 0;
     std::uint64_t wrong_ = 0;
--- a/src/lab/spread/server.cpp
+++ b/src/lab/server.cpp
@@ -1,8 +1,8 @@
-#include "lab/spread/server.h"
+#include "lab/server.h"
 
 #include <utility>
 
-namespace willowrill::lab::spread {
+namespace willowrill::lab {
 
 class Server::Caller final : public net::Connection::Owner {
   public:
@@ -13,11 +13,16 @@
         call_ = 0;
         connection_.write(std::move(bytes));
         parser_.restart();
-        on_input(); // what came meanwhile
+        if (!reading_) on_input(); // what came meanwhile
     }
 
   private:
     void on_input() override {
+        reading_ = true;
+        read();
+        reading_ = false;
+    }
+    void read() {
         while (call_ == 0 && !connection_.input().empty()) {
             connection_.consume(parser_.feed(connection_.input()));
             if (parser_.bad()) return gone();
@@ -38,12 +43,13 @@
         }
         if (const Call call = std::exchange(call_, 0); call != 0) {
             server_.waiting_.erase(call);
-            server_.handler_.on_gone(call);
+            if (server_.handler_.on_gone) server_.handler_.on_gone(call);
         }
     }
 
     Server& server_;
     Call call_ = 0; // that waits
+    bool reading_ = false;
     net::Connection connection_;
     net::http::Parser parser_{net::http::Parser::Kind::request};
 };
@@ -69,4 +75,4 @@
         callers_.push_back(std::make_shared<Caller>(*this, std::move(fd)));
 }
 
-} // namespace willowrill::lab::spread
+} // namespace willowrill::lab
--- a/src/lab/spread/server.h
+++ b/src/lab/server.h
@@ -13,14 +13,14 @@
 #include <string>
 #include <string_view>
 
-namespace willowrill::lab::spread {
+namespace willowrill::lab {
 
 class Server final : private net::Pollable {
   public:
     using Call = std::uint64_t; // a request that waits for its answer; no two alike
     struct Handler {
         std::function<void(Call, const net::http::Head&, const std::string& body)> on_request;
-        std::function<void(Call)> on_gone; // its caller has hung up
+        std::function<void(Call)> on_gone{}; // its caller has hung up; may be left out
     };
     Server(net::Loop& loop, Handler handler);
     ~Server() override;
@@ -39,4 +39,4 @@
     std::map<Call, Caller*> waiting_;
 };
 
-} // namespace willowrill::lab::spread
+} // namespace willowrill::lab
--- a/src/lab/spread/experiment.cpp
+++ b/src/lab/spread/experiment.cpp
@@ -1,5 +1,7 @@
 #include "lab/spread/experiment.h"
 
+#include "net/file.h"
+
 #include <yaml-cpp/yaml.h>
 
 #include <algorithm>
@@ -13,6 +15,7 @@
 namespace willowrill::lab::spread {
 namespace {
 
+constexpr std::size_t most_bytes = 1U << 20U;
 constexpr std::array<const char*, 8> fault_names{"kill", "stop", "cut",    "replace",
                                                  "slow", "fail", "freeze", "late_list"};
 
@@ -129,6 +132,13 @@
     return faults.empty() ? lasts : out;
 }
 
+Experiment read_experiment_file(const std::string& path) {
+    std::string why;
+    const auto text = net::read_file(path, most_bytes, why);
+    if (!text) throw BadExperiment(path + " " + why);
+    return read_experiment(*text, path);
+}
+
 Experiment read_experiment(const std::string& text, const std::string& name_of_file) {
     const Reader in(name_of_file);
     YAML::Node all;
--- a/src/lab/spread/experiment.h
+++ b/src/lab/spread/experiment.h
@@ -67,5 +67,6 @@
     using std::runtime_error::runtime_error;
 };
 Experiment read_experiment(const std::string& text, const std::string& name_of_file);
+Experiment read_experiment_file(const std::string& path);
 
 } // namespace willowrill::lab::spread
--- a/src/lab/spread/live_world.h
+++ b/src/lab/spread/live_world.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "lab/process.h"
+#include "lab/server.h"
 #include "lab/spread/live.h"
-#include "lab/spread/server.h"
 #include "lab/spread/stage.h"
 
 #include <algorithm>
--- a/src/lab/spread_command.cpp
+++ b/src/lab/spread_command.cpp
@@ -1,14 +1,11 @@
 #include "lab/spread_command.h"
 
+#include "lab/folder.h"
 #include "lab/spread/live.h"
 #include "lab/spread/virtual.h"
 
-#include <stdlib.h>
-
-#include <filesystem>
 #include <fstream>
 #include <iostream>
-#include <iterator>
 #include <stdexcept>
 
 namespace willowrill::lab {
@@ -16,13 +13,6 @@
 
 using spread::Experiment, spread::Measures, spread::Way;
 
-Experiment read(const std::string& file) {
-    std::ifstream in(file);
-    if (!in) throw std::runtime_error(file + " cannot be read");
-    const std::string text{std::istreambuf_iterator<char>(in), {}};
-    return spread::read_experiment(text, file);
-}
-
 constexpr const char* head =
     "experiment,schedulers,workers,way,seed,goodput,goodput_before,goodput_during,goodput_after,"
     "goodput_later,refused,failed,late,herd_100ms_p99,herd_100ms_worst,herd_1s_p99,herd_1s_worst,"
@@ -42,16 +32,26 @@
     out << ',' << m.broken.size() << std::endl;
 }
 
-struct Folder {
-    Folder() {
-        if (::mkdtemp(path.data()) == nullptr) throw std::runtime_error("no folder can be made in /tmp");
-    }
-    ~Folder() {
-        std::error_code ignored;
-        std::filesystem::remove_all(path, ignored);
+// Each file at each size and seed.
+std::vector<Experiment> cases(const SpreadOptions& options) {
+    const auto or_own = [](const std::vector<std::size_t>& sizes, std::size_t own) {
+        return sizes.empty() ? std::vector{own} : sizes;
+    };
+    std::vector<Experiment> out;
+    for (const std::string& file : options.files) {
+        Experiment one = spread::read_experiment_file(file);
+        for (const std::size_t schedulers : or_own(options.schedulers, one.schedulers)) {
+            for (const std::size_t workers : or_own(options.workers, one.workers)) {
+                for (one.seed = 1; one.seed <= options.seeds; ++one.seed) {
+                    out.push_back(one);
+                    out.back().schedulers = schedulers;
+                    out.back().workers = workers;
+                }
+            }
+        }
     }
-    std::string path = "/tmp/willowrill-spread-XXXXXX";
-};
+    return out;
+}
 
 Measures measured(const Experiment& one, Way way, const std::string& program, const std::string& what,
                   const std::function<void(const std::string&)>& progress) {
@@ -69,9 +69,7 @@
 } // namespace
 
 int run(const SpreadOptions& options, const std::function<void(const std::string&)>& progress) {
-    std::vector<Experiment> all;
-    for (const std::string& file : options.files)
-        all.push_back(read(file));
+    const std::vector<Experiment> all = cases(options);
     std::vector<Way> ways;
     for (const std::string& name : options.ways) {
         const auto way = spread::way_named(name);
@@ -83,29 +81,16 @@
     if (!csv) throw std::runtime_error(options.out + " cannot be written");
     csv << head;
     bool kept = true;
-    const auto or_own = [](std::vector<std::size_t> sizes, std::size_t own) {
-        return sizes.empty() ? std::vector{own} : std::move(sizes);
-    };
-    for (const Experiment& as_written : all) {
-        for (const std::size_t schedulers : or_own(options.schedulers, as_written.schedulers)) {
-            for (const std::size_t workers : or_own(options.workers, as_written.workers)) {
-                for (std::uint64_t seed = 1; seed <= options.seeds; ++seed) {
-                    for (const Way way : ways) {
-                        Experiment one = as_written;
-                        one.schedulers = schedulers;
-                        one.workers = workers;
-                        one.seed = seed;
-                        const std::string what = one.name + ", " + std::to_string(schedulers) + " by " +
-                                                 std::to_string(workers) + ", seed " + std::to_string(seed) +
-                                                 ", " + std::string(name_of(way));
-                        const Measures result = measured(one, way, options.program, what, progress);
-                        row(csv, one, options.program.empty() ? name_of(way) : "live", result);
-                        for (const std::string& rule : result.broken)
-                            std::cerr << what << ": " << rule << '\n';
-                        kept = kept && result.broken.empty();
-                    }
-                }
-            }
+    for (const Experiment& one : all) {
+        for (const Way way : ways) {
+            const std::string what = one.name + ", " + std::to_string(one.schedulers) + " by " +
+                                     std::to_string(one.workers) + ", seed " + std::to_string(one.seed) +
+                                     ", " + std::string(name_of(way));
+            const Measures result = measured(one, way, options.program, what, progress);
+            row(csv, one, options.program.empty() ? name_of(way) : "live", result);
+            for (const std::string& rule : result.broken)
+                std::cerr << what << ": " << rule << '\n';
+            kept = kept && result.broken.empty();
         }
     }
     return kept ? 0 : 1;
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -1,6 +1,7 @@
 // Five real schedulers on loopback, and a network between them that loses a fifth. All waits are bounded; the
 // bound only ends a test that has failed.
 #include "lab/fleet.h"
+#include "lab/folder.h"
 
 #include <doctest/doctest.h>
 
@@ -17,16 +18,6 @@
 
 using namespace std::chrono_literals;
 
-class Folder {
-  public:
-    Folder() {
-        std::string name = "/tmp/willowrill-fleet-XXXXXX";
-        if (::mkdtemp(name.data()) != nullptr) path = name;
-    }
-    ~Folder() { std::filesystem::remove_all(path); }
-    std::string path;
-};
-
 struct Rig {
     explicit Rig(std::size_t size, bool with_state = false, const std::string& log_level = "info")
         : fleet(loop, {.program = WILLOWRILLD,
--- a/tests/lab/live_test.cpp
+++ b/tests/lab/live_test.cpp
@@ -1,24 +1,18 @@
 // Two dozen real processes under three faults, one after the other. Bounds are wide, as machines differ: what
 // is held narrowly is that no rule is broken and nothing is lost.
+#include "lab/folder.h"
 #include "lab/spread/live.h"
 
 #include <doctest/doctest.h>
 
-#include <cstdlib>
-#include <filesystem>
-#include <fstream>
-#include <iterator>
+#include <string>
 
 namespace willowrill::lab::spread {
 
 TEST_CASE("real processes that are killed, stopped and cut off keep the rules, lose nothing and come back") {
-    std::string folder = "/tmp/willowrill-live-XXXXXX";
-    REQUIRE(::mkdtemp(folder.data()) != nullptr);
-    const std::string file = std::string(EXPERIMENTS) + "/live.yaml";
-    std::ifstream in(file);
-    const Experiment experiment = read_experiment({std::istreambuf_iterator<char>(in), {}}, file);
-    const Measures found = play_live(experiment, {WILLOWRILLD, folder});
-    std::filesystem::remove_all(folder);
+    const Folder folder;
+    const Experiment experiment = read_experiment_file(std::string(EXPERIMENTS) + "/live.yaml");
+    const Measures found = play_live(experiment, {WILLOWRILLD, folder.path});
     for (const std::string& rule : found.broken)
         FAIL_CHECK(rule);
     const View& all = found.all;
--- a/tests/lab/spread_test.cpp
+++ b/tests/lab/spread_test.cpp
@@ -4,9 +4,6 @@
 
 #include <doctest/doctest.h>
 
-#include <fstream>
-#include <iterator>
-
 namespace willowrill::lab::spread {
 namespace {
 
@@ -22,9 +19,7 @@
 }
 
 Experiment example(const std::string& name) {
-    const std::string path = std::string(EXPERIMENTS) + "/" + name + ".yaml";
-    std::ifstream in(path);
-    return read_experiment({std::istreambuf_iterator<char>(in), {}}, path);
+    return read_experiment_file(std::string(EXPERIMENTS) + "/" + name + ".yaml");
 }
 
 } // namespace
--- a/tests/state/store_test.cpp
+++ b/tests/state/store_test.cpp
@@ -1,3 +1,4 @@
+#include "lab/folder.h"
 #include "state/store.h"
 
 #include <doctest/doctest.h>
@@ -145,8 +146,8 @@
 
 TEST_CASE(
     "two real processes, one of them killed while it writes, leave a file whole and nothing beside it") {
-    std::string folder = (std::filesystem::temp_directory_path() / "store-XXXXXX").string();
-    REQUIRE(::mkdtemp(folder.data()) != nullptr);
+    const lab::Folder own;
+    const std::string& folder = own.path;
     Disk disk;
     const Bytes large(1U << 20U, 'x');
     REQUIRE_FALSE(Store(folder, "f", 1, disk).save(large));
@@ -176,7 +177,6 @@
         CHECK(loaded.content == large);
     }
     CHECK(std::distance(std::filesystem::directory_iterator(folder), {}) == 1); // the file alone
-    std::filesystem::remove_all(folder);
 }
 
 TEST_CASE("torn, foreign and newer files are told apart, put aside and named") {
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -1,4 +1,5 @@
 // Two runs of one scheduler side by side: what is handed over, and what happens when either dies or hangs.
+#include "lab/folder.h"
 #include "sockets.h"
 #include "upgrade/succession.h"
 
@@ -14,16 +15,7 @@
 namespace willowrill::testing {
 namespace {
 
-using upgrade::Succession;
-
-struct Folder {
-    Folder() {
-        std::string name = (std::filesystem::temp_directory_path() / "succession-XXXXXX").string();
-        path = ::mkdtemp(name.data());
-    }
-    ~Folder() { std::filesystem::remove_all(path); }
-    std::string path;
-};
+using lab::Folder, upgrade::Succession;
 
 struct FakeRun final : Succession::Run {
     FakeRun(net::Loop& loop, const std::string& door, std::optional<upgrade::Inheritance> from)
