--- a/src/lab/spread/live.cpp
+++ b/src/lab/spread/live.cpp
@@ -122,11 +122,12 @@
     if (ask != by_id_.end() && faults_.is_cut(scheduler, at)) return; // it never came
     truth_.reached(job, at, at % experiment_.zones, scheduler, jobs_.work_s(job), worker.post.can_do(),
                    now());
-    if (worker.post.failing)
-        return worker.server.answer(call, write_answer(500, {{"X-Load", report(at)}}, ""));
+    if (worker.post.failing) return worker.server.answer(call, write_answer(500, load_header(at), ""));
     if (worker.post.crew.take(call, jobs_.work_s(job), now()) == Crew::Taken::full) {
         truth_.turned_away(job);
-        return worker.server.answer(call, write_answer(503, {{"X-Not-Processed", "1"}}, ""));
+        auto fields = load_header(at);
+        fields.emplace_back("X-Not-Processed", "1");
+        return worker.server.answer(call, write_answer(503, fields, ""));
     }
     worker.held[call] = {job, scheduler, *id};
     if (ask != by_id_.end() && ask->second->at_workers++ == 0) ++at_workers_;
@@ -175,6 +176,15 @@
            ",\"x0\":" + std::to_string(told.free_slots) + "}";
 }
 
+// As answers that are no 200 carry it, where answers carry load at all.
+net::http::Fields LiveWorld::load_header(std::size_t id) {
+    if (experiment_.reports != Reports::answers) return {};
+    const Figures& told = workers_[id]->post.figures(now(), chance_);
+    return {{"X-Server-Load", "util=" + std::to_string(told.utilisation) +
+                                  ",latency_ms=" + std::to_string(told.service_ms) +
+                                  ",x0=" + std::to_string(told.free_slots)}};
+}
+
 void LiveWorld::note_state() {
     Standing all;
     for (const auto& one : workers_)
--- a/src/lab/spread/live_world.h
+++ b/src/lab/spread/live_world.h
@@ -86,6 +86,7 @@
     std::optional<Held> let_go(Worker& worker, Server::Call call); // it is at that worker no more
     void look(std::size_t worker);
     std::string report(std::size_t worker);
+    net::http::Fields load_header(std::size_t worker);
     void note_state();
 
     const Experiment experiment_;
