Ask discovery beside a call that has fallen silent, by a sum of all times

Ruled out: the module's own sends (none after the list). A silent call is joined by others without a hold, three at the most; the first whole answer counts. Tests: the sum over settings; a silent call and the one beside it.

--- a/src/inventory/watch.cpp
+++ b/src/inventory/watch.cpp
@@ -5,107 +5,165 @@
 #include <algorithm>
 
 namespace willowrill::inventory {
-namespace {
 
 using namespace std::chrono_literals;
 
-// A watch that finds nothing new is answered after its hold. What changes meanwhile counts as told two
-// seconds after that at the latest, so a call without an answer is given up before then.
-constexpr auto late = 1500ms;
-constexpr auto most_hold = 60000ms;    // the protocol's
-constexpr auto default_hold = 20000ms; // where no setting says how long a list is valid
-
-// Discovery may vanish without a word, and its answers are the only sign of life: the hold is short enough to
-// notice by the time the list has become invalid.
-std::chrono::milliseconds hold_for(net::Duration list_valid) {
-    if (list_valid <= 0ns) return default_hold;
-    return std::clamp(std::chrono::duration_cast<std::chrono::milliseconds>(list_valid), 1000ms, most_hold);
-}
+// One call on a connection of its own. After its answer it stays for the next one.
+class Watch::Call final : public net::Connection::Owner {
+  public:
+    explicit Call(Watch& watch)
+        : watch_(watch),
+          overdue_(watch.loop_.wheel(), [this] { watch_.failed(*this, "no answer in time"); }) {
+        net::Fd fd = net::connect_to(watch.discovery_);
+        if (!fd.valid()) return; // told like any other failure, but not within the call
+        connection_ = std::make_shared<net::Connection>(
+            watch.loop_, *this, std::move(fd), net::Connection::State::opening, net::http::read_ahead);
+    }
+
+    void ask(const std::string& target, net::Duration hold) {
+        const net::Time now = watch_.loop_.now();
+        if (!connection_) return overdue_.arm(now);
+        parser_.restart();
+        waits_ = true;
+        answer_by_ = now + hold + watch_.times_.lost;
+        connection_->write(net::http::write_request("GET", target, {{"Host", watch_.discovery_.text()}}, ""));
+        // Out of reach, a connection would be tried for longer and longer by the system: try anew instead.
+        const bool opening = connection_->state() == net::Connection::State::opening;
+        overdue_.arm(opening ? now + watch_.times_.open : answer_by_);
+    }
+    bool can_go_on() {
+        return connection_ && !connection_->has_hung_up() && parser_.head().keeps_alive();
+    }
+    net::http::Parser& answer() { return parser_; }
+    void close() {
+        overdue_.disarm();
+        waits_ = false;
+        if (!connection_) return;
+        connection_->close();
+        watch_.loop_.bury(std::move(connection_));
+    }
+
+  private:
+    void on_open() override { overdue_.arm(answer_by_); }
+    void on_input() override {
+        connection_->consume(parser_.feed(connection_->input()));
+        if (!waits_ || parser_.bad()) return watch_.failed(*this, "not an HTTP answer");
+        if (parser_.done()) finish();
+    }
+    void on_closed() override {
+        if (!waits_) return watch_.drop(*this);
+        parser_.end_of_input();
+        if (parser_.done()) return finish();
+        watch_.failed(*this, connection_->state() == net::Connection::State::closed ? "the connection broke"
+                                                                                    : "no connection");
+    }
+    void finish() {
+        waits_ = false;
+        overdue_.disarm();
+        watch_.answered(*this);
+    }
+
+    Watch& watch_;
+    std::shared_ptr<net::Connection> connection_;
+    net::http::Parser parser_{net::http::Parser::Kind::answer};
+    net::Timer overdue_;
+    net::Time answer_by_{0};
+    bool waits_ = false;
+};
 
-} // namespace
+Watch::Watch(net::Loop& loop, net::Endpoint discovery, WatchTimes times, std::uint64_t seed, List& list,
+             News news)
+    : loop_(loop), discovery_(discovery), times_(times), random_(seed), list_(list), news_(std::move(news)),
+      silence_(loop.wheel(), [this] { silent(); }) {}
 
-Watch::Watch(net::Loop& loop, net::Endpoint discovery, net::Duration list_valid, List& list, News news)
-    : loop_(loop), discovery_(discovery), hold_(hold_for(list_valid)), list_(list), news_(std::move(news)),
-      overdue_(loop.wheel(), [this] { broken("no answer in time"); }) {}
+Watch::~Watch() { hang_up(); }
 
 void Watch::watch(bool active) {
     watching_ = active;
-    if (active && !calling_) call();
-    if (!active && calling_) hang_up();
+    if (active && calls_.empty()) ask(add(), next_hold());
+    if (!active) hang_up();
 }
 
 void Watch::move(const net::Endpoint& discovery) {
     discovery_ = discovery;
     hang_up();
     moved_ = watching_ = true;
-    call();
+    ask(add(), 0ns);
 }
 
-void Watch::hang_up() {
-    overdue_.disarm();
-    calling_ = false;
-    if (!connection_) return;
-    connection_->close();
-    loop_.bury(std::move(connection_));
+// Between three quarters of the longest and all of it: news reach all schedulers at one moment, so that their
+// calls begin together and would all end together ever after.
+net::Duration Watch::next_hold() {
+    const double part = 0.75 + 0.25 * static_cast<double>(random_()) / 4294967296.0;
+    return std::chrono::milliseconds(static_cast<std::int64_t>(
+        part *
+        static_cast<double>(std::chrono::duration_cast<std::chrono::milliseconds>(times_.hold).count())));
 }
 
-void Watch::call() {
-    calling_ = true;
-    if (connection_ && connection_->has_hung_up()) {
-        connection_->close();
-        loop_.bury(std::move(connection_));
-    }
-    if (!connection_) {
-        net::Fd fd = net::connect_to(discovery_);
-        if (!fd.valid())
-            return overdue_.arm(loop_.now()); // told like any other failure, but not within the call
-        connection_ = std::make_shared<net::Connection>(
-            loop_, *this, std::move(fd), net::Connection::State::opening, net::http::read_ahead);
-    }
-    parser_.restart();
+Watch::Call& Watch::add() { return *calls_.emplace_back(std::make_shared<Call>(*this)); }
+
+void Watch::ask(Call& call, net::Duration hold) {
     std::string target = "/v1/endpoints";
-    const bool whole = moved_ || list_.empty();
-    if (!whole)
-        target += "?from=" + std::to_string(list_.version()) + "&hold_ms=" + std::to_string(hold_.count());
-    connection_->write(net::http::write_request("GET", target, {{"Host", discovery_.text()}}, ""));
-    answer_by_ = loop_.now() + late + (whole ? 0ms : hold_);
-    // Out of reach, a connection would be tried for longer and longer by the system: try anew instead.
-    const bool opening = connection_->state() == net::Connection::State::opening;
-    overdue_.arm(opening ? loop_.now() + late : answer_by_);
+    const bool whole = moved_ || (list_.empty() && list_.version() == 0);
+    if (whole) {
+        hold = 0ns;
+    } else {
+        // At least the shortest there is.
+        const auto waits = std::max(1ms, std::chrono::duration_cast<std::chrono::milliseconds>(hold));
+        target += "?from=" + std::to_string(list_.version()) + "&hold_ms=" + std::to_string(waits.count());
+    }
+    call.ask(target, hold);
+    silence_.arm(loop_.now() + (whole               ? times_.late_whole
+                                : calls_.size() > 1 ? times_.again
+                                                    : hold + times_.late));
 }
 
-void Watch::on_open() { overdue_.arm(answer_by_); }
+// No word from any call: the watch is broken, whether or not its connection stands. What is asked now is
+// answered at once.
+void Watch::silent() {
+    if (calls_.size() >= most_calls) return silence_.arm(loop_.now() + times_.again);
+    if (calls_.size() == 1) {
+        ++silences_;
+        spdlog::warn("inventory: discovery is silent, and is asked beside the call that is out");
+    }
+    ask(add(), 0ns);
+}
 
-void Watch::on_input() {
-    connection_->consume(parser_.feed(connection_->input()));
-    if (!calling_ || parser_.bad()) return broken("not an HTTP answer");
-    if (parser_.done()) answered();
+void Watch::drop(Call& call) {
+    call.close();
+    const auto at = std::ranges::find(calls_, &call, &std::shared_ptr<Call>::get);
+    loop_.bury(std::move(*at));
+    calls_.erase(at);
 }
 
-void Watch::on_closed() {
-    if (!calling_) return loop_.bury(std::move(connection_));
-    parser_.end_of_input();
-    if (parser_.done()) return answered();
-    broken(connection_->state() == net::Connection::State::closed ? "the connection broke" : "no connection");
+void Watch::hang_up() {
+    silence_.disarm();
+    while (!calls_.empty())
+        drop(*calls_.back());
 }
 
-void Watch::answered() {
-    if (parser_.head().status != 200) return broken("an answer other than 200");
-    auto news = list_.read(parser_.body());
-    if (!news) return broken("an answer that is no list");
-    overdue_.disarm();
-    calling_ = moved_ = false;
-    if (!parser_.head().keeps_alive()) hang_up();
+void Watch::answered(Call& call) {
+    if (call.answer().head().status != 200) return failed(call, "an answer other than 200");
+    auto news = list_.read(call.answer().body());
+    if (!news) return failed(call, "an answer that is no list");
+    moved_ = false;
+    silence_.disarm();
+    while (calls_.size() > 1) // what the others may still say is no newer
+        drop(calls_.front().get() == &call ? *calls_.back() : *calls_.front());
+    if (!call.can_go_on()) drop(call);
     // The next call goes out at once: a pause would end the watch.
-    if (watching_) call();
+    if (watching_) ask(calls_.empty() ? add() : *calls_.front(), next_hold());
     news_(std::move(*news));
 }
 
-// The module decides when to ask again, and is told just once for a call.
-void Watch::broken(const char* why) {
-    spdlog::warn("inventory: a call to discovery failed: {}", why);
-    hang_up();
+// While another call is out, that one may still be answered. The module decides when to ask again, and is
+// told just once for all of them.
+void Watch::failed(Call& call, const char* why) {
+    drop(call);
+    if (!calls_.empty()) return;
+    silence_.disarm();
     watching_ = false;
+    spdlog::warn("inventory: a call to discovery failed: {}", why);
     news_({willowrill::ListNews::Kind::broken, {}});
 }
 
--- a/src/inventory/watch.h
+++ b/src/inventory/watch.h
@@ -1,49 +1,61 @@
-// The standing question to discovery: one call after the other, each from the version that is held.
+// The standing question to discovery: one call after the other, each from the version that is held. A call
+// that falls silent is broken: discovery is asked beside it, and the first whole answer of any call counts.
 #pragma once
 
 #include "core/host.h"
 #include "inventory/list.h"
+#include "inventory/watch_times.h"
 #include "net/connection.h"
 #include "net/http.h"
 
+#include <pcg_random.hpp>
+
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace willowrill::inventory {
 
-class Watch final : public core::Inventory, public net::Connection::Owner {
+class Watch final : public core::Inventory {
   public:
     using News = std::function<void(willowrill::ListNews)>;
 
-    // `list_valid`: how long the list may go without word from discovery; 0 for no such time.
-    Watch(net::Loop& loop, net::Endpoint discovery, net::Duration list_valid, List& list, News news);
+    // `seed`: for the spread of holds, so that many schedulers don't all ask at one moment.
+    Watch(net::Loop& loop, net::Endpoint discovery, WatchTimes times, std::uint64_t seed, List& list,
+          News news);
+    ~Watch() override;
 
     void watch(bool active) override;
     // Discovery is at another address from now on. It is asked there at once, for the whole list, as versions
     // may not go on; a call that this cuts off has not failed.
     void move(const net::Endpoint& discovery);
     const net::Endpoint& discovery() const { return discovery_; }
+    std::uint64_t silences() const { return silences_; }
 
   private:
-    void call();
-    void on_open() override;
-    void on_input() override;
-    void on_closed() override;
-    void answered();
-    void broken(const char* why);
+    class Call;
+    static constexpr std::size_t most_calls = 3; // out at once: the silent one, and two beside it
+
+    Call& add();
+    void ask(Call& call, net::Duration hold);
+    void answered(Call& call);
+    void failed(Call& call, const char* why); // it has ended, without a list
+    void silent();
+    void drop(Call& call);
     void hang_up();
+    net::Duration next_hold();
 
     net::Loop& loop_;
     net::Endpoint discovery_;
-    std::chrono::milliseconds hold_;
+    WatchTimes times_;
+    pcg32 random_;
     List& list_;
     News news_;
-    std::shared_ptr<net::Connection> connection_;
-    net::http::Parser parser_{net::http::Parser::Kind::answer};
-    net::Timer overdue_;
-    net::Time answer_by_{0};
-    bool watching_ = false, calling_ = false;
+    std::vector<std::shared_ptr<Call>> calls_; // the oldest first, `most_calls` at the most
+    net::Timer silence_;                       // the last call has had its time, or another may go out
+    bool watching_ = false;
     bool moved_ = false; // and has not yet given its list there
+    std::uint64_t silences_ = 0;
 };
 
 } // namespace willowrill::inventory
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -39,7 +39,6 @@
 constexpr auto accept_time = 550ms;
 constexpr auto longest_counted = 3s;
 constexpr auto after_longest = 450ms; // with a margin of a quarter of a second
-constexpr auto watch_pause = 1s;
 constexpr std::size_t few = 8;
 // At an upgrade: how long a predecessor may take to hand the listener over, and discovery to tell a new run
 // what is newer than the list it remembers. The predecessor serves meanwhile; both are far below the 6 s for
@@ -56,7 +55,9 @@
                                         {.connections = per_side(settings_),
                                          .idle = settings_.connection_idle,
                                          .connect_timeout = settings_.connect_timeout}),
-          watch_(loop_, settings_.discovery, settings_.decisions.list_valid, list_,
+          watch_times_(
+              inventory::watch_times(settings_.decisions.list_valid, settings_.decisions.drain_grace)),
+          watch_(loop_, settings_.discovery, watch_times_, settings_.decisions.seed, list_,
                  [this](auto news) { on_list(std::move(news)); }),
           host_(settings_.decisions, settings_.max_open, config::message_memory(settings_), pool_, watch_),
           front_(
@@ -153,7 +154,8 @@
         // Where the module counts on news that come by themselves, it will not ask again.
         const bool broken = news.kind == willowrill::ListNews::Kind::broken;
         if (!broken) fresh_.disarm();
-        if (broken && !settings_.decisions.list_on_request) watch_again_.arm(loop_.now() + watch_pause);
+        if (broken && !settings_.decisions.list_on_request)
+            watch_again_.arm(loop_.now() + watch_times_.again);
         if (!news.entries.empty())
             spdlog::info("inventory: version {} with {} entries", list_.version(), news.entries.size());
         log_entries(news);
@@ -313,8 +315,9 @@
             spdlog::info("mgmt: calls {} bad {} silent {} evicted {}", desk.calls, desk.bad, desk.silent,
                          desk.evicted);
         }
-        spdlog::info("inventory: lists {} broken {} version {}; batches {}; reloads {}", host.lists,
-                     host.lists_broken, list_.version(), host.batches, reloads_);
+        spdlog::info("inventory: lists {} broken {} silences {} version {}; batches {}; reloads {}",
+                     host.lists, host.lists_broken, watch_.silences(), list_.version(), host.batches,
+                     reloads_);
     }
 
     const config::Settings settings_;   // as at the start; the parts refer to them
@@ -323,6 +326,7 @@
     net::Loop loop_;
     inventory::List list_;
     relay::Pool pool_;
+    const inventory::WatchTimes watch_times_;
     inventory::Watch watch_;
     core::Host host_;
     north::Front front_;
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -23,7 +23,7 @@
         : list(settings.names),
           pool(loop, list, settings.report_fields,
                {.connections = most_relays, .idle = 5s, .connect_timeout = settings.connect_timeout}),
-          watch(loop, discovery.address, settings.decisions.list_valid, list,
+          watch(loop, discovery.address, inventory::watch_times(10s, 1s), 1, list,
                 [this](auto news) { host.list_news(std::move(news)); }),
           host(settings.decisions, settings.max_open, 1U << 20U, pool, watch),
           front(loop, settings, host, most_clients, [] { return true; }) {
@@ -102,17 +102,64 @@
 }
 
 TEST_CASE("discovery that cannot be reached is a failed call") {
-    const Deaf deaf;
     Rig rig;
+    const net::Endpoint nobody = Listener(rig.loop).address;
     int broken = 0;
-    inventory::Watch watch(rig.loop, deaf.address, 10s, rig.list, [&](const auto& news) {
-        CHECK(news.kind == willowrill::ListNews::Kind::broken);
-        ++broken;
-    });
+    inventory::Watch watch(rig.loop, nobody, inventory::watch_times(10s, 1s), 1, rig.list,
+                           [&](const auto& news) {
+                               CHECK(news.kind == willowrill::ListNews::Kind::broken);
+                               ++broken;
+                           });
     watch.watch(true);
-    watch.watch(true); // a wish repeated while a call is out makes no other
     CHECK(rig.settle([&] { return broken > 0; }));
     CHECK(broken == 1);
+    CHECK(watch.silences() == 0);
+}
+
+// A held call was given up 1.5 s after a hold as long as the list is valid, 11.5 s in all, and only then was
+// discovery asked anew; what it has to tell counts as told after 6 s.
+TEST_CASE(
+    "discovery that has fallen silent is asked beside the call that is out, and the first answer counts") {
+    Rig rig;
+    int news_of_drain = 0, broken = 0;
+    inventory::WatchTimes times = inventory::watch_times(10s, 1s);
+    times.hold = 4ms;
+    times.late = 10ms;
+    inventory::Watch watch(rig.loop, rig.discovery.address, times, 1, rig.list, [&](const auto& news) {
+        broken += news.kind == willowrill::ListNews::Kind::broken ? 1 : 0;
+        for (const auto& entry : news.entries)
+            news_of_drain += entry.condition == willowrill::Condition::draining ? 1 : 0;
+    });
+    watch.watch(true);
+    watch.watch(true); // a wish repeated while a call is out makes no other
+    const auto asked = [&](std::size_t call, std::string_view text) {
+        return rig.settle(
+            [&] { return rig.discovery.peers.size() > call && rig.discovery.peers[call]->has(text); });
+    };
+    REQUIRE(asked(0, "?from=41&hold_ms="));   // stays silent, and open
+    REQUIRE(asked(1, "?from=41&hold_ms=1 ")); // no wait: an answer is owed at once
+    CHECK_FALSE(rig.discovery.peers[0]->closed);
+    CHECK(watch.silences() == 1);
+    std::string list = rig.list_text(43);
+    list.replace(list.find("\"up\""), 4, "\"draining\"");
+    rig.discovery.peers[1]->got.clear();
+    rig.discovery.peers[1]->connection.write(net::http::write_answer(200, {}, list));
+    CHECK(rig.settle([&] { return news_of_drain == 1; }));
+    CHECK(asked(1, "?from=43&hold_ms=")); // the watch goes on where it was answered
+    CHECK(rig.settle([&] { return rig.discovery.peers[0]->closed; }));
+    CHECK(broken == 0);
+}
+
+TEST_CASE("what discovery may be silent for adds up to less than what counts as told, for all settings") {
+    for (const auto valid : {0s, 1s, 2s, 10s, 60s}) {
+        for (const auto grace : {50ms, 300ms, 1000ms, 5000ms}) {
+            const inventory::WatchTimes times = inventory::watch_times(valid, grace);
+            CHECK(times.hold > 0ns);
+            CHECK(times.again <= std::max<net::Duration>(grace, 50ms));
+            // Two calls, the first of them lost as well, each with a second for its answer.
+            CHECK(times.heard_by(2, times.open + 1s) <= times.allowed(grace));
+        }
+    }
 }
 
 TEST_CASE("a job goes to the worker and its result comes back, over connections that are kept") {
