Learn load from waits before starts where nothing tells it, and use cold workers there

Cause: at GENOVA no worker reports load. Change: a start after a wait of one run counts as a load of 1 more than full; where load is never told nothing moves; a cold worker of unknown slots bears an equal part of the own work by its warmth, if others are warm. TAS and RIGA tell load: unchanged. Tests: two of the module.

--- a/include/willowrill/dispatcher.h
+++ b/include/willowrill/dispatcher.h
@@ -73,6 +73,7 @@
     Duration progress_period{0};  // time between progress notes; 0 for none
     bool reports_with_answers = false;
     bool reports_with_probes = false; // the answer to a probe carries a load report
+    bool tells_load() const { return reports_with_answers || reports_with_probes; }
 
     // What the site allows.
     bool may_cancel = false;
--- a/src/learn/books.h
+++ b/src/learn/books.h
@@ -13,6 +13,8 @@
 
 namespace willowrill::learn {
 
+constexpr double usual_at_first = 0.5; // a load, while none is known
+
 struct Attempt {
     WorkerId worker = 0;
     Time sent{0};
@@ -82,6 +84,24 @@
         degradation = sent_slots = 0;
         reported_at = now;
     }
+    // A worker whose reports have stopped repeats its last one for good: the same figures, noise and all, for
+    // longer than any report lives are not news.
+    bool is_news(const Report& told, Time now, Time lives) {
+        if (std::exchange(last_report, told) != told) changed_at = now;
+        return now - changed_at <= lives;
+    }
+    // What the last report still counts for; one so old counts for half. A cold worker not heard of counts as
+    // empty: whoever has its chance there is one of few.
+    double told(Time now, bool cold, double half_s) const {
+        if (reported_at < Time(0)) return cold ? 1 : 0;
+        return half_s / (half_s + seconds(now - reported_at));
+    }
+    // A load that counts what is known of ours: all of it is there and, while some has not started, the
+    // worker is full and those wait.
+    double at_least(double load, double slots) const {
+        load = std::max(load, own_slots / slots);
+        return stuck_slots > 0 ? std::max(1.0, load) + stuck_slots / slots : load;
+    }
     void sent(double slots, double step) {
         degradation += step;
         sent_slots += slots;
@@ -101,6 +121,11 @@
     }
 };
 
+// Whether both drop each other's repeats.
+inline bool same_group(RepeatScope scope, const WorkerEntry& a, const WorkerEntry& b) {
+    return scope == RepeatScope::zone ? a.zone == b.zone : a.cell == b.cell;
+}
+
 struct Job {
     std::uint64_t serial = 0; // tells this job from others that had the same id
     bool live = false, waiting = false, streaming = false;
@@ -124,6 +149,13 @@
     double expected(const Job& job, bool away, const Worker& w) const {
         return std::max(0.001, hinted.run(w.entry.kind, away, seconds(job.in.hint)));
     }
+    // The load of a worker at which a job has just started, by what it waited there: a wait of one run is a
+    // load beyond full. Less than `noise` is none.
+    double load_at_start(const Job& job, const Attempt& attempt, const Worker& w, Time noise) const {
+        const Time waited = attempt.started_at - attempt.sent;
+        if (waited <= noise) return usual_at_first;
+        return 1 + seconds(waited) / std::max(0.001, runs.run(job.in.job_class, w.entry.kind));
+    }
     // It says that it is so far; at that pace, it takes so long. What cannot be says nothing.
     void progressed(const Job& job, const Attempt& attempt, Worker& w, double done, Time now) const {
         if (job.in.hint <= Time(0) || attempt.started_at < Time(0) || !(done > 0) || done > 1) return;
--- a/src/learn/learn.h
+++ b/src/learn/learn.h
@@ -413,6 +413,34 @@
     bool has(std::size_t rank) const { return own_order() ? rank < few : rank * dispatchers / count == self; }
 };
 
+// Tells of each of these, which are alike, whether it is a home.
+template <class Id, class KeyOf, class Tell>
+void each_home(const Homes& homes, std::span<const Id> alike, KeyOf key_of, Tell tell) {
+    std::vector<Id> order(alike.begin(), alike.end());
+    if (homes.own_order()) std::ranges::sort(order, {}, [&](Id id) { return homes.place(key_of(id)); });
+    for (std::size_t rank = 0; rank < order.size(); ++rank)
+        tell(order[rank], homes.has(rank));
+}
+
+// What is due to a cold worker of one dispatcher's work within a window, in slot-seconds.
+struct ColdShare {
+    double warmth, usual_load, more; // load beyond the usual that it is given
+    double most = 0;                 // that the rule allows
+    double fair = 0;                 // at which it bears as much for what it can do as the others
+    // Of those that warm slots bear in the window, divided by the dispatchers; the rule allows a multiple.
+    void of_slots(double bears, double multiple) {
+        most = multiple * warmth * bears;
+        fair = std::min(multiple, usual_load + more) * warmth * bears;
+    }
+    // Where nobody tells how many slots a worker has, but others are warm and bear their part: an equal part
+    // of this dispatcher's own work, beside so many workers. What the rule allows is not known, so that is
+    // all.
+    void of_work(double work, std::size_t workers) {
+        const double equal = work / static_cast<double>(std::max<std::size_t>(1, workers));
+        most = fair = equal * warmth * (1 + more / std::max(more, usual_load));
+    }
+};
+
 // Calls `then` with each run of neighbours for which `what` gives the same.
 template <class Id, class What, class Then> void each_run(std::span<Id> ids, What what, Then then) {
     for (std::size_t first = 0, end = 0; first < ids.size(); first = end) {
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -104,19 +104,16 @@
         });
         learn::each_run(
             std::span<const WorkerId>(ready), [&](WorkerId id) { return workers[id].entry.kind; },
-            [&](std::span<const WorkerId> alike) { choose_homes(alike); });
+            [&](std::span<const WorkerId> alike) {
+                learn::each_home(
+                    {settings.self, settings.dispatchers, alike.size(), few_homes}, alike,
+                    [&](WorkerId id) { return workers[id].entry.key; },
+                    [&](WorkerId id, bool home) { workers[id].home = home; });
+            });
+        some_warm = std::ranges::any_of(ready, [&](WorkerId id) { return !is_cold(workers[id]); });
         capacity_changed = true;
     }
 
-    void choose_homes(std::span<const WorkerId> alike) {
-        const learn::Homes homes{settings.self, settings.dispatchers, alike.size(), few_homes};
-        std::vector<WorkerId> order(alike.begin(), alike.end());
-        const auto place = [&](WorkerId id) { return homes.place(workers[id].entry.key); };
-        if (homes.own_order()) std::ranges::sort(order, {}, place);
-        for (std::size_t rank = 0; rank < order.size(); ++rank)
-            workers[order[rank]].home = homes.has(rank);
-    }
-
     void on(const JobArrived& in) {
         if (jobs.size() <= in.job) jobs.resize(in.job + 1);
         const JobClass& c = settings.classes[in.job_class];
@@ -146,10 +143,19 @@
     void on(const AttemptStarted& note) {
         Attempt* attempt = find(note.job, note.attempt);
         if (attempt == nullptr) return;
-        if (attempt->started_at < 0ns) attempt->started_at = now;
+        if (attempt->started_at < 0ns) started(jobs[note.job], *attempt);
         mark_started(jobs[note.job], *attempt);
     }
 
+    // Where load is never told, how long a job waited there tells it.
+    void started(const Job& job, Attempt& attempt) {
+        attempt.started_at = now;
+        if (settings.tells_load()) return;
+        Worker& w = workers[attempt.worker];
+        w.report(times.load_at_start(job, attempt, w, (attempt.opens ? 8 : 4) * settings.tick), now);
+        loads.add(w.group(), w.load);
+    }
+
     void on(const AttemptProgress& note) {
         on(AttemptStarted{note.job, note.attempt, note.worker});
         if (const Attempt* attempt = find(note.job, note.attempt))
@@ -184,7 +190,7 @@
         if (ended.report)
             note_report(w, *ended.report, attempt->may_have_run ? job.in.slots : 0);
         else if (!settings.reports_with_answers)
-            w.ended_untold(*attempt, job.in.slots, job.in.slots / warm_slots(w));
+            w.ended_untold(*attempt, job.in.slots, settings.tells_load() ? job.in.slots / warm_slots(w) : 0);
         judge(attempt->worker, ended.outcome, job.in.slots);
         if (ended.outcome == Outcome::served) {
             const bool had_room = !ended.report || ended.report->free_slots.value_or(1) > 0.5;
@@ -218,10 +224,7 @@
         const double all = kind_slots.of(w.entry.kind);
         const double per_slot = all > 0 ? 1 / all : default_step;
         const double load = learn::load_in(report, usual_load(w), all, per_slot);
-        // A worker whose reports have stopped repeats its last one for good: the same figures, noise and all,
-        // for longer than any report lives are not news.
-        if (std::exchange(w.last_report, report) != report) w.changed_at = now;
-        if (now - w.changed_at > from_seconds(blind_s)) return;
+        if (!w.is_news(report, now, from_seconds(blind_s))) return;
         w.report(load - finished_slots * per_slot, now);
         loads.add(w.group(), w.load);
     }
@@ -275,8 +278,9 @@
         times.runs.outlasts(job.in.job_class, workers[last.worker].place(), seconds(now - last.sent), now);
         if (!std::exchange(last.stuck, true)) workers[last.worker].stuck_slots += job.in.slots;
         if (!tells()) return look_again(id, now + (now - last.sent) / 4);
-        // It waits in a queue there: where it may, it moves to a worker with room.
-        if (settings.tells_start) move(id, last);
+        // It waits in a queue there: where it may, it moves to a worker with room. Where load is never told,
+        // no room is known, and what is called off may keep its place all the same: moves would be load.
+        if (settings.tells_start && settings.tells_load()) move(id, last);
     }
 
     // It runs on long past its expected end. Where its worker is known to crawl, it moves.
@@ -414,16 +418,10 @@
 
     double believed_load(const Worker& w, double x) const {
         const double usual = usual_load(w), faded = usual + (w.load - usual) * told(w);
-        const double load = std::max(faded + x, w.own_slots / slots_of(w));
-        return w.stuck_slots > 0 ? std::max(1.0, load) + w.stuck_slots / slots_of(w) : load;
+        return w.at_least(faded + x, slots_of(w));
     }
 
-    // What the last report still counts for. A cold worker not heard of counts as empty: whoever has its
-    // chance there is one of few.
-    double told(const Worker& w) const {
-        if (w.reported_at < 0ns) return is_cold(w) ? 1 : 0;
-        return fade_s / (fade_s + seconds(now - w.reported_at));
-    }
+    double told(const Worker& w) const { return w.told(now, is_cold(w), fade_s); }
 
     double usual_load(const Worker& w) const { return loads.of(w.group()); }
 
@@ -501,7 +499,8 @@
         const Worker& w = workers[id];
         const JobClass& c = class_of(job);
         if (c.kind != none && c.kind != w.entry.kind) return false;
-        if (anchor != none && !same_group(c.repeat_scope, w.entry, workers[anchor].entry)) return false;
+        if (anchor != none && !learn::same_group(c.repeat_scope, w.entry, workers[anchor].entry))
+            return false;
         return std::ranges::count(job.attempts, id, &Attempt::worker) == 0;
     }
 
@@ -564,10 +563,6 @@
         return first == nullptr ? none : first->worker;
     }
 
-    static bool same_group(RepeatScope scope, const WorkerEntry& a, const WorkerEntry& b) {
-        return scope == RepeatScope::zone ? a.zone == b.zone : a.cell == b.cell;
-    }
-
     bool may_refuse(const Job& job) const {
         const JobClass& c = class_of(job);
         const bool all_drop_repeats = c.effect == Effect::keyed && c.repeat_scope == RepeatScope::all;
@@ -592,14 +587,16 @@
     bool cold_budget_allows(Worker& w, const Job& job) {
         if (!is_cold(w)) return true;
         const Duration window = settings.overload_time;
-        const double sent = w.cold_sends.sum(window, now);
-        const double slots = std::max(1.0, kind_slots.of(w.entry.kind));
-        const double bears = warmth(w, now - window) * slots * seconds(window) / settings.dispatchers;
-        const double most = cold_margin * settings.overload_multiple;
-        if (sent + work_of(job) <= most * bears) return true;
-        const double fair = std::min(most, usual_load(w) + cold_more) * bears;
-        const double all = offered.to(w.entry.kind) * seconds(window);
-        return cold_shares.falls_to_next(fair, work_of(job), all, chance(job)) && sent <= 0;
+        const double sent = w.cold_sends.sum(window, now), all = offered.to(w.entry.kind) * seconds(window);
+        learn::ColdShare due{warmth(w, now - window), usual_load(w), cold_more};
+        if (const double slots = kind_slots.of(w.entry.kind); slots > 0 || !some_warm) {
+            due.of_slots(std::max(1.0, slots) * seconds(window) / settings.dispatchers,
+                         cold_margin * settings.overload_multiple);
+        } else {
+            due.of_work(all, ready.size());
+        }
+        if (sent + work_of(job) <= due.most) return true;
+        return cold_shares.falls_to_next(due.fair, work_of(job), all, chance(job)) && sent <= 0;
     }
 
     const JobClass& class_of(const Job& job) const { return settings.classes[job.in.job_class]; }
@@ -712,12 +709,12 @@
     learn::Rate arrivals;
     learn::Pulse probes;
     std::uint64_t last_serial = 0;
-    learn::GroupMeans loads{0.5, mean_gain}; // by kind and zone
-    learn::Offered offered;                  // slot-seconds a second
+    learn::GroupMeans loads{learn::usual_at_first, mean_gain}; // by kind and zone
+    learn::Offered offered;                                    // slot-seconds a second
     learn::Times times;
     double crowding = 0; // share of the jobs of one slot that found no room on arrival
     learn::TokenBucket retries{.tokens = retry_burst};
-    bool capacity_changed = false;
+    bool capacity_changed = false, some_warm = false;
     learn::Subscription list;
     Time now{0}, armed{-1}, wake_by{0};
     std::vector<Action>* actions = nullptr;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -117,6 +117,29 @@
     EXPECT_NE(stand.last_worker(), blocked);
 }
 
+// Load that is never told was a mean of nothing, 0.5 for all: a worker with a queue was picked like any
+// other.
+TEST(Plud, WhereLoadIsNeverToldAWaitBeforeTheStartIsLoad) {
+    Settings s = settings();
+    s.reports_with_answers = false;
+    s.tells_start = true;
+    Stand stand(s);
+    stand.at(0s, {whole_list(2), job(0), job(1)});
+    ASSERT_EQ(stand.sends.size(), 2U);
+    const WorkerId slow = stand.sends[0].worker, other = stand.sends[1].worker;
+    ASSERT_NE(slow, other);
+    stand.at(5ms, {AttemptStarted{1, 0, other}});
+    const auto actions = stand.at(300ms, {Woken{}, AttemptStarted{0, 0, slow}});
+    // Nothing was called off to move: that there is room elsewhere is not known.
+    EXPECT_TRUE(all<Cancel>(actions).empty());
+    stand.at(400ms, {ended(0, 0, slow, Outcome::served), ended(1, 0, other, Outcome::served)});
+    for (JobId id = 2; id < 5; ++id)
+        stand.at(401ms, {job(id)});
+    ASSERT_EQ(stand.sends.size(), 5U);
+    for (std::size_t i = 2; i < 5; ++i)
+        EXPECT_EQ(stand.sends[i].worker, other);
+}
+
 TEST(Plud, ClassesGoOnlyToTheirKind) {
     Settings s = settings();
     s.kinds = 2;
@@ -403,6 +426,32 @@
     EXPECT_LE(sent, 5);
 }
 
+// Their slots were taken for one each: 60 of 100 cold workers had a tenth of what they could bear.
+TEST(RuleFour, ColdWorkersOfUnknownSlotsBearAPartOfTheWorkByTheirWarmth) {
+    Settings s = settings();
+    s.reports_with_answers = false;
+    s.tells_start = true;
+    s.dispatchers = 50;
+    s.overload_time = 1s;
+    Stand stand(s);
+    ListNews list = whole_list(10);
+    for (WorkerId id = 0; id < 5; ++id)
+        list.entries[id].up_since = 96s; // half warm by 100 s
+    stand.at(100s, {list});
+    int cold = 0, all_sent = 0;
+    for (JobId id = 0; id < 400; ++id) {
+        const Time at = 100s + id * 10ms;
+        stand.at(at, {job(id)});
+        ASSERT_EQ(stand.sends.size(), id + 1);
+        const WorkerId to = stand.last_worker();
+        cold += to < 5 ? 1 : 0;
+        ++all_sent;
+        stand.at(at + 5ms, {AttemptStarted{id, 0, to}, ended(id, 0, to, Outcome::served)});
+    }
+    EXPECT_GT(cold, all_sent / 10);
+    EXPECT_LT(cold, all_sent * 3 / 5);
+}
+
 TEST(RuleFour, AWarmWorkerHasNoBudget) {
     Stand stand;
     stand.at(100s, {ListNews{ListNews::Kind::complete, {worker(0, Condition::ready, 90s)}}, job(0), job(1)});
