Call off what has not started when it cannot be in time any more, and answer it at once

By the traces the wait before starts was 0.07 s, then 2.7 to 3.1 s for good: workers served queues of jobs that all came late (late 75%), up to the client's 6 s, and so did what came behind them. Nothing in review gave a job up that had been sent. Change: where starts are told, a job that has not started by the time it cannot be in time is called off and answered. Test: a job behind another at one worker, of a class that may be refused and one that may not.

--- a/src/learn/books.h
+++ b/src/learn/books.h
@@ -149,6 +149,9 @@
     double expected(const Job& job, bool away, const Worker& w) const {
         return std::max(0.001, hinted.run(w.entry.kind, away, seconds(job.in.hint)));
     }
+    double work(const Job& job) const { // in slot-seconds
+        return job.in.slots * std::max(runs.run(job.in.job_class), seconds(job.in.hint));
+    }
     // The load of a worker at which a job has just started, by what it waited there: a wait of one run is a
     // load beyond full. Less than `noise` is none.
     double load_at_start(const Job& job, const Attempt& attempt, const Worker& w, Time noise) const {
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -129,7 +129,7 @@
         retries.add(retry_ratio, retry_burst);
         arrivals.add(1, now);
         if (in.key) holders.asked_for(*in.key);
-        offered.add(in.job_class, work_of(job), now);
+        offered.add(in.job_class, times.work(job), now);
         look_again(in.job, job.deadline);
         wait(in.job);
     }
@@ -274,6 +274,9 @@
         Attempt& last = job.attempts.back();
         if (!last.out || last.cancelled) return;
         if (last.started) return review_run(id, last);
+        // What has not started by then cannot be in time any more: it goes, so that those behind it can be.
+        const Time hopeless = settings.tells_start && settings.may_cancel ? useful_until(job) : job.deadline;
+        if (now >= hopeless) return end(id);
         if (now - last.sent < start_notice(job, last)) return;
         times.runs.outlasts(job.in.job_class, workers[last.worker].place(), seconds(now - last.sent), now);
         if (!std::exchange(last.stuck, true)) workers[last.worker].stuck_slots += job.in.slots;
@@ -281,6 +284,7 @@
         // It waits in a queue there: where it may, it moves to a worker with room. Where load is never told,
         // no room is known, and what is called off may keep its place all the same: moves would be load.
         if (settings.tells_start && settings.tells_load()) move(id, last);
+        if (settings.tells_start) look_again(id, hopeless);
     }
 
     // It runs on long past its expected end. Where its worker is known to crawl, it moves.
@@ -514,7 +518,7 @@
         Worker& w = workers[to];
         const double step = increment(w, job);
         w.sent(job.in.slots, step);
-        if (is_cold(w)) w.cold_sends.add(work_of(job), now);
+        if (is_cold(w)) w.cold_sends.add(times.work(job), now);
         const bool opens = now >= std::exchange(w.connected_until, 0ns); // if there is one, this job has it
         job.attempts.push_back({to, now, step, opens, key_increment(job, w) > 0});
         actions->emplace_back(Send{id, to, 0ns});
@@ -577,10 +581,6 @@
         return is_cold(w) ? w.warmth(at, settings.cold_time, settings.cold_capacity) : 1;
     }
 
-    double work_of(const Job& job) const {
-        return job.in.slots * std::max(times.runs.run(job.in.job_class), seconds(job.in.hint));
-    }
-
     // Counted over a sliding window. Where a fair share is less than one job, a job falls to some of the cold
     // workers by their shares in all the work that comes here, so that the dispatchers together use the
     // whole.
@@ -595,8 +595,8 @@
         } else {
             due.of_work(all, ready.size());
         }
-        if (sent + work_of(job) <= due.most) return true;
-        return cold_shares.falls_to_next(due.fair, work_of(job), all, chance(job)) && sent <= 0;
+        if (sent + times.work(job) <= due.most) return true;
+        return cold_shares.falls_to_next(due.fair, times.work(job), all, chance(job)) && sent <= 0;
     }
 
     const JobClass& class_of(const Job& job) const { return settings.classes[job.in.job_class]; }
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -472,6 +472,31 @@
     EXPECT_GT(all<Refuse>(actions)[0].stay_away, 0s);
 }
 
+// A burst left queues of jobs that all came late, and so did whatever came behind them, long after it was
+// over.
+TEST(Holding, AJobThatHasNotStartedWhenItCannotBeInTimeAnyMoreIsCalledOffAndAnswered) {
+    for (const Index of_class : {0U, 2U}) {
+        Settings s = settings();
+        s.tells_start = true;
+        Stand stand(s);
+        stand.at(0s, {whole_list(1), job(0, of_class), job(1, of_class)});
+        ASSERT_EQ(stand.sends.size(), 2U);
+        stand.at(5ms, {AttemptStarted{1, 0, 0}});
+        std::vector<Action> actions;
+        for (Time t = 10ms; t <= 2s; t += 5ms) {
+            const auto more = stand.at(t, {Woken{}});
+            actions.insert(actions.end(), more.begin(), more.end());
+        }
+        // The class's aim is 400 ms and twice its run, and its clients wait for 5 s.
+        ASSERT_EQ(all<Cancel>(actions).size(), 1U);
+        EXPECT_EQ(all<Cancel>(actions)[0].job, 0U); // not the one that runs
+        ASSERT_EQ(all<Refuse>(actions).size(), of_class == 0 ? 1U : 0U);
+        EXPECT_EQ(all<Fail>(actions).size(), of_class == 0 ? 0U : 1U); // it may have run: no refusal
+        for (const Refuse& refusal : all<Refuse>(actions))
+            EXPECT_GT(refusal.stay_away, 0s);
+    }
+}
+
 TEST(Holding, TheMoreValuableJobTakesTheFreeSlot) {
     Settings s = settings();
     s.classes[2].worth = 10;
