Send first tries that have little time, where later ones are marked

FirstTries::ago (src/learn/learn.h) takes a try with less time left than others for a later one whose first came long ago, so it was late for good. Ruled out: no worker eligible (all had room), the cold budget (it closed half of the cold ones only).

Change: the settings say whether clients mark later tries (clients.marks_retry, read by neither host before); there an unmarked one is a first. Where they are not marked nothing changes.

--- a/include/willowrill/dispatcher.h
+++ b/include/willowrill/dispatcher.h
@@ -79,6 +79,7 @@
     bool may_cancel = false;
     bool second_copies = false; // two attempts of a job may be out at once
     bool takes_advice = false;  // clients receive `Refuse::stay_away`
+    bool marks_retry = false;   // clients say of each later try that it is one
     bool probes = false;        // workers may be asked how they are
     Index max_attempts = 1;
     Duration max_stay_away{0};
--- a/src/learn/learn.h
+++ b/src/learn/learn.h
@@ -120,10 +120,11 @@
 class FirstTries {
   public:
     void add_class(Time give_up) { classes_.emplace_back(give_up, Time(0)); }
-    Time ago(std::size_t job_class, Time left) { // when the first was, before now
+    // When the first was, before now. Where later ones are marked, one without a mark is of a client in haste.
+    Time ago(std::size_t job_class, Time left, bool surely_first) {
         auto& [give_up, longest] = classes_[job_class];
         longest = std::max(longest, std::min(left, give_up));
-        return std::max(Time(0), longest - left);
+        return surely_first ? Time(0) : std::max(Time(0), longest - left);
     }
 
   private:
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -119,7 +119,7 @@
         const JobClass& c = settings.classes[in.job_class];
         Job& job = jobs[in.job];
         job = {.serial = ++last_serial, .live = true, .in = in, .arrived = now};
-        job.asked_at = now - first_tries.ago(in.job_class, in.left);
+        job.asked_at = now - first_tries.ago(in.job_class, in.left, settings.marks_retry && !in.is_retry);
         job.in.slots = kind_slots.believed(in.slots); // a client may claim anything
         job.in.hint = std::min(in.hint, c.give_up);
         kind_slots.wide_job(job.in.slots);
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -214,6 +214,7 @@
     out.may_cancel = flag_or(limits, "cancel", false);
     out.second_copies = flag_or(limits, "second_copies", false);
     out.takes_advice = flag_or(limits, "retry_after", false);
+    out.marks_retry = flag_or(section(json, "clients"), "marks_retry", false);
     out.max_attempts = static_cast<Index>(integer_or(limits, "max_attempts", 1));
     out.max_stay_away = duration_or(limits, "max_retry_after_ns");
     out.cross_zone_price = number_or(section(json, "prices"), "cross_zone", 0);
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -28,10 +28,14 @@
         settings.takes_advice = true;
         settings.max_stay_away = 2s;
         settings.list_valid = 10s;
+        begin(settings, count, crossing > 0 ? 1 : 0);
+    }
+    Fleet(const Settings& settings, WorkerId count) { begin(settings, count, 0); }
+    void begin(const Settings& settings, WorkerId count, Index zone) {
         dispatcher.emplace(settings);
         ListNews list{ListNews::Kind::complete, {}};
         for (WorkerId id = 0; id < count; ++id)
-            list.entries.push_back({.worker = id, .key = id, .zone = crossing > 0 ? 1U : 0U, .cell = id / 2});
+            list.entries.push_back({.worker = id, .key = id, .zone = zone, .cell = id / 2});
         at(0s, {list});
     }
     // How many attempts go out; `to` is the last one's worker.
@@ -106,6 +110,25 @@
     CHECK(fleet.at(20ms, {Fleet::job(1)}) == 1);
 }
 
+// Clients in haste give their first tries less time than others do, and were taken for ones that come again,
+// late for good: on a day with many of them half of all refusals went to first tries beside idle workers.
+TEST_CASE("a first try with little time is sent where later ones are marked, and a marked one is known as late") {
+    Settings settings;
+    settings.classes = {{.aim = 1s, .give_up = 60s}};
+    settings.tick = 5ms;
+    for (const bool marks : {true, false}) {
+        CAPTURE(marks);
+        settings.marks_retry = marks;
+        Fleet fleet(settings, 2);
+        REQUIRE(fleet.at(10ms, {Fleet::job(0)}) == 1); // shows how long clients of this class wait
+        JobArrived hasty = Fleet::job(1), again = Fleet::job(2);
+        hasty.left = again.left = 2s;
+        again.is_retry = true;
+        CHECK(fleet.at(20ms, {hasty}) == (marks ? 1 : 0));
+        CHECK(fleet.at(30ms, {again}) == 0);
+    }
+}
+
 // Four slots were hardly ever free at once, and such jobs were held until it was too late, in plain days too.
 TEST_CASE("a job of many slots does not wait for good for all of them to be free at once") {
     Fleet fleet(1);
