Send clients of harmless jobs elsewhere when the end cuts them short

Cause, seen in the laboratory (restart.yaml, real processes, the state of each lost job printed): two jobs of class read got 502 3.45 s after SIGTERM, the moment at which the end waits no longer. Host::cut_short (src/core/host.cpp) failed whatever might have run, also where a second run is harmless and a refusal is therefore permitted. Ruled out: a crossed request on a resting connection (sent_again was 0 for both), a worker's error (none fails there).

Message::repeatable is false unless set: the property tests never set it, and a missing flag must not permit what a set one does.

--- a/src/core/host.cpp
+++ b/src/core/host.cpp
@@ -128,12 +128,14 @@
 }
 
 void Host::cut_short(JobId job) {
-    const bool may_have_run = std::ranges::count(entries_[job].attempts, true, &Attempt::may_have_run) > 0;
-    Client* client = close(job, may_have_run ? End::failed : End::refused);
+    // Where a second run is harmless, its client may go elsewhere, whatever has run.
+    const bool fails = !entries_[job].message.repeatable &&
+                       std::ranges::count(entries_[job].attempts, true, &Attempt::may_have_run) > 0;
+    Client* client = close(job, fails ? End::failed : End::refused);
     if (client == nullptr) return;
     ++counters_.cut_short;
     tell(job, willowrill::JobLeft{job});
-    may_have_run ? client->on_failed() : client->on_refused(go_elsewhere());
+    fails ? client->on_failed() : client->on_refused(go_elsewhere());
 }
 
 void Host::attempt_started(JobId job, Index attempt) {
--- a/src/core/host.h
+++ b/src/core/host.h
@@ -31,8 +31,8 @@
     Duration hint{0};
     double slots = 1, memory = 0;
     bool is_retry = false;
-    bool repeatable = true; // a second run would be harmless
-    Time deadline{0};       // when the client gives up
+    bool repeatable = false; // a second run would be harmless
+    Time deadline{0};        // when the client gives up
 };
 
 // Whoever waits for the final answer of a message. Exactly one call comes, unless the client leaves first.
--- a/tests/host_test.cpp
+++ b/tests/host_test.cpp
@@ -95,6 +95,27 @@
         }
     }
 
+    Requester* arrive(core::Index job_class) { // none where the host is full
+        requesters.emplace_back();
+        Requester& one = requesters.back();
+        one.effect = settings().classes[job_class].effect;
+        one.deadline = now + 3s;
+        const std::string id = "m" + std::to_string(by_id_.size());
+        by_id_[id] = &one;
+        const bool full = (host.open() >= 30);
+        core::Message message{.id = id,
+                              .job_class = job_class,
+                              .repeatable = one.effect == Effect::repeatable,
+                              .deadline = one.deadline};
+        CHECK(host.take_in(std::move(message), one, one.job) == !full);
+        core::JobId unused = 0;
+        CHECK_FALSE(host.take_in({.id = id}, one, unused)); // the same id again, or full
+        if (!full) return &one;
+        by_id_.erase(id);
+        requesters.pop_back();
+        return nullptr;
+    }
+
     void pass(core::Duration span) {
         const core::Time until = now + span;
         while (now < until) {
@@ -159,23 +180,7 @@
 
     std::size_t pick(std::size_t below) { return random_() % below; }
 
-    void arrive() {
-        const auto job_class = static_cast<core::Index>(pick(3));
-        requesters.emplace_back();
-        Requester& one = requesters.back();
-        one.effect = settings().classes[job_class].effect;
-        one.deadline = now + 3s;
-        const std::string id = "m" + std::to_string(by_id_.size());
-        by_id_[id] = &one;
-        const bool full = (host.open() >= 30);
-        core::Message message{.id = id, .job_class = job_class, .deadline = one.deadline};
-        CHECK(host.take_in(std::move(message), one, one.job) == !full);
-        core::JobId unused = 0;
-        CHECK_FALSE(host.take_in({.id = id}, one, unused)); // the same id again, or full
-        if (!full) return;
-        by_id_.erase(id);
-        requesters.pop_back();
-    }
+    void arrive() { arrive(static_cast<core::Index>(pick(3))); }
     void end(Key key, Outcome outcome) {
         const auto found = out_.find(key);
         if (found == out_.end()) return;
@@ -254,4 +259,24 @@
     CHECK_FALSE(world.host.holds("a"));
 }
 
+// Clients of harmless jobs were told at the end that theirs had failed, as if a second run could do harm.
+TEST_CASE(
+    "what the end cuts short goes elsewhere where a second run is harmless, and fails where it is not") {
+    for (const core::Index job_class : {0U, 2U}) {
+        CAPTURE(job_class);
+        World world(1);
+        world.list();
+        World::Requester* one = nullptr;
+        for (int tries = 0; tries < 20 && (one == nullptr || one->maybe == 0); ++tries) {
+            one = world.arrive(job_class);
+            REQUIRE(one != nullptr);
+            world.pass(20ms);
+        }
+        REQUIRE(one->maybe > 0); // it is at a worker
+        world.host.cut_short(one->job);
+        CHECK(one->answers == 1);
+        CHECK(one->refused == (job_class == 0));
+    }
+}
+
 } // namespace willowrill::testing
--- a/tests/ledger.h
+++ b/tests/ledger.h
@@ -47,6 +47,7 @@
           worker_slots_(worker_slots), views_(playing) {}
 
     std::vector<std::string> broken;
+    Effect effect_of(Index job_class) const { return settings_.classes[job_class].effect; }
 
     // ---- What a dispatcher is told -----------------------------------------------------------------------
 
--- a/tests/property_test.cpp
+++ b/tests/property_test.cpp
@@ -274,6 +274,7 @@
                               .key = more % 4 == 0 ? std::optional<std::uint64_t>(more) : std::nullopt,
                               .hint = hint_of(more),
                               .slots = more % 50 == 49 ? 1e5 : 1.0 + more % 3, // a client may claim anything
+                              .repeatable = ledger.effect_of(job_class % 6) == Effect::repeatable,
                               .deadline = one.deadline};
         const Index known = message.job_class;
         if (node.host.take_in(std::move(message), one, one.job))
