--- a/src/inventory/watch.cpp
+++ b/src/inventory/watch.cpp
@@ -31,9 +31,7 @@
         const bool opening = connection_->state() == net::Connection::State::opening;
         overdue_.arm(opening ? now + watch_.times_.open : answer_by_);
     }
-    bool can_go_on() {
-        return connection_ && !connection_->has_hung_up() && parser_.head().keeps_alive();
-    }
+    bool can_go_on() { return connection_ && !connection_->has_hung_up() && parser_.head().keeps_alive(); }
     net::http::Parser& answer() { return parser_; }
     void close() {
         overdue_.disarm();
--- a/src/learn/learn.h
+++ b/src/learn/learn.h
@@ -120,7 +120,8 @@
 class FirstTries {
   public:
     void add_class(Time give_up) { classes_.emplace_back(give_up, Time(0)); }
-    // When the first was, before now. Where later ones are marked, one without a mark is of a client in haste.
+    // When the first was, before now. Where later ones are marked, one without a mark is of a client in
+    // haste.
     Time ago(std::size_t job_class, Time left, bool surely_first) {
         auto& [give_up, longest] = classes_[job_class];
         longest = std::max(longest, std::min(left, give_up));
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -112,7 +112,8 @@
 
 // Clients in haste give their first tries less time than others do, and were taken for ones that come again,
 // late for good: on a day with many of them half of all refusals went to first tries beside idle workers.
-TEST_CASE("a first try with little time is sent where later ones are marked, and a marked one is known as late") {
+TEST_CASE(
+    "a first try with little time is sent where later ones are marked, and a marked one is known as late") {
     Settings settings;
     settings.classes = {{.aim = 1s, .give_up = 60s}};
     settings.tick = 5ms;
