Play orderly restarts, bursts and clients in haste in the laboratory

Change: clients keep their connections, open more when all are busy, and send once more what crosses a scheduler's own close (not what one that was killed had). Faults restart (SIGTERM, SIGKILL and a broken rule if it has not ended) and burst; haste, the share of clients that leave when the wanted time is over; later tries are marked. Both worlds, one file.

--- a/src/lab/spread/experiment.cpp
+++ b/src/lab/spread/experiment.cpp
@@ -16,8 +16,8 @@
 namespace {
 
 constexpr std::size_t most_bytes = 1U << 20U;
-constexpr std::array<const char*, 9> fault_names{"kill", "stop",   "cut",       "replace", "slow",
-                                                 "fail", "freeze", "late_list", "hush"};
+constexpr std::array<const char*, 11> fault_names{"kill",   "stop",      "cut",  "replace", "slow", "fail",
+                                                  "freeze", "late_list", "hush", "restart", "burst"};
 
 class Reader {
   public:
@@ -105,13 +105,14 @@
         in.bad(node, "a fault ends after it begins, and within the run");
     using enum Fault::What;
     const bool of_both = out.what == cut;
-    const bool of_schedulers =
-        of_both || out.what == kill || out.what == stop || out.what == late_list || out.what == hush;
+    const bool of_schedulers = of_both || out.what == kill || out.what == stop || out.what == late_list ||
+                               out.what == hush || out.what == restart || out.what == burst;
     const bool of_workers = of_both || !of_schedulers;
     if (of_schedulers && out.schedulers <= 0)
         in.bad(node, "it says which share of the schedulers it is about");
     if (of_workers && out.workers <= 0) in.bad(node, "it says which share of the workers it is about");
     if (out.what == slow && out.size <= 0) in.bad(node, "workers take more than 0 times as long");
+    if (out.what == burst && !(out.size >= 1)) in.bad(node, "a burst is of 1 time as many jobs or more");
     return out;
 }
 
@@ -174,6 +175,7 @@
          {"run_spread", share(out.run_spread, 0, 10)},
          {"wanted", to(out.wanted)},
          {"limit", to(out.limit)},
+         {"haste", share(out.haste, 0, 1)},
          {"reports", [&](const YAML::Node& at) { out.reports = static_cast<Reports>(in.word(at, ways)); }},
          {"report_every", to(out.report_every)},
          {"report_noise", share(out.report_noise, 0, 1)},
--- a/src/lab/spread/experiment.h
+++ b/src/lab/spread/experiment.h
@@ -23,7 +23,9 @@
         fail,      // workers fail whatever comes, at once, and look idle
         freeze,    // workers report that they are idle, whatever they do
         late_list, // schedulers hear of changes `size` seconds later
-        hush       // at `from`, their open watches on discovery fall silent for good; new ones are well
+        hush,      // at `from`, their open watches on discovery fall silent for good; new ones are well
+        restart, // schedulers are told to end at `from`, with clients on their connections, and start at `to`
+        burst    // `size` times as many jobs come to schedulers
     };
     What what{};
     Time from{0}, to{0};  // since the run's beginning
@@ -48,6 +50,7 @@
     double run_spread = 0.5;   // its standard deviation over its mean
     Time wanted{500'000'000};  // an answer by then is good
     Time limit{3'000'000'000}; // after which a client leaves
+    double haste = 0; // share of the clients that leave as soon as the wanted time is over, and say so
     Reports reports = Reports::answers;
     Time report_every{50'000'000}; // a worker's figures are as old as this at the most
     double report_noise = 0.05;
--- a/src/lab/spread/live.cpp
+++ b/src/lab/spread/live.cpp
@@ -14,59 +14,78 @@
 
 } // namespace
 
-// A client's request, on a connection of its own.
-class LiveWorld::Ask final : public net::Connection::Owner {
+// A client's connection to one scheduler: it carries one request at a time and rests in between.
+class LiveWorld::Line final : public net::Connection::Owner {
   public:
-    Ask(LiveWorld& in, Number of, std::size_t to, int so_many, std::string as)
-        : world(in), job(of), scheduler(to), tries(so_many), id(std::move(as)),
-          connection_(in.loop_, *this, net::connect_to(in.schedulers_[to].serves),
-                      net::Connection::State::opening, 1U << 16U) {
-        const Time left = in.jobs_.limit(job) - in.now();
+    Line(LiveWorld& in, std::size_t to)
+        : world_(in), scheduler_(to), connection_(in.loop_, *this, net::connect_to(in.schedulers_[to].serves),
+                                                  net::Connection::State::opening, 1U << 16U) {}
+    bool rests() const { return !ask_; }
+    void carry(std::shared_ptr<Ask> ask) {
+        const Time left = world_.jobs_.limit(ask->job) - world_.now();
         const char* const classes[] = {"read", "keyed", "once"};
-        connection_.write("POST /api HTTP/1.1\r\nHost: h\r\nX-Request-ID: " + id +
-                          "\r\nX-Priority-Class: " + classes[static_cast<std::size_t>(in.jobs_.effect(job))] +
-                          "\r\nX-Timeout-Ms: " + std::to_string(left / 1ms) + "\r\nIdempotency-Key: k" +
-                          std::to_string(job) + "\r\nContent-Length: 2\r\n\r\nhi");
+        connection_.write(
+            "POST /api HTTP/1.1\r\nHost: h\r\nX-Request-ID: " + ask->id +
+            "\r\nX-Priority-Class: " + classes[static_cast<std::size_t>(world_.jobs_.effect(ask->job))] +
+            "\r\nX-Timeout-Ms: " + std::to_string(left / 1ms) + (ask->tries > 1 ? "\r\nX-Retried: 1" : "") +
+            "\r\nIdempotency-Key: k" + std::to_string(ask->job) + "\r\nContent-Length: 2\r\n\r\nhi");
+        parser_.restart();
+        ask->line = this;
+        ask_ = std::move(ask);
     }
-    void give_up() { over(0, {}, false); }
-
-    LiveWorld& world;
-    Number job;
-    std::size_t scheduler;
-    int tries;
-    std::string id;
-    std::size_t at_workers = 0;
+    void give_up() { end(0, {}, false); } // its client leaves
 
   private:
     void on_input() override {
+        if (!ask_) return close(); // nobody has asked for it
         connection_.consume(parser_.feed(connection_.input()));
-        if (parser_.bad()) return over(-1, {}, false);
+        if (parser_.bad()) return end(-1, {}, false);
         if (!parser_.done()) return;
         const std::string* again = parser_.head().find("retry-after");
+        const std::string* connection = parser_.head().find("connection");
         const Time stay(static_cast<Time::rep>(again != nullptr ? std::stod(*again) * 1e9 : 0));
-        over(parser_.head().status, stay, parser_.body() == "r");
+        const int status = parser_.head().status;
+        const bool by_a_worker = parser_.body() == "r";
+        used_ = true;
+        if (connection != nullptr && *connection == "close") return end(status, stay, by_a_worker);
+        world_.over(std::exchange(ask_, nullptr), status, stay, by_a_worker);
+    }
+    // A scheduler may close between requests. What that crosses is sent once more, on a new connection; what
+    // one that was killed had is lost with it.
+    void on_closed() override {
+        const bool crossed = ask_ && used_ && !parser_.begun() && !ask_->sent_again;
+        if (!crossed || !world_.schedulers_[scheduler_].up) return end(-1, {}, false);
+        const std::shared_ptr<Ask> ask = std::exchange(ask_, nullptr);
+        ask->sent_again = true;
+        close();
+        world_.carry(ask, true);
+    }
+    void end(int status, Time stay_away, bool by_a_worker) {
+        const std::shared_ptr<Ask> ask = std::exchange(ask_, nullptr);
+        close();
+        if (ask) world_.over(ask, status, stay_away, by_a_worker);
     }
-    void on_closed() override { over(-1, {}, false); }
-    void over(int status, Time stay_away, bool by_a_worker) {
+    void close() {
         connection_.close();
-        const auto self =
-            std::ranges::find_if(world.asks_, [&](const auto& one) { return one.get() == this; });
-        if (self == world.asks_.end()) return;
-        world.loop_.bury(std::move(*self));
-        world.asks_.erase(self);
-        world.by_id_.erase(id);
-        if (at_workers > 0) --world.at_workers_;
-        world.answered(*this, status, stay_away, by_a_worker);
+        auto& lines = world_.schedulers_[scheduler_].lines;
+        const auto self = std::ranges::find_if(lines, [&](const auto& one) { return one.get() == this; });
+        if (self == lines.end()) return;
+        world_.loop_.bury(std::move(*self));
+        lines.erase(self);
     }
 
+    LiveWorld& world_;
+    std::size_t scheduler_;
     net::Connection connection_;
     net::http::Parser parser_{net::http::Parser::Kind::answer};
+    std::shared_ptr<Ask> ask_;
+    bool used_ = false; // an answer has come on it
 };
 
 // ----------------------------------------------------------------------------------------------- clients
 
 void LiveWorld::load(std::size_t scheduler, double per_s) {
-    const Time next = now() + chance_.wait(per_s);
+    const Time next = faults_.next_job(scheduler, per_s, now(), chance_);
     if (next >= experiment_.lasts) return;
     at(next, [this, scheduler, per_s] {
         ask(jobs_.want(chance_, now()), scheduler, 1);
@@ -77,19 +96,44 @@
 void LiveWorld::ask(Number job, std::size_t scheduler, int tries) {
     const Time limit = jobs_.limit(job);
     if (now() + 20ms >= limit) return truth_.lost_with_scheduler(job, now());
-    if (!schedulers_[scheduler].up) { // the front finds another
-        return at(now() + front_notices,
+    Scheduler& to = schedulers_[scheduler];
+    const bool has_line = std::ranges::any_of(to.lines, [](const auto& one) { return one->rests(); });
+    if (!to.up || (to.ending_from >= Time(0) && now() >= to.ending_from + front_notices && !has_line)) {
+        return at(now() + front_notices, // the front finds another
                   [this, job, tries] { ask(job, chance_.below(schedulers_.size()), tries); });
     }
     const std::string id = "j" + std::to_string(job) + "-" + std::to_string(++last_id_);
-    const auto one = std::make_shared<Ask>(*this, job, scheduler, tries, id);
-    asks_.push_back(one);
-    by_id_[id] = one.get();
+    const auto one = std::make_shared<Ask>(Ask{.job = job, .scheduler = scheduler, .tries = tries, .id = id});
+    by_id_[id] = one;
+    carry(one, false);
     at(limit + 100ms, [this, id] { // its client leaves
-        if (const auto found = by_id_.find(id); found != by_id_.end()) found->second->give_up();
+        if (const auto found = by_id_.find(id); found != by_id_.end()) found->second->line->give_up();
     });
 }
 
+void LiveWorld::carry(const std::shared_ptr<Ask>& ask, bool anew) {
+    const auto serves = [this](std::size_t at) {
+        return schedulers_[at].up && schedulers_[at].ending_from < Time(0);
+    };
+    if (anew && !serves(ask->scheduler)) { // the front knows of another
+        for (std::size_t i = 0, from = chance_.below(schedulers_.size()); i < schedulers_.size(); ++i)
+            if (const std::size_t other = (from + i) % schedulers_.size(); serves(other))
+                ask->scheduler = other;
+    }
+    auto& lines = schedulers_[ask->scheduler].lines;
+    auto found =
+        anew ? lines.end() : std::ranges::find_if(lines, [](const auto& one) { return one->rests(); });
+    if (found == lines.end())
+        found = lines.insert(lines.end(), std::make_shared<Line>(*this, ask->scheduler));
+    (*found)->carry(ask);
+}
+
+void LiveWorld::over(const std::shared_ptr<Ask>& ask, int status, Time stay_away, bool by_a_worker) {
+    by_id_.erase(ask->id);
+    if (ask->at_workers > 0) --at_workers_;
+    answered(*ask, status, stay_away, by_a_worker);
+}
+
 void LiveWorld::answered(Ask& ask, int status, Time stay_away, bool by_a_worker) {
     const bool broken = status < 0; // a connection that did not come up, or broke: with its scheduler
     const bool refused = status == 503 || status == 429;
@@ -189,7 +233,7 @@
     Standing all;
     for (const auto& one : workers_)
         all.add(one->post, now());
-    truth_.state(all.sound, all.with_room, asks_.size() - at_workers_ + all.queued, now());
+    truth_.state(all.sound, all.with_room, by_id_.size() - at_workers_ + all.queued, now());
 }
 
 // --------------------------------------------------------------------------------------------------- run
@@ -234,13 +278,13 @@
     });
     Time told{-1s};
     while (now() < experiment_.lasts ||
-           (!asks_.empty() && now() < experiment_.lasts + experiment_.limit + 1s)) {
+           (!by_id_.empty() && now() < experiment_.lasts + experiment_.limit + 1s)) {
         loop_.run_once(5ms);
         if (now() < experiment_.lasts) note_state();
         if (progress && now() - told >= 1s) {
             told = now();
             progress(std::to_string(now() / 1s) + " s of " + std::to_string(experiment_.lasts / 1s) + ", " +
-                     std::to_string(asks_.size()) + " requests open");
+                     std::to_string(by_id_.size()) + " requests open");
         }
     }
     for (std::size_t i = 0; i < schedulers_.size(); ++i)
--- a/src/lab/spread/live_schedulers.cpp
+++ b/src/lab/spread/live_schedulers.cpp
@@ -37,7 +37,7 @@
            R"(,"tick_ns":5000000,"zone":"z)" + std::to_string(at % experiment_.zones) + R"(","zones":[)" +
            zones +
            R"(],"kinds":["small"],"tenants":[],
-  "discovery":"ask","kind_of_service":"jobs","counted_by":"request",
+  "discovery":"ask","kind_of_service":"jobs","counted_by":"request","clients":{"marks_retry":true},
   "classes":[{"name":"read","effect":"read_like",)" +
            times +
            R"(,{"name":"keyed","effect":"idempotency_key","dedup_scope":"zone","window_ns":10000000000,)" +
@@ -135,6 +135,10 @@
             one.up = false;
             one.process.reset(); // SIGKILL
         }
+        if (fault.what == restart && one.up) { // one that is just starting is left alone
+            one.ending_from = now();
+            one.process->signal(SIGTERM);
+        }
         if (fault.what == stop) one.process->signal(SIGSTOP);
         if (fault.what == late_list) one.late = from_seconds(fault.size);
         if (fault.what == hush) {
@@ -158,7 +162,13 @@
     for (std::size_t i = 0; i < schedulers_.size(); ++i) {
         Scheduler& one = schedulers_[i];
         if (!faults_.hits_scheduler(fault, i)) continue;
-        if (fault.what == kill) {
+        const bool ends = fault.what == restart && one.ending_from >= Time(0);
+        if (ends) {
+            if (!one.process->ended()) truth_.broke("a scheduler that was told to end has not", i);
+            one.up = false;
+            one.ending_from = Time(-1);
+        }
+        if (fault.what == kill || ends) {
             launch(i);
             await(i);
         }
--- a/src/lab/spread/live_world.h
+++ b/src/lab/spread/live_world.h
@@ -42,18 +42,30 @@
         std::map<Server::Call, Held> held{};
         std::int64_t started_ms = 0; // Unix time; 0 for long ago
     };
+    struct Ask;
+    class Line;
     struct Scheduler {
         std::unique_ptr<Process> process{};
         std::unique_ptr<Server> discovery{};
         net::Endpoint serves{};
+        std::list<std::shared_ptr<Line>> lines{}; // clients' connections to it
         bool up = false;
+        Time ending_from{-1}; // it was told to end then; negative: it was not
         Time late{0};
         Time told_by{0};            // what happens before counts as told then, as a watch has fallen silent
         std::vector<bool> listed{}; // by worker, as discovery has told it
         std::uint64_t version = 1;
         std::vector<Server::Call> watches{};
     };
-    class Ask;
+    struct Ask { // a client's request
+        Number job = 0;
+        std::size_t scheduler = 0;
+        int tries = 1;
+        std::string id{};
+        std::size_t at_workers = 0;
+        bool sent_again = false; // it crossed the end of its connection
+        Line* line = nullptr;    // that carries it
+    };
 
     Time now() const { return loop_.now() - begun_; }
     void at(Time when, std::function<void()> action) {
@@ -80,6 +92,8 @@
 
     void load(std::size_t scheduler, double per_s);
     void ask(Number job, std::size_t scheduler, int tries);
+    void carry(const std::shared_ptr<Ask>& ask, bool anew); // `anew`: on a new connection
+    void over(const std::shared_ptr<Ask>& ask, int status, Time stay_away, bool by_a_worker);
     void answered(Ask& ask, int status, Time stay_away, bool by_a_worker);
 
     void arrive(std::size_t worker, Server::Call call, const net::http::Head& head);
@@ -102,8 +116,7 @@
     Calendar calendar_;
     std::vector<std::unique_ptr<Worker>> workers_;
     std::vector<Scheduler> schedulers_;
-    std::list<std::shared_ptr<Ask>> asks_;
-    std::map<std::string, Ask*> by_id_; // of those open
+    std::map<std::string, std::shared_ptr<Ask>> by_id_; // those open
     std::uint64_t last_id_ = 0;
     std::size_t at_workers_ = 0; // asks that some worker has
 };
--- a/src/lab/spread/stage.cpp
+++ b/src/lab/spread/stage.cpp
@@ -59,6 +59,26 @@
     });
 }
 
+double Faults::rate(std::size_t scheduler, Time at) const {
+    double out = 1;
+    for (const Fault& one : experiment_.faults) {
+        if (one.what == Fault::What::burst && at >= one.from && at < one.to && hits_scheduler(one, scheduler))
+            out *= one.size;
+    }
+    return out;
+}
+
+// Drawn at the highest rate of the run and thinned, so that a wait which began in the calm ends in a burst.
+Time Faults::next_job(std::size_t scheduler, double per_s, Time now, Chance& chance) const {
+    double most = 1;
+    for (const Fault& one : experiment_.faults)
+        if (one.what == Fault::What::burst) most *= one.size;
+    Time next = now + chance.wait(per_s * most);
+    while (most > 1 && next < experiment_.lasts && chance.uniform() * most >= rate(scheduler, next))
+        next += chance.wait(per_s * most);
+    return next;
+}
+
 void Faults::begin(const Fault& fault) {
     if (fault.what == Fault::What::cut) cuts_.push_back(&fault);
 }
@@ -86,7 +106,8 @@
     const double work_s = chance.work(seconds(experiment_.run), experiment_.run_spread);
     const double kind = chance.uniform();
     const Effect effect = kind < 0.6 ? Effect::repeatable : kind < 0.8 ? Effect::keyed : Effect::once;
-    jobs_.push_back({effect, work_s, now});
+    const bool hasty = experiment_.haste > 0 && chance.uniform() < experiment_.haste;
+    jobs_.push_back({effect, work_s, now, now + (hasty ? experiment_.wanted : experiment_.limit)});
     truth_.wants(job, effect, now);
     return job;
 }
--- a/src/lab/spread/stage.h
+++ b/src/lab/spread/stage.h
@@ -79,6 +79,8 @@
     bool hits_scheduler(const Fault& fault, std::size_t which) const;
     bool hits_worker(const Fault& fault, std::size_t which) const;
     bool is_cut(std::size_t scheduler, std::size_t worker) const;
+    // When the next job comes to a scheduler that gets so many a second when all is calm.
+    Time next_job(std::size_t scheduler, double per_s, Time now, Chance& chance) const;
 
     void begin(const Fault& fault);
     void end(const Fault& fault);
@@ -89,7 +91,8 @@
   private:
     std::uint64_t salt(const Fault& fault) const;
     const Experiment& experiment_;
-    std::vector<const Fault*> cuts_; // under way
+    double rate(std::size_t scheduler, Time at) const; // over that when all is calm
+    std::vector<const Fault*> cuts_;                   // under way
 };
 
 // What clients want, by number.
@@ -99,7 +102,7 @@
     Number want(Chance& chance, Time now); // most may be repeated, as it is where errors are taken in
     Effect effect(Number job) const { return jobs_[job].effect; }
     double work_s(Number job) const { return jobs_[job].work_s; }
-    Time limit(Number job) const { return jobs_[job].at + experiment_.limit; }
+    Time limit(Number job) const { return jobs_[job].limit; } // when its client leaves
     // A client that has been turned away, or whose scheduler has died, asks once more.
     bool comes_back(Number job, int tries, Time when) const {
         return tries < most_tries && when + experiment_.run < limit(job);
@@ -113,7 +116,7 @@
     struct Job {
         Effect effect{};
         double work_s = 0;
-        Time at{0};
+        Time at{0}, limit{0};
     };
     const Experiment& experiment_;
     Truth& truth_;
--- a/src/lab/spread/world.cpp
+++ b/src/lab/spread/world.cpp
@@ -38,7 +38,7 @@
     out.tick = 5ms;
     out.reports_with_answers = experiment_.reports == Reports::answers;
     out.probes = out.reports_with_probes = experiment_.reports == Reports::probes;
-    out.may_cancel = out.takes_advice = true;
+    out.may_cancel = out.takes_advice = out.marks_retry = true;
     out.max_attempts = 4;
     out.max_stay_away = 2s;
     out.connect_timeout = connect_timeout;
@@ -110,24 +110,8 @@
     for (std::size_t i = 0; i < schedulers_.size(); ++i) {
         Scheduler& one = *schedulers_[i];
         if (!faults_.hits_scheduler(fault, i)) continue;
-        if (fault.what == kill) {
-            one.up = false;
-            ++one.life;
-            one.host.reset();
-            for (Ask& ask : asks_) {
-                if (!ask.open || ask.scheduler != i) continue;
-                ask.open = false;
-                held_ -= std::exchange(ask.held, false) ? 1 : 0;
-                // Its connection breaks: what may be asked again is, elsewhere.
-                if (!jobs_.asks_again(ask.job, ask.tries)) {
-                    truth_.lost_with_scheduler(ask.job, now_);
-                } else {
-                    at(now_ + front_notices, [this, job = ask.job, tries = ask.tries] {
-                        this->ask(job, chance_.below(schedulers_.size()), tries + 1);
-                    });
-                }
-            }
-        }
+        if (fault.what == kill) lose(i);
+        if (fault.what == restart) one.ending = true;
         if (fault.what == stop) one.stopped_until = fault.to;
         if (fault.what == late_list) one.late = from_seconds(fault.size);
         if (fault.what == hush) one.silent_until = now_ + watch.heard_by(1, 2 * experiment_.delay);
@@ -142,11 +126,33 @@
     }
 }
 
+// It is gone, with all it knows and has.
+void SpreadWorld::lose(std::size_t scheduler) {
+    Scheduler& one = *schedulers_[scheduler];
+    one.up = one.ending = false;
+    ++one.life;
+    one.host.reset();
+    for (Ask& ask : asks_) {
+        if (!ask.open || ask.scheduler != scheduler) continue;
+        ask.open = false;
+        held_ -= std::exchange(ask.held, false) ? 1 : 0;
+        // Its connection breaks: what may be asked again is, elsewhere.
+        if (!jobs_.asks_again(ask.job, ask.tries)) {
+            truth_.lost_with_scheduler(ask.job, now_);
+        } else {
+            at(now_ + front_notices, [this, job = ask.job, tries = ask.tries] {
+                this->ask(job, chance_.below(schedulers_.size()), tries + 1);
+            });
+        }
+    }
+}
+
 void SpreadWorld::end(const Fault& fault) {
     using enum Fault::What;
     for (std::size_t i = 0; i < schedulers_.size(); ++i) {
         if (!faults_.hits_scheduler(fault, i)) continue;
-        if (fault.what == kill) start(i);
+        if (fault.what == restart) lose(i); // what it has not ended by then
+        if (fault.what == kill || fault.what == restart) start(i);
         if (fault.what == stop) pump(i);
         if (fault.what == late_list) schedulers_[i]->late = Time(0);
     }
@@ -222,7 +228,7 @@
 // ---------------------------------------------------------------------------------------------- clients
 
 void SpreadWorld::load(std::size_t scheduler, double per_s) {
-    const Time next = now_ + chance_.wait(per_s);
+    const Time next = faults_.next_job(scheduler, per_s, now_, chance_);
     if (next >= experiment_.lasts) return;
     at(next, [this, scheduler, per_s] {
         ask(jobs_.want(chance_, now_), scheduler, 1);
@@ -234,7 +240,7 @@
     const Time limit = jobs_.limit(job);
     if (now_ + 20ms >= limit) return truth_.lost_with_scheduler(job, now_);
     Scheduler& to = *schedulers_[scheduler];
-    if (!to.up) { // the front finds another
+    if (!to.up || to.ending) { // the front finds another
         return at(now_ + front_notices,
                   [this, job, tries] { ask(job, chance_.below(schedulers_.size()), tries); });
     }
@@ -259,6 +265,7 @@
     if (way_ != Way::module) return choose(one);
     core::Message message{.id = std::to_string(number),
                           .job_class = static_cast<Index>(jobs_.effect(job)),
+                          .is_retry = tries > 1,
                           .repeatable = jobs_.effect(job) == Effect::repeatable,
                           .deadline = limit};
     if (!to.host->take_in(std::move(message), one, one.id)) return answered(one, Ending::refused, 1s, false);
--- a/src/lab/spread/world.h
+++ b/src/lab/spread/world.h
@@ -46,6 +46,7 @@
     // ---- faults and the list
     void begin(const Fault& fault);
     void end(const Fault& fault);
+    void lose(std::size_t scheduler);
     void replace(std::size_t worker);
     void announce(std::vector<WorkerEntry> entries);
     void start(std::size_t scheduler);
@@ -126,7 +127,7 @@
     std::size_t self, life = 0;
     std::unique_ptr<core::Host> host{};
     std::map<std::pair<core::JobId, Index>, std::size_t> sent{}; // attempts, in this life and former ones
-    bool up = true;
+    bool up = true, ending = false;
     Time stopped_until{0}, silent_until{0}, due{-1}, late{0};
     std::vector<double> reported{}; // the simple ways: by worker
     std::vector<bool> listed{};
