Look for a client's resting connection in one place in the laboratory

Cause, found in a second reading: ask and carry each searched a scheduler's connections for a resting one, and the search for another scheduler went on after it had found one, so that it took the last in place of the first from a place of chance. Change: LiveWorld::resting_line serves both; the search ends with the first that serves.

--- a/src/lab/spread/live.cpp
+++ b/src/lab/spread/live.cpp
@@ -97,8 +97,8 @@
     const Time limit = jobs_.limit(job);
     if (now() + 20ms >= limit) return truth_.lost_with_scheduler(job, now());
     Scheduler& to = schedulers_[scheduler];
-    const bool has_line = std::ranges::any_of(to.lines, [](const auto& one) { return one->rests(); });
-    if (!to.up || (to.ending_from >= Time(0) && now() >= to.ending_from + front_notices && !has_line)) {
+    const bool noticed = to.ending_from >= Time(0) && now() >= to.ending_from + front_notices;
+    if (!to.up || (noticed && !resting_line(scheduler))) {
         return at(now() + front_notices, // the front finds another
                   [this, job, tries] { ask(job, chance_.below(schedulers_.size()), tries); });
     }
@@ -111,21 +111,27 @@
     });
 }
 
+std::shared_ptr<LiveWorld::Line> LiveWorld::resting_line(std::size_t scheduler) const {
+    const auto& lines = schedulers_[scheduler].lines;
+    const auto found = std::ranges::find_if(lines, [](const auto& one) { return one->rests(); });
+    return found == lines.end() ? nullptr : *found;
+}
+
 void LiveWorld::carry(const std::shared_ptr<Ask>& ask, bool anew) {
     const auto serves = [this](std::size_t at) {
         return schedulers_[at].up && schedulers_[at].ending_from < Time(0);
     };
     if (anew && !serves(ask->scheduler)) { // the front knows of another
-        for (std::size_t i = 0, from = chance_.below(schedulers_.size()); i < schedulers_.size(); ++i)
-            if (const std::size_t other = (from + i) % schedulers_.size(); serves(other))
-                ask->scheduler = other;
+        const std::size_t count = schedulers_.size(), from = chance_.below(count);
+        for (std::size_t i = 0; i < count && !serves(ask->scheduler); ++i)
+            ask->scheduler = (from + i) % count;
+    }
+    auto line = anew ? nullptr : resting_line(ask->scheduler);
+    if (!line) {
+        line = std::make_shared<Line>(*this, ask->scheduler);
+        schedulers_[ask->scheduler].lines.push_back(line);
     }
-    auto& lines = schedulers_[ask->scheduler].lines;
-    auto found =
-        anew ? lines.end() : std::ranges::find_if(lines, [](const auto& one) { return one->rests(); });
-    if (found == lines.end())
-        found = lines.insert(lines.end(), std::make_shared<Line>(*this, ask->scheduler));
-    (*found)->carry(ask);
+    line->carry(ask);
 }
 
 void LiveWorld::over(const std::shared_ptr<Ask>& ask, int status, Time stay_away, bool by_a_worker) {
--- a/src/lab/spread/live_world.h
+++ b/src/lab/spread/live_world.h
@@ -92,7 +92,8 @@
 
     void load(std::size_t scheduler, double per_s);
     void ask(Number job, std::size_t scheduler, int tries);
-    void carry(const std::shared_ptr<Ask>& ask, bool anew); // `anew`: on a new connection
+    std::shared_ptr<Line> resting_line(std::size_t scheduler) const; // none: all are busy
+    void carry(const std::shared_ptr<Ask>& ask, bool anew);          // `anew`: on a new connection
     void over(const std::shared_ptr<Ask>& ask, int status, Time stay_away, bool by_a_worker);
     void answered(Ask& ask, int status, Time stay_away, bool by_a_worker);
 
