--- a/src/inventory/watch_times.h
+++ b/src/inventory/watch_times.h
@@ -27,10 +27,27 @@
     // From the moment a watch falls silent, at the worst just as its call began, to the answer of the
     // `tries`-th call made after it, if that answer takes `answer`.
     Duration heard_by(int tries, Duration answer) const { return hold + late + (tries - 1) * again + answer; }
+    // From the moment discovery can be reached again after calls have failed, at the worst just as one is
+    // being given up, to the end of the answer that tells what it had then: the give-up of a connection, the
+    // pause with its chance, another connection that comes up just in time, the answer, and the batch that
+    // heeds it. With the whole fleet back at once, discovery may refuse a call after `refused` and be asked
+    // once more.
+    Duration heard_after_failure(Duration longest_back_off, Duration refused, Duration answer,
+                                 Duration tick) const {
+        const Duration again_asked = refused > Duration(0) ? refused + longest_back_off : Duration(0);
+        return open + longest_back_off + again_asked + open + answer + tick;
+    }
+    // The same where calls were not refused but lost: all that may be out at once were sent just before.
+    Duration heard_after_loss(Duration answer, Duration tick) const { return lost + again + answer + tick; }
+    // Where lists are pushed, what the agent has counts at once, and a broken watch is opened anew after
+    // `again`; for the answer and the batch, what is left of the drain's grace.
+    Duration heard_from_agent(Duration answer, Duration tick) const { return again + answer + tick; }
     // By then nothing more may be sent to a worker that began to drain in the silence.
     Duration allowed(Duration drain_grace) const {
         return std::max(told_after, hold + told_after_hold) + drain_grace;
     }
+    // The same after a call that failed, whatever else is allowed then.
+    static Duration allowed_after_failure(Duration drain_grace) { return told_after + drain_grace; }
 };
 
 // `list_valid`: how long a list counts without a watch, 0 for no such time; `drain_grace`: within which sends
@@ -39,7 +56,7 @@
     using namespace std::chrono_literals;
     WatchTimes out;
     out.late = 500ms;
-    out.again = std::clamp<Duration>(drain_grace / 2, 50ms, 500ms);
+    out.again = std::clamp<Duration>(drain_grace / 2, 10ms, 500ms);
     out.late_whole = 1500ms;
     out.open = 1s;
     out.lost = 4s; // discovery may make its callers wait, and one that gives up and asks anew lengthens that
