Hear a client's end behind unread bytes, count its time from its bytes, answer before closing

The bytes' own times are kept, in a table of eight marks. - At the end, or as a lame duck, what had been read behind the last answer was dropped with the connection (ClientConnection::answer): those requests were lost. They are answered first, for two seconds past the end at most.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -91,7 +91,8 @@
     if (state_ == State::opening) {
         events = POLLOUT;
     } else {
-        if (input_.size() < input_limit_) events |= POLLIN;
+        // What the owner leaves unread must not hide that the other side has ended.
+        events |= input_.size() < input_limit_ ? POLLIN : POLLRDHUP;
         if (!output_.empty() && !broken_) events |= POLLOUT;
     }
     loop_.watch(fd_.get(), events, *this);
@@ -123,14 +124,14 @@
         }
         if (state_ != State::open) return;
     }
-    if ((events & (POLLIN | POLLHUP | POLLERR)) != 0) {
+    if ((events & (POLLIN | POLLRDHUP | POLLHUP | POLLERR)) != 0) {
         const std::size_t before = input_.size();
         const bool more = fill();
         if (input_.size() > before) owner_.on_input();
         if (state_ != State::open) return;
         // With the buffer full, a hang-up is all there is to learn; without this, poll would spin on it.
         if (!more || (broken_ && input_.size() == before) ||
-            ((events & (POLLHUP | POLLERR)) != 0 && input_.size() >= input_limit_))
+            ((events & (POLLRDHUP | POLLHUP | POLLERR)) != 0 && input_.size() >= input_limit_))
             return lost();
     }
     update();
--- a/src/north/front.cpp
+++ b/src/north/front.cpp
@@ -1,5 +1,6 @@
 #include "north/front.h"
 
+#include "north/arrival_times.h"
 #include "north/request.h"
 
 #include <spdlog/spdlog.h>
@@ -70,7 +71,7 @@
     void cut_off() {
         if (state_ != State::reading || !parser_.begun() || !connection_.all_sent()) return;
         ++front_.counters_.rejected;
-        send_elsewhere();
+        send_elsewhere(Then::close);
     }
     void cut_short() {
         if (state_ == State::waiting && arrived_ > front_.left_at_) front_.host_.cut_short(job_);
@@ -78,8 +79,13 @@
 
   private:
     enum class State { reading, waiting, leaving };
+    // What follows an answer: the next request, the end of the connection once all that has come is answered,
+    // or its end at once.
+    enum class Then { go_on, close_when_read, close };
 
     void on_input() override {
+        const std::size_t unread = connection_.input().size();
+        arrivals_.waiting(unread, front_.loop_.now(), unread >= net::http::read_ahead);
         if (state_ == State::reading) read();
     }
 
@@ -114,11 +120,14 @@
     void read() {
         while (state_ == State::reading && !connection_.input().empty()) {
             if (!parser_.begun()) {
-                arrived_ = front_.loop_.now(); // the client's time has begun to run
-                timer_.arm(new_ ? first_by_ : arrived_ + read_time);
+                const net::Time now = front_.loop_.now();
+                arrived_ = arrivals_.first(now); // the client's time has begun to run
+                timer_.arm(new_ ? first_by_ : now + read_time);
             }
             const bool had_head = parser_.head_done();
-            connection_.consume(parser_.feed(connection_.input()));
+            const std::size_t used = parser_.feed(connection_.input());
+            arrivals_.taken(used);
+            connection_.consume(used);
             if (parser_.bad()) return reject({parser_.error(), "not a request that can be read"});
             if (parser_.done()) {
                 on_request();
@@ -127,6 +136,7 @@
                 connection_.write(write_answer(100, {}, ""));
             }
         }
+        if (front_.finishing_ && !new_ && idle()) front_.drop(*this); // it was no request
     }
 
     void on_request() {
@@ -147,6 +157,11 @@
         Rejection rejection;
         if (!read_message(parser_, front_.settings_, arrived_, message, rejection)) return reject(rejection);
         const net::Time deadline = message.deadline;
+        // It waited behind another for longer than its client does.
+        if (deadline <= front_.loop_.now()) {
+            front_.host_.turn_away(message.job_class, message.tenant);
+            return on_refused(front_.host_.stay_away());
+        }
         // After SIGTERM time is short. A job that would not be done goes elsewhere at once.
         const bool ending = front_.leaving_ &&
                             front_.loop_.now() + 2 * front_.host_.usual_time(message.job_class) > front_.end_;
@@ -165,15 +180,18 @@
 
     void on_served(std::string_view result) override { answer(200, {}, result); }
 
-    void on_refused(core::Duration stay_away) override { refuse(stay_away, {}, "try again later\n"); }
+    void on_refused(core::Duration stay_away) override {
+        refuse(stay_away, "try again later\n", Then::go_on);
+    }
 
-    void send_elsewhere() {
-        refuse(front_.host_.go_elsewhere(), {{"Connection", "close"}}, "going away, try elsewhere\n");
+    void send_elsewhere(Then then = Then::close_when_read) {
+        refuse(front_.host_.go_elsewhere(), "going away, try elsewhere\n", then);
     }
 
-    void refuse(core::Duration stay_away, net::http::Fields fields, std::string_view why) {
+    void refuse(core::Duration stay_away, std::string_view why, Then then) {
+        net::http::Fields fields;
         if (stay_away > 0ns) fields.emplace_back("Retry-After", decimal_seconds(stay_away));
-        answer(503, std::move(fields), why);
+        answer(503, std::move(fields), why, then);
     }
 
     void on_failed() override { answer(502, {}, "failed\n"); }
@@ -181,14 +199,15 @@
     // What could not be read leaves it open where the next request begins.
     void reject(const Rejection& rejection) {
         ++front_.counters_.rejected;
-        answer(rejection.status, {{"Connection", "close"}}, rejection.why + "\n");
+        answer(rejection.status, {}, rejection.why + "\n", Then::close);
     }
 
-    void answer(int status, net::http::Fields fields, std::string_view body) {
-        const bool told =
-            std::ranges::any_of(fields, [](const auto& field) { return field.first == "Connection"; });
-        const bool last = told || front_.finishing_ || front_.lame_since_ || !parser_.head().keeps_alive();
-        if (last && !told) fields.emplace_back("Connection", "close");
+    void answer(int status, net::http::Fields fields, std::string_view body, Then then = Then::go_on) {
+        // Going away, we answer what has come before we end the connection: what was read and is dropped
+        // would be lost to its client.
+        const bool goes = then == Then::close_when_read || front_.finishing_ || front_.lame_since_;
+        const bool last = then == Then::close || !parser_.head().keeps_alive() || (goes && !more_waits());
+        if (last) fields.emplace_back("Connection", "close");
         if (!last && parser_.head().minor == 0) fields.emplace_back("Connection", "keep-alive");
         state_ = last ? State::leaving : State::reading;
         connection_.write(write_answer(status, fields, body));
@@ -202,6 +221,12 @@
         if (!connection_.input().empty()) timer_.arm(front_.loop_.now());
     }
 
+    // Bytes of a further request are here. (A client that never stops sending is not waited for.)
+    bool more_waits() const {
+        const bool patient = !front_.leaving_ || front_.loop_.now() < front_.end_ + linger_time;
+        return patient && (!connection_.input().empty() || connection_.has_hung_up());
+    }
+
     void rest() {
         idle_since_ = front_.loop_.now();
         timer_.arm(idle_since_ + (connection_.all_sent() ? idle_time : write_time));
@@ -211,6 +236,7 @@
     net::Connection connection_;
     net::http::Parser parser_{net::http::Parser::Kind::request};
     net::Timer timer_;
+    ArrivalTimes arrivals_;
     State state_ = State::reading;
     core::JobId job_ = 0;
     net::Time arrived_{0}, idle_since_{0}, first_by_{0};
