End attempts that have not gone out with their job, their worker's drain or their window

Ruled out: the module, which ends the job in its next batch; where a call-off is not allowed it has no word for the attempt. At fault: Host::close left attempts alone whose request still waited for its connection. The same wait let a request go out to a worker that drains by then (Pool::close_unlisted looked at idle connections alone), and a repeat after its window (nothing told the pool of it), and made the time that a worker is told older than the connection. An attempt called off before its last byte now counts as never run.

--- a/include/willowrill/dispatcher.h
+++ b/include/willowrill/dispatcher.h
@@ -226,6 +226,9 @@
     JobId job = 0;
     WorkerId worker = 0;
     Duration time_out{0}; // 0: until the client gives up
+    // Not to be begun after this time, however late its connection comes up: a repeat that must stay within
+    // the window in which its workers know it again.
+    Time begin_by = Time::max();
 };
 
 // Final answer: turned away, trying again is harmless.
--- a/src/core/host.cpp
+++ b/src/core/host.cpp
@@ -110,7 +110,18 @@
     }
     --open_;
     touched_.push_back(job);
-    return std::exchange(entry.client, nullptr);
+    Client* client = std::exchange(entry.client, nullptr);
+    withdraw_unsent(job);
+    return client;
+}
+
+// What has not gone out by the end of its message would begin work for nobody, perhaps long after its client
+// has left: its connection may still be coming up.
+void Host::withdraw_unsent(JobId job) {
+    const std::vector<Attempt>& attempts = entries_[job].attempts;
+    for (Index i = 0; i < attempts.size(); ++i) {
+        if (attempts[i].out) relays_.withdraw_unsent(job, i);
+    }
 }
 
 void Host::client_left(JobId job) {
@@ -264,7 +275,7 @@
                        const Time latest = entry.message.deadline;
                        const Time give_up =
                            send.time_out > Duration(0) ? std::min(latest, now + send.time_out) : latest;
-                       relays_.start(send.job, attempt, send.worker, give_up, entry.message);
+                       relays_.start(send.job, attempt, send.worker, give_up, send.begin_by, entry.message);
                    },
                    [&](const willowrill::Refuse& refuse) {
                        if (Client* client = close(refuse.job, End::refused)) {
--- a/src/core/host.h
+++ b/src/core/host.h
@@ -48,8 +48,14 @@
 class Relays {
   public:
     virtual ~Relays() = default;
-    virtual void start(JobId job, Index attempt, WorkerId worker, Time give_up, const Message& message) = 0;
+    // `begin_by`: an attempt whose request could not be written by then ends as one that never ran. `message`
+    // stays where it is until the attempt has ended.
+    virtual void start(JobId job, Index attempt, WorkerId worker, Time give_up, Time begin_by,
+                       const Message& message) = 0;
     virtual void cancel(JobId job, Index attempt) = 0;
+    // Nobody waits for the message any more: an attempt whose request has not gone out to its last byte ends
+    // here, whether or not workers heed a cancellation. Any other is left alone.
+    virtual void withdraw_unsent(JobId job, Index attempt) = 0;
     virtual void probe(WorkerId worker) = 0; // followed by one `Host::probed`, in or after the call
 };
 
@@ -157,6 +163,7 @@
 
     using End = Ledger::Ending;
     Client* close(JobId job, End end); // the one place where a message ends
+    void withdraw_unsent(JobId job);
     void tell(JobId job, willowrill::Event event);
     void release(JobId job);
     static constexpr Duration moment = std::chrono::milliseconds(250); // in which the front has noticed
--- a/src/lab/spread/world.h
+++ b/src/lab/spread/world.h
@@ -112,7 +112,7 @@
 
 struct SpreadWorld::Scheduler final : core::Relays, core::Inventory {
     Scheduler(SpreadWorld& in, std::size_t at) : world(in), self(at) {}
-    void start(core::JobId job, Index attempt, WorkerId worker, Time give_up,
+    void start(core::JobId job, Index attempt, WorkerId worker, Time give_up, Time,
                const core::Message& message) override {
         world.send(world.asks_[std::stoul(message.id)], job, attempt, worker, give_up);
     }
@@ -120,6 +120,7 @@
         const std::size_t found = sent.at({job, attempt});
         if (!world.attempts_[found].over) world.call_off(found);
     }
+    void withdraw_unsent(core::JobId, core::Index) override {} // here a request goes out at once
     void probe(WorkerId worker) override { world.probe(self, worker); }
     void watch(bool) override {}
 
--- a/src/relay/pool.cpp
+++ b/src/relay/pool.cpp
@@ -35,21 +35,19 @@
                       net::http::read_ahead),
           timer_(pool.loop_.wheel(), [this] { on_timer(); }) {}
 
-    void relay(core::JobId job, core::Index attempt, core::Time give_up, const core::Message& message) {
+    // The message must stay until the attempt has ended: while the connection comes up, the request waits
+    // here.
+    void relay(core::JobId job, core::Index attempt, core::Time give_up, core::Time begin_by,
+               const core::Message& message) {
         job_ = job;
         attempt_ = attempt;
         give_up_ = give_up;
+        message_ = &message;
         state_ = State::asked;
         reader_.begin(message.id);
-        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(give_up - pool_.loop_.now());
-        net::http::Fields fields{{"Host", address.text()},
-                                 {"X-Request-ID", message.id},
-                                 {"X-Timeout-Ms", std::to_string(std::max<std::int64_t>(1, left.count()))}};
-        if (!message.idempotency_key.empty()) fields.emplace_back("Idempotency-Key", message.idempotency_key);
-        const bool opening = connection_.state() == net::Connection::State::opening;
-        timer_.arm(opening ? std::min(give_up, pool_.loop_.now() + pool_.limits_.connect_timeout) : give_up);
-        connection_.write(net::http::write_request(message.method, message.target, fields, message.body));
-        if (connection_.all_sent()) ++pool_.counters_.written;
+        if (!opening()) return send_request();
+        const net::Time up_by = pool_.loop_.now() + pool_.limits_.connect_timeout;
+        timer_.arm(std::min({give_up, up_by, begin_by}));
     }
 
     // Asks for the worker's load. An answer that takes longer than a connection may to come up is no news.
@@ -72,8 +70,10 @@
         timer_.disarm();
         connection_.close();
     }
+    bool sent() const { return connection_.all_sent(); } // the request, to its last byte
     bool usable() const { return state_ == State::idle && !connection_.has_hung_up(); }
     bool settled() const { return pool_.loop_.now() - rested_at_ >= settling; }
+    bool opening() const { return connection_.state() == net::Connection::State::opening; }
     std::uint64_t key() const { return key_of(job_, attempt_); }
 
     const core::WorkerId worker;
@@ -85,8 +85,22 @@
     // The request's last byte decides: before it the job cannot have begun.
     Outcome broken() const { return connection_.all_sent() ? Outcome::reset : Outcome::connect_failed; }
 
+    // Written only now that it can go out: what it tells of the time left is true when the worker reads it.
+    void send_request() {
+        const core::Message& message = *std::exchange(message_, nullptr);
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(give_up_ - pool_.loop_.now());
+        net::http::Fields fields{{"Host", address.text()},
+                                 {"X-Request-ID", message.id},
+                                 {"X-Timeout-Ms", std::to_string(std::max<std::int64_t>(1, left.count()))}};
+        if (!message.idempotency_key.empty()) fields.emplace_back("Idempotency-Key", message.idempotency_key);
+        timer_.arm(give_up_);
+        connection_.write(net::http::write_request(message.method, message.target, fields, message.body));
+        if (connection_.all_sent()) ++pool_.counters_.written;
+    }
+
     void on_open() override {
-        timer_.arm(state_ == State::probing ? pool_.loop_.now() + pool_.limits_.connect_timeout : give_up_);
+        if (state_ == State::asked) return send_request();
+        timer_.arm(pool_.loop_.now() + pool_.limits_.connect_timeout);
     }
     void on_sent() override {
         if (state_ == State::asked) ++pool_.counters_.written;
@@ -218,6 +232,7 @@
     core::JobId job_ = 0;
     core::Index attempt_ = 0;
     core::Time give_up_{0};
+    const core::Message* message_ = nullptr; // while its request waits for the connection
     net::Time rested_at_{0}, asked_at_{0};
     bool reused_ = false; // has carried a relay before
 };
@@ -299,7 +314,7 @@
 }
 
 void Pool::start(core::JobId job, core::Index attempt, core::WorkerId worker, core::Time give_up,
-                 const core::Message& message) {
+                 core::Time begin_by, const core::Message& message) {
     auto channel = message.repeatable || distrust() < most_distrust ? take_idle(worker) : nullptr;
     Outcome failure{};
     if (!channel) channel = open(worker, failure);
@@ -308,7 +323,7 @@
         return host_->attempt_ended(job, attempt, failure, loop_.now());
     }
     busy_.emplace(key_of(job, attempt), channel);
-    channel->relay(job, attempt, give_up, message);
+    channel->relay(job, attempt, give_up, begin_by, message);
 }
 
 void Pool::probe(core::WorkerId worker) {
@@ -331,7 +346,12 @@
     const auto found = busy_.find(key_of(job, attempt));
     if (found == busy_.end()) return;
     const auto channel = found->second;
-    channel->finish({Outcome::cancelled});
+    channel->finish({channel->sent() ? Outcome::cancelled : Outcome::not_sent});
+}
+
+void Pool::withdraw_unsent(core::JobId job, core::Index attempt) {
+    const auto found = busy_.find(key_of(job, attempt));
+    if (found != busy_.end() && !found->second->sent()) cancel(job, attempt);
 }
 
 void Pool::limit(std::size_t connections) {
@@ -342,13 +362,24 @@
     }
 }
 
+bool Pool::is_listed(const Channel& channel) const {
+    return list_.condition(channel.worker) == willowrill::Condition::ready &&
+           channel.address == list_.address(channel.worker);
+}
+
 void Pool::close_unlisted() {
     const Channels idle = idle_;
     for (const auto& channel : idle) {
-        const bool stays = list_.condition(channel->worker) == willowrill::Condition::ready &&
-                           channel->address == list_.address(channel->worker);
-        if (!stays) drop(*channel);
+        if (!is_listed(*channel)) drop(*channel);
+    }
+    // A request that waits for its connection would go out whenever that comes up, past the time in which
+    // sends to a draining worker must stop.
+    Channels waiting;
+    for (const auto& [key, channel] : busy_) {
+        if (channel->opening() && !is_listed(*channel)) waiting.push_back(channel);
     }
+    for (const auto& channel : waiting)
+        channel->finish({Outcome::not_sent});
 }
 
 } // namespace willowrill::relay
--- a/src/relay/pool.h
+++ b/src/relay/pool.h
@@ -38,11 +38,13 @@
     void set_host(core::Host& host) { host_ = &host; } // the host and the pool know each other
 
     void start(core::JobId job, core::Index attempt, core::WorkerId worker, core::Time give_up,
-               const core::Message& message) override;
+               core::Time begin_by, const core::Message& message) override;
     void cancel(core::JobId job, core::Index attempt) override;
+    void withdraw_unsent(core::JobId job, core::Index attempt) override;
     void probe(core::WorkerId worker) override;
     void limit(std::size_t connections); // idle ones beyond it are closed
-    void close_unlisted();               // idle connections to workers that drain, are gone or have moved
+    // To workers that drain, are gone or have moved: idle connections, and those that still come up.
+    void close_unlisted();
 
     std::size_t size() const { return size_; }
     std::size_t most() const { return limits_.connections; }
@@ -57,6 +59,7 @@
     double distrust() const; // of kept connections
     std::shared_ptr<Channel> open(core::WorkerId worker, willowrill::Outcome& failure);
     void drop(Channel& channel);
+    bool is_listed(const Channel& channel) const; // its worker takes new jobs, and at that address
     bool make_room();
 
     net::Loop& loop_;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -384,11 +384,7 @@
     }
 
     // When a job that waits is given up, whatever comes: it is of no use, or must not be sent any more.
-    Time give_up_at(const Job& job) const {
-        const bool repeats =
-            class_of(job).effect == Effect::keyed && job.first_that_may_have_run() != nullptr;
-        return repeats ? std::min(useful_until(job), repeats_end(job)) : useful_until(job);
-    }
+    Time give_up_at(const Job& job) const { return std::min(useful_until(job), repeats_end(job)); }
 
     // It was sent, and each worker listed that may run it has had it.
     bool nobody_left(const Job& job) const {
@@ -519,9 +515,10 @@
         const double step = increment(w, job);
         w.sent(job.in.slots, step);
         if (is_cold(w)) w.cold_sends.add(times.work(job), now);
+        const Time begin_by = repeats_end(job);
         const bool opens = now >= std::exchange(w.connected_until, 0ns); // if there is one, this job has it
         job.attempts.push_back({to, now, step, opens, key_increment(job, w) > 0});
-        actions->emplace_back(Send{id, to, 0ns});
+        actions->emplace_back(Send{id, to, 0ns, begin_by});
         look_again(id, now + start_notice(job, job.attempts.back()));
     }
 
@@ -555,8 +552,11 @@
         return c.effect == Effect::keyed && now < repeats_end(job);
     }
 
-    Time repeats_end(const Job& job) const { // of a keyed job that may have run
-        return job.first_that_may_have_run()->sent + class_of(job).repeat_window - 2 * settings.tick;
+    // Until when a job may be sent again, if it is keyed and may have run.
+    Time repeats_end(const Job& job) const {
+        const Attempt* first = job.first_that_may_have_run();
+        if (first == nullptr || class_of(job).effect != Effect::keyed) return Time::max();
+        return first->sent + class_of(job).repeat_window - 2 * settings.tick;
     }
 
     // The worker whose group a repeat must stay in, or none.
--- a/tests/host_test.cpp
+++ b/tests/host_test.cpp
@@ -57,7 +57,7 @@
 
     explicit World(unsigned seed) : random_(seed), host(settings(), 30, 1U << 20U, *this, *this) {}
 
-    void start(core::JobId job, core::Index attempt, core::WorkerId, core::Time give_up,
+    void start(core::JobId job, core::Index attempt, core::WorkerId, core::Time give_up, core::Time,
                const core::Message& message) override {
         Requester& requester = *by_id_.at(message.id);
         CHECK(requester.job == job);
@@ -71,6 +71,7 @@
         out_[{job, attempt}] = {&requester, give_up};
     }
     void cancel(core::JobId job, core::Index attempt) override { end({job, attempt}, Outcome::cancelled); }
+    void withdraw_unsent(core::JobId, core::Index) override {} // here a request goes out at once
     void probe(core::WorkerId) override { FAIL("probes are not allowed here"); }
     void watch(bool) override { watched = true; }
 
--- /dev/null
+++ b/tests/ordering_test.cpp
@@ -0,0 +1,210 @@
+// Events that meet in a bad order: the other side ends, or the list changes, just when something waits. Each
+// test makes that order happen with scripted peers, and does not wait for it by the clock.
+#include "learn/books.h"
+#include "north/arrival_times.h"
+#include "rig.h"
+
+#include <doctest/doctest.h>
+
+namespace willowrill::testing {
+namespace {
+
+// Connections may take as long as they like, and workers need not heed a cancellation.
+config::Settings patient_settings() {
+    config::Settings out = test_settings();
+    out.connect_timeout = out.decisions.connect_timeout = 1h;
+    out.decisions.may_cancel = false;
+    for (willowrill::JobClass& job_class : out.decisions.classes)
+        job_class.aim = job_class.give_up = 1h;
+    return out;
+}
+
+const std::string patient = "X-Timeout-Ms: 3600000\r\n";
+
+std::uint64_t ended(const Rig& rig, willowrill::Outcome outcome) {
+    return rig.host.counters().outcomes[static_cast<std::size_t>(outcome)];
+}
+
+// The worker of the rig is at an address where connections do not come up, and one of them is out.
+struct Stalled {
+    Stalled() {
+        rig.host.list_news(*rig.list.read(Rig::list_text(42, deaf.address)));
+        client = rig.client(Rig::job("a", patient));
+        REQUIRE(rig.settle([&] { return rig.pool.size() == 1; }));
+    }
+    // Lets connections come up, in the order in which they were begun, and gives what the last one says.
+    std::string next_request() {
+        std::string got;
+        rig.settle([&] {
+            if (net::Fd fd = net::accept_from(deaf.listener); fd.valid())
+                peers.push_back(
+                    std::make_unique<Peer>(rig.loop, std::move(fd), net::Connection::State::open));
+            got = peers.empty() ? "" : peers.back()->got;
+            return got.find("\r\n\r\nhi") != std::string::npos;
+        });
+        return got;
+    }
+    const Deaf deaf;
+    Rig rig{10, 10, patient_settings()};
+    std::unique_ptr<Peer> client;
+    std::vector<std::unique_ptr<Peer>> peers;
+};
+
+} // namespace
+
+// Where cancelling is not allowed, the request went out some 0.2 s after its client had gone.
+TEST_CASE("a client that leaves while the connection to a worker comes up takes its request with it") {
+    Stalled at;
+    at.client->connection.close();
+    CHECK(at.rig.settle([&] { return at.rig.pool.size() == 0; }));
+    CHECK(ended(at.rig, willowrill::Outcome::not_sent) == 1);
+    CHECK(at.rig.host.counters().left == 1);
+}
+
+TEST_CASE("a worker that begins to drain while its connection comes up is not sent the request") {
+    Stalled at;
+    std::string drains = Rig::list_text(43, at.deaf.address);
+    at.rig.host.list_news(*at.rig.list.read(drains.replace(drains.find("\"up\""), 4, "\"draining\"")));
+    at.rig.pool.close_unlisted();
+    CHECK(at.rig.pool.size() == 0);
+    CHECK(ended(at.rig, willowrill::Outcome::not_sent) == 1);
+    CHECK_FALSE(at.client->closed); // its job looks for another worker
+}
+
+// The figure was that of the moment at which the connection was begun.
+TEST_CASE("a worker is told the time that is left when its connection has come up") {
+    Stalled at;
+    const net::Time begun = at.rig.loop.now();
+    at.rig.wait(50ms);
+    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(at.rig.loop.now() - begun);
+    const std::string request = at.next_request();
+    const std::size_t told = request.find("X-Timeout-Ms: ");
+    REQUIRE(told != std::string::npos);
+    CHECK(std::stol(request.substr(told + 14)) <= 3600000 - waited.count());
+}
+
+// A repeat was begun whenever its connection came up, though its group forgets the job after the window.
+TEST_CASE("a repeat is not begun after its window, however late its connection comes up") {
+    config::Settings settings = patient_settings();
+    settings.decisions.classes[1].repeat_window = 300ms;
+    settings.decisions.classes[1].kind = willowrill::none;
+    Rig rig(10, 10, settings);
+    const auto client =
+        rig.client("POST /api HTTP/1.1\r\nHost: h\r\nX-Request-ID: a\r\nX-Priority-Class: keyed\r\n"
+                   "Idempotency-Key: k\r\n" +
+                   patient + "Content-Length: 2\r\n\r\nhi");
+    REQUIRE(rig.worker_has(0, "\r\n\r\nhi"));
+    const Deaf deaf;
+    std::string list = rig.list_text(43);
+    list.insert(list.rfind("]}"), R"(,{"id":"s2","addr":")" + deaf.address.text() +
+                                      R"(","zone":"a","kind":"m1","state":"up","started_ms":0})");
+    rig.host.list_news(*rig.list.read(list));
+    rig.worker.peers[0]->connection.close(); // it may have run
+    CHECK(rig.settle([&] { return client->has("HTTP/1.1 502 "); }));
+    CHECK(rig.host.counters().sent == 2);
+    CHECK(rig.pool.size() == 0);
+}
+
+// With its buffer full of what it has sent beyond, nothing was heard of a client's end.
+TEST_CASE("a client that ends its sending is heard while a request of it waits and more lies unread") {
+    Rig rig(10, 10, patient_settings());
+    const auto client = rig.client(Rig::job("a", patient) + std::string(100000, 'x'));
+    REQUIRE(rig.worker_has(0, "\r\n\r\nhi"));
+    client->connection.close_when_sent();
+    CHECK(rig.settle([&] { return rig.host.counters().left == 1; }));
+}
+
+// Its time began to run when the one before it had been answered.
+TEST_CASE("a request that waited unread behind another has its time from when it came") {
+    Rig rig(10, 10, patient_settings());
+    const auto client = rig.client(Rig::job("a", patient) + Rig::job("b", "X-Timeout-Ms: 20\r\n"));
+    REQUIRE(rig.worker_has(0, "\r\n\r\nhi"));
+    rig.wait(30ms);
+    rig.worker.peers[0]->connection.write(Rig::done("a", "of a"));
+    CHECK(rig.settle([&] { return client->has("HTTP/1.1 503 "); }));
+    CHECK(client->has("of a"));
+    CHECK(rig.host.counters().sent == 1);
+}
+
+TEST_CASE("arrival times: bytes count as come when they did, and never later") {
+    north::ArrivalTimes times;
+    CHECK(times.first(9s) == 9s);
+    times.waiting(10, 1s, false);
+    times.waiting(30, 2s, false);
+    CHECK(times.first(9s) == 1s);
+    times.taken(10);
+    CHECK(times.first(9s) == 2s);
+    times.taken(20);
+    CHECK(times.first(9s) == 9s);
+    times.waiting(5, 3s, true); // no room for more, which may be here already
+    times.taken(5);
+    times.waiting(5, 8s, false);
+    CHECK(times.first(9s) == 3s);
+    for (std::size_t size = 6; size < 100; ++size) // a byte at a time: the table is bounded
+        times.waiting(size, net::Time(1s) * size, false);
+    times.taken(98);
+    CHECK(times.first(200s) <= 98s);
+}
+
+// The end dropped what it had read of further requests, and their clients never had an answer.
+TEST_CASE("an end answers what it has read behind the last answer, and only then closes") {
+    Rig rig(10, 10, patient_settings());
+    const auto client = rig.client(Rig::job("a", patient) + Rig::job("b", patient) + Rig::job("c", patient));
+    REQUIRE(rig.worker_has(0, "\r\n\r\nhi"));
+    rig.front.leave(rig.loop.now());
+    rig.front.finish();
+    rig.worker.peers[0]->connection.write(Rig::done("a", "of a"));
+    REQUIRE(rig.settle([&] { return client->closed; }));
+    CHECK(client->has("of a"));
+    std::size_t refused = 0;
+    for (std::size_t at = 0; (at = client->got.find("HTTP/1.1 503 ", at)) != std::string::npos; ++at)
+        ++refused;
+    CHECK(refused == 2);
+    CHECK(client->got.find("Connection: close") > client->got.rfind("HTTP/1.1 503 "));
+}
+
+TEST_CASE("an end does not wait for a client whose next bytes are no request") {
+    Rig rig(10, 10, patient_settings());
+    const auto client = rig.client(Rig::job("a", patient) + "\r\n");
+    REQUIRE(rig.worker_has(0, "\r\n\r\nhi"));
+    rig.front.leave(rig.loop.now());
+    rig.front.finish();
+    rig.worker.peers[0]->connection.write(Rig::done("a", "of a"));
+    CHECK(rig.settle([&] { return rig.front.empty(); }));
+    CHECK(client->has("of a"));
+}
+
+// After a long outage the next call came up to 7.5 s after the last, where 6 s count as told.
+TEST_CASE("asking for the list again after an outage: bounded for one, and not all at one moment") {
+    learn::Subscription list;
+    const auto longest = learn::Subscription::longest_back_off;
+    net::Time now = 1s;
+    for (int failures = 0; failures < 20; ++failures) {
+        CAPTURE(failures);
+        REQUIRE(list.due(now, 10s, [] { return 0.0; }));
+        list.told(true, false);
+        CHECK_FALSE(list.due(now, 10s, [] { return 0.0; }));
+        REQUIRE(list.next());
+        CHECK(*list.next() - now <= longest);
+        now = *list.next();
+    }
+    CHECK(learn::Subscription::back_off_after(20, 10s, 0) == longest);
+    CHECK(learn::Subscription::back_off_after(20, 10s, 1) == longest / 2);
+}
+
+TEST_CASE("what discovery has at its return is heard before it counts as told, for all settings") {
+    const auto back_off = learn::Subscription::longest_back_off;
+    for (const auto valid : {1s, 2s, 10s, 60s}) {
+        for (const auto grace : {50ms, 300ms, 1000ms, 5000ms}) {
+            const inventory::WatchTimes times = inventory::watch_times(valid, grace);
+            const net::Duration allowed = times.allowed_after_failure(grace);
+            const auto tick = std::min<net::Duration>(grace / 10, 10ms);
+            CHECK(times.heard_after_failure(back_off, 0s, 2s, tick) <= allowed);
+            CHECK(times.heard_after_failure(back_off, 1500ms, 500ms, tick) <= allowed);
+            CHECK(times.heard_after_loss(1s, tick) <= allowed);
+            CHECK(times.heard_from_agent(grace / 4, tick) <= grace);
+        }
+    }
+}
+
+} // namespace willowrill::testing
--- a/tests/property_test.cpp
+++ b/tests/property_test.cpp
@@ -191,7 +191,7 @@
         Node(World& in, const Settings& settings)
             : world(in), self(settings.self), probes(settings.probes), reports(settings.reports_with_answers),
               host(settings, 200, 1U << 20U, *this, *this) {}
-        void start(core::JobId job, Index attempt, WorkerId worker, Time give_up,
+        void start(core::JobId job, Index attempt, WorkerId worker, Time give_up, Time,
                    const core::Message& message) override {
             // A job is no more work than its worker has slots for, whatever its client claims.
             world.ledger.sent(self, job, worker, world.now, std::min(message.slots, worker_slots) * job_s);
@@ -202,6 +202,7 @@
         void cancel(core::JobId job, Index attempt) override {
             world.end({self, job, attempt}, Outcome::cancelled, 0);
         }
+        void withdraw_unsent(core::JobId, core::Index) override {} // here a request goes out at once
         void probe(WorkerId worker) override {
             if (!probes) return world.say("a probe where none is allowed");
             if (!world.probed_.emplace(Asked{self, worker}, world.now + 20ms).second)
--- /dev/null
+++ b/tests/rig.h
@@ -0,0 +1,90 @@
+// The parts of the scheduler put together on loopback, for tests that play clients, workers and discovery.
+#pragma once
+
+#include "inventory/watch.h"
+#include "north/front.h"
+#include "relay/pool.h"
+#include "sockets.h"
+
+#include <sys/socket.h>
+
+#include <array>
+
+namespace willowrill::testing {
+
+config::Settings test_settings(); // of parts_test.cpp
+
+// One worker, known from the start, and a front for as many clients as the test wants.
+class Rig {
+  public:
+    explicit Rig(std::size_t most_clients = 10, std::size_t most_relays = 10,
+                 config::Settings given = test_settings())
+        : settings(std::move(given)), list(settings.names),
+          pool(loop, list, settings.report_fields,
+               {.connections = most_relays, .idle = 5s, .connect_timeout = settings.connect_timeout}),
+          watch(loop, discovery.address, inventory::watch_times(10s, 1s), 1, list,
+                [this](auto news) { host.list_news(std::move(news)); }),
+          host(settings.decisions, settings.max_open, 1U << 20U, pool, watch),
+          front(loop, settings, host, most_clients, [] { return true; }) {
+        pool.set_host(host);
+        front.accept(true);
+        auto news = list.read(list_text(41));
+        news->kind = willowrill::ListNews::Kind::remembered;
+        host.list_news(std::move(*news));
+        loop.at_round_end([this] {
+            if (const auto next = host.next_batch(); next && *next <= loop.now()) host.batch(loop.now());
+        });
+    }
+
+    std::string list_text(int version) const { return list_text(version, worker.address); }
+    static std::string list_text(int version, const net::Endpoint& address) {
+        return "{\"version\":" + std::to_string(version) + R"(,"full":true,"servers":[{"id":"s1","addr":")" +
+               address.text() + R"(","zone":"a","kind":"m1","state":"up","started_ms":0}]})";
+    }
+    std::unique_ptr<Peer> client(const std::string& text) {
+        auto peer = call(loop, front.address());
+        peer->connection.write(text);
+        return peer;
+    }
+    static std::string job(const std::string& id, const std::string& more = "X-Timeout-Ms: 5000\r\n") {
+        return "POST /api HTTP/1.1\r\nHost: h\r\nX-Request-ID: " + id + "\r\nX-Priority-Class: once\r\n" +
+               more + "Content-Length: 2\r\n\r\nhi";
+    }
+    static std::string done(const std::string& id, const std::string& result) {
+        return net::http::write_answer(
+            200, {}, R"({"id":")" + id + R"(","state":"done","result":")" + result + "\"}\n");
+    }
+    template <class Done> bool settle(Done done) { return testing::settle(loop, done); }
+    void wait(net::Duration span) {
+        const net::Time start = loop.now();
+        settle([&] { return loop.now() - start > span; });
+    }
+    bool worker_has(std::size_t peer, std::string_view text) {
+        return settle([&] { return worker.peers.size() > peer && worker.peers[peer]->has(text); });
+    }
+
+    const config::Settings settings;
+    net::Loop loop;
+    Listener worker{loop}, discovery{loop};
+    inventory::List list;
+    relay::Pool pool;
+    inventory::Watch watch;
+    core::Host host;
+    north::Front front;
+};
+
+// An address at which connections never come up: its queue is full and nobody takes from it.
+struct Deaf {
+    Deaf()
+        : listener(net::listen_on(*net::Endpoint::parse("127.0.0.1:0"))),
+          address(net::local_address(listener)) {
+        ::listen(listener.get(), 0);
+        for (net::Fd& fd : queued)
+            fd = net::connect_to(address);
+    }
+    net::Fd listener;
+    const net::Endpoint address;
+    std::array<net::Fd, 4> queued;
+};
+
+} // namespace willowrill::testing
