Pause before asking a discovery again that has turned a call away beside a silent one

Followed in the log: the calls beside the silent watch were made every 0.1 s by each of six schedulers, each answered with 503 after waiting its turn, for 3.5 s on end, and discovery had no time for any list. Ruled out: the sum of the watch's times, which held. At fault: WatchTimes::again, half of the grace, and Watch::failed, which left that timer running. Now a call beside the silent one has a second, and one that was turned away is followed after the same pause as any failed call, 0.25 to 1 s. Where lists are pushed, a broken watch is opened anew after half of the grace as before: its agent serves one scheduler. The log tells of a silence once. The test of the sums holds for all settings as before; its line on the pause now looks at the one that is bound to the grace.

--- a/src/inventory/watch.cpp
+++ b/src/inventory/watch.cpp
@@ -1,8 +1,11 @@
 #include "inventory/watch.h"
 
+#include "learn/back_off.h"
+
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace willowrill::inventory {
 
@@ -92,7 +95,7 @@
 // Between three quarters of the longest and all of it: news reach all schedulers at one moment, so that their
 // calls begin together and would all end together ever after.
 net::Duration Watch::next_hold() {
-    const double part = 0.75 + 0.25 * static_cast<double>(random_()) / 4294967296.0;
+    const double part = 0.75 + 0.25 * chance();
     return std::chrono::milliseconds(static_cast<std::int64_t>(
         part *
         static_cast<double>(std::chrono::duration_cast<std::chrono::milliseconds>(times_.hold).count())));
@@ -120,7 +123,7 @@
 // answered at once.
 void Watch::silent() {
     if (calls_.size() >= most_calls) return silence_.arm(loop_.now() + times_.again);
-    if (calls_.size() == 1) {
+    if (!std::exchange(silent_, true)) {
         ++silences_;
         spdlog::warn("inventory: discovery is silent, and is asked beside the call that is out");
     }
@@ -144,7 +147,8 @@
     if (call.answer().head().status != 200) return failed(call, "an answer other than 200");
     auto news = list_.read(call.answer().body());
     if (!news) return failed(call, "an answer that is no list");
-    moved_ = false;
+    moved_ = silent_ = false;
+    failures_ = 0;
     silence_.disarm();
     while (calls_.size() > 1) // what the others may still say is no newer
         drop(calls_.front().get() == &call ? *calls_.back() : *calls_.front());
@@ -158,9 +162,10 @@
 // told just once for all of them.
 void Watch::failed(Call& call, const char* why) {
     drop(call);
-    if (!calls_.empty()) return;
+    // Asked at once, an overloaded discovery would stay so for as long as its callers are many.
+    if (!calls_.empty()) return silence_.arm(loop_.now() + learn::back_off_after(failures_++, chance()));
     silence_.disarm();
-    watching_ = false;
+    watching_ = silent_ = false;
     spdlog::warn("inventory: a call to discovery failed: {}", why);
     news_({willowrill::ListNews::Kind::broken, {}});
 }
--- a/src/inventory/watch.h
+++ b/src/inventory/watch.h
@@ -44,6 +44,7 @@
     void drop(Call& call);
     void hang_up();
     net::Duration next_hold();
+    double chance() { return static_cast<double>(random_()) / 4294967296.0; } // from 0 to 1
 
     net::Loop& loop_;
     net::Endpoint discovery_;
@@ -54,7 +55,9 @@
     std::vector<std::shared_ptr<Call>> calls_; // the oldest first, `most_calls` at the most
     net::Timer silence_;                       // the last call has had its time, or another may go out
     bool watching_ = false;
-    bool moved_ = false; // and has not yet given its list there
+    bool moved_ = false;  // and has not yet given its list there
+    bool silent_ = false; // since the last answer
+    int failures_ = 0;    // in a row, of calls made beside a silent one
     std::uint64_t silences_ = 0;
 };
 
--- a/src/inventory/watch_times.h
+++ b/src/inventory/watch_times.h
@@ -20,9 +20,10 @@
     Duration hold{0};       // the longest wait that a call asks for
     Duration late{0};       // after its hold; then discovery is asked beside it, with no hold
     Duration late_whole{0}; // the same for a whole list, which is dear: all may want it at once
-    Duration again{0}; // between such calls, and from a call that failed to the next where lists are pushed
-    Duration open{0};  // the longest that a connection may take to come up
-    Duration lost{0};  // the longest that a call which was sent may take beyond its hold
+    Duration again{0};      // between such calls, while none has failed: discovery may make its callers wait
+    Duration reopen{0};     // from a call that failed to the next where lists are pushed
+    Duration open{0};       // the longest that a connection may take to come up
+    Duration lost{0};       // the longest that a call which was sent may take beyond its hold
 
     // From the moment a watch falls silent, at the worst just as its call began, to the answer of the
     // `tries`-th call made after it, if that answer takes `answer`.
@@ -40,8 +41,8 @@
     // The same where calls were not refused but lost: all that may be out at once were sent just before.
     Duration heard_after_loss(Duration answer, Duration tick) const { return lost + again + answer + tick; }
     // Where lists are pushed, what the agent has counts at once, and a broken watch is opened anew after
-    // `again`; for the answer and the batch, what is left of the drain's grace.
-    Duration heard_from_agent(Duration answer, Duration tick) const { return again + answer + tick; }
+    // `reopen`; for the answer and the batch, what is left of the drain's grace.
+    Duration heard_from_agent(Duration answer, Duration tick) const { return reopen + answer + tick; }
     // By then nothing more may be sent to a worker that began to drain in the silence.
     Duration allowed(Duration drain_grace) const {
         return std::max(told_after, hold + told_after_hold) + drain_grace;
@@ -56,7 +57,8 @@
     using namespace std::chrono_literals;
     WatchTimes out;
     out.late = 500ms;
-    out.again = std::clamp<Duration>(drain_grace / 2, 10ms, 500ms);
+    out.again = 1s;
+    out.reopen = std::clamp<Duration>(drain_grace / 2, 10ms, 500ms);
     out.late_whole = 1500ms;
     out.open = 1s;
     out.lost = 4s; // discovery may make its callers wait, and one that gives up and asks anew lengthens that
--- a/src/learn/books.h
+++ b/src/learn/books.h
@@ -2,6 +2,7 @@
 // books: they keep what they are told and what follows from it by sums, and know neither rules nor time.
 #pragma once
 
+#include "learn/back_off.h"
 #include "learn/learn.h"
 
 #include <willowrill/dispatcher.h>
@@ -194,16 +195,6 @@
 // chance, as all dispatchers may start at once; they recur often enough for the list to stay valid.
 class Subscription {
   public:
-    // The longest pause after a failed call, whatever has failed before: see `inventory::WatchTimes` for the
-    // sum that it is a part of.
-    static constexpr Time longest_back_off = std::chrono::seconds(1);
-    // The pause after so many failures in a row, twice as long each time; `chance`, from 0 to 1, takes up to
-    // half of it away, so that a whole fleet does not come back at one moment.
-    static Time back_off_after(int failures, Time valid, double chance) {
-        const Time longest = std::min(longest_back_off, valid / 2);
-        const double doubled = std::ldexp(0.5, std::min(failures, most_doubled));
-        return from_seconds(std::min(seconds(longest), doubled) * (1 - chance / 2));
-    }
     void told(bool broken, bool remembered) {
         failed_ = failed_ || broken;
         asked_ = asked_ && !broken; // what still comes of the one that broke is no sign of a new one
@@ -215,7 +206,7 @@
         if (watching_) failures_ = 0;
         if (std::exchange(failed_, false)) {
             watching_ = false;
-            ask_at_ = now + back_off_after(failures_++, valid, chance());
+            ask_at_ = now + std::min(valid / 2, back_off_after(failures_++, chance()));
         }
         if (watching_ || now < ask_at_) return false;
         ask_at_ = now + valid / 2;
@@ -224,7 +215,6 @@
     std::optional<Time> next() const { return watching_ ? std::nullopt : std::optional(ask_at_); }
 
   private:
-    static constexpr int most_doubled = 16; // the bound is reached long before
     bool watching_ = false, failed_ = false, asked_ = true;
     int failures_ = 0;
     Time ask_at_{-1};
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -155,7 +155,7 @@
         const bool broken = news.kind == willowrill::ListNews::Kind::broken;
         if (!broken) fresh_.disarm();
         if (broken && !settings_.decisions.list_on_request)
-            watch_again_.arm(loop_.now() + watch_times_.again);
+            watch_again_.arm(loop_.now() + watch_times_.reopen);
         if (!news.entries.empty())
             spdlog::info("inventory: version {} with {} entries", list_.version(), news.entries.size());
         log_entries(news);
--- a/tests/ordering_test.cpp
+++ b/tests/ordering_test.cpp
@@ -177,7 +177,6 @@
 // After a long outage the next call came up to 7.5 s after the last, where 6 s count as told.
 TEST_CASE("asking for the list again after an outage: bounded for one, and not all at one moment") {
     learn::Subscription list;
-    const auto longest = learn::Subscription::longest_back_off;
     net::Time now = 1s;
     for (int failures = 0; failures < 20; ++failures) {
         CAPTURE(failures);
@@ -185,15 +184,34 @@
         list.told(true, false);
         CHECK_FALSE(list.due(now, 10s, [] { return 0.0; }));
         REQUIRE(list.next());
-        CHECK(*list.next() - now <= longest);
+        CHECK(*list.next() - now <= learn::longest_back_off);
         now = *list.next();
     }
-    CHECK(learn::Subscription::back_off_after(20, 10s, 0) == longest);
-    CHECK(learn::Subscription::back_off_after(20, 10s, 1) == longest / 2);
+    CHECK(learn::back_off_after(20, 0) == learn::longest_back_off);
+    CHECK(learn::back_off_after(20, 1) == learn::longest_back_off / 2);
+}
+
+// With a short grace for drains it was asked every 0.1 s by each of its callers, which kept it overloaded.
+TEST_CASE("discovery that turns a call away beside a silent one is given a pause, and told of once") {
+    Rig rig;
+    inventory::WatchTimes times = inventory::watch_times(10s, 200ms);
+    times.hold = times.late = 4ms;
+    inventory::Watch watch(rig.loop, rig.discovery.address, times, 1, rig.list, [](const auto&) {});
+    watch.watch(true);
+    for (std::size_t call = 1; call <= 2; ++call) { // call 0 is the silent one
+        REQUIRE(rig.settle([&] {
+            return rig.discovery.peers.size() > call && rig.discovery.peers[call]->has("hold_ms=1 ");
+        }));
+        const net::Time refused = rig.loop.now();
+        rig.discovery.peers[call]->connection.write(net::http::write_answer(503, {}, ""));
+        REQUIRE(rig.settle([&] { return rig.discovery.peers.size() > call + 1; }));
+        CHECK(rig.loop.now() - refused >= learn::first_back_off / 2);
+    }
+    CHECK(watch.silences() == 1);
 }
 
 TEST_CASE("what discovery has at its return is heard before it counts as told, for all settings") {
-    const auto back_off = learn::Subscription::longest_back_off;
+    const auto back_off = learn::longest_back_off;
     for (const auto valid : {1s, 2s, 10s, 60s}) {
         for (const auto grace : {50ms, 300ms, 1000ms, 5000ms}) {
             const inventory::WatchTimes times = inventory::watch_times(valid, grace);
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -70,7 +70,7 @@
         for (const auto grace : {50ms, 300ms, 1000ms, 5000ms}) {
             const inventory::WatchTimes times = inventory::watch_times(valid, grace);
             CHECK(times.hold > 0ns);
-            CHECK(times.again <= std::max<net::Duration>(grace, 50ms));
+            CHECK(times.reopen <= grace);
             // Two calls, the first of them lost as well, each with a second for its answer.
             CHECK(times.heard_by(2, times.open + 1s) <= times.allowed(grace));
         }
