--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -1,6 +1,9 @@
 // The laboratory's command line.
+#include "lab/capacity_command.h"
 #include "lab/counts_experiment.h"
+#include "lab/csv.h"
 #include "lab/live_experiment.h"
+#include "lab/scale_command.h"
 #include "lab/spread_command.h"
 
 #include <CLI/CLI.hpp>
@@ -89,29 +92,6 @@
 
 // ------------------------------------------------------------------------------------------------ plots
 
-using Row = std::map<std::string, std::string>;
-
-std::vector<Row> read_csv(const std::string& file) {
-    std::ifstream in(file);
-    std::vector<Row> rows;
-    std::vector<std::string> head;
-    for (std::string line; std::getline(in, line);) {
-        std::vector<std::string> cells;
-        std::stringstream parts(line);
-        for (std::string cell; std::getline(parts, cell, ',');)
-            cells.push_back(cell);
-        if (head.empty()) {
-            head = cells;
-            continue;
-        }
-        Row row;
-        for (std::size_t i = 0; i < std::min(head.size(), cells.size()); ++i)
-            row[head[i]] = cells[i];
-        rows.push_back(std::move(row));
-    }
-    return rows;
-}
-
 double median(std::vector<double> values) {
     std::ranges::sort(values);
     return values.empty() ? 0 : values[values.size() / 2];
@@ -119,7 +99,7 @@
 
 // One curve a way, over the number of instances, at one number of tenants; each point the median over the
 // seeds.
-std::string script(const std::vector<Row>& rows, const std::string& figure, const std::string& title,
+std::string script(const std::vector<CsvRow>& rows, const std::string& figure, const std::string& title,
                    const std::string& unit, double scale, double least, const std::string& tenants,
                    const std::string& file) {
     const std::vector<std::pair<std::string, std::string>> ways{{"push-all", "full state to all"},
@@ -136,7 +116,7 @@
     std::ostringstream curves;
     for (const auto& [way, label] : ways) {
         std::map<double, std::vector<double>> points;
-        for (const Row& row : rows) {
+        for (const CsvRow& row : rows) {
             if (row.at("way") == way && row.at("tenants") == tenants)
                 points[std::stod(row.at("instances"))].push_back(std::stod(row.at(figure)) * scale);
         }
@@ -156,7 +136,7 @@
 }
 
 int plot(const std::string& csv, const std::string& folder, const std::string& tenants) {
-    const std::vector<Row> rows = read_csv(csv);
+    const std::vector<CsvRow> rows = read_csv(csv);
     if (rows.empty() || !rows.front().contains("agree_p99_ms")) {
         std::cerr << csv << " is no result of `willowrill-lab counts`\n";
         return 1;
@@ -166,14 +146,7 @@
                             "reset\n" +
                             script(rows, "agree_p99_ms", "Time until 99% of instances know", "ms", 1, 5,
                                    tenants, folder + "/counts-time.svg");
-    FILE* gnuplot = ::popen("gnuplot", "w");
-    if (gnuplot == nullptr) return 1;
-    std::fwrite(all.data(), 1, all.size(), gnuplot);
-    if (::pclose(gnuplot) != 0) {
-        std::cerr << "gnuplot has failed; is the package gnuplot-nox installed?\n";
-        return 1;
-    }
-    return 0;
+    return draw(all) ? 0 : 1;
 }
 
 int command_line(int count, char** arguments) {
@@ -238,7 +211,38 @@
     spread_command->add_option("--program", spread.program,
                                "willowrilld: real processes on loopback in place of virtual time");
     spread_command->add_option("--out", spread.out, "the table, CSV")->capture_default_str();
+    ScaleOptions scale;
+    CLI::App* scale_command = app.add_subcommand(
+        "scale", "what grows with the fleet: real schedulers beside hollow ones, on loopback");
+    scale_command->add_option("--program", scale.base.program, "willowrilld")->required();
+    scale_command->add_option("--schedulers", scale.schedulers, "sizes, beside --workers-held")
+        ->delimiter(',')
+        ->capture_default_str();
+    scale_command->add_option("--workers", scale.workers, "sizes, beside --schedulers-held")
+        ->delimiter(',')
+        ->capture_default_str();
+    scale_command->add_option("--schedulers-held", scale.schedulers_held, "while workers grow")
+        ->capture_default_str();
+    scale_command->add_option("--workers-held", scale.workers_held, "while schedulers grow")
+        ->capture_default_str();
+    scale_command->add_option("--real", scale.base.real, "schedulers that are processes of their own")
+        ->capture_default_str();
+    scale_command->add_option("--seeds", scale.seeds, "runs of each size, seeds 1 to this")
+        ->capture_default_str();
+    scale_command->add_option("--out", scale.out, "the table, CSV")->capture_default_str();
+    CapacityOptions capacity;
+    CLI::App* capacity_command =
+        app.add_subcommand("capacity", "slopes of such a table and what they come to, Markdown and SVG");
+    capacity_command->add_option("--in", capacity.in, "the table")->capture_default_str();
+    capacity_command->add_option("--out", capacity.folder, "the folder")->capture_default_str();
+    capacity_command->add_option("--schedulers", capacity.schedulers, "at which size")->capture_default_str();
+    capacity_command->add_option("--workers", capacity.workers, "at which size")->capture_default_str();
     CLI11_PARSE(app, count, arguments);
+    if (scale_command->parsed()) {
+        Progress progress;
+        return run(scale, [&](const std::string& at) { progress.say(at); });
+    }
+    if (capacity_command->parsed()) return run(capacity);
     if (spread_command->parsed()) {
         Progress progress;
         return run(spread, [&](const std::string& at) { progress.say(at); });
--- a/src/lab/process.h
+++ b/src/lab/process.h
@@ -24,6 +24,7 @@
     Process& operator=(const Process&) = delete;
 
     void signal(int signal);
+    pid_t pid() const { return pid_; }
     void read_log(bool on); // it is read as the loop runs, unless told otherwise
     // Its exit code once it has ended, 128 and the signal's number if it was killed.
     std::optional<int> ended();
--- a/src/lab/server.cpp
+++ b/src/lab/server.cpp
@@ -24,7 +24,9 @@
     }
     void read() {
         while (call_ == 0 && !connection_.input().empty()) {
-            connection_.consume(parser_.feed(connection_.input()));
+            const std::size_t used = parser_.feed(connection_.input());
+            server_.bytes_ += used;
+            connection_.consume(used);
             if (parser_.bad()) return gone();
             if (!parser_.done()) return;
             call_ = ++server_.last_;
@@ -66,6 +68,7 @@
     const auto found = waiting_.find(call);
     if (found == waiting_.end()) return;
     Caller* const caller = found->second;
+    bytes_ += bytes.size();
     waiting_.erase(found);
     caller->answer(std::move(bytes));
 }
--- a/src/lab/server.h
+++ b/src/lab/server.h
@@ -25,7 +25,9 @@
     Server(net::Loop& loop, Handler handler);
     ~Server() override;
     net::Endpoint address() const { return net::local_address(listener_); }
-    void answer(Call call, std::string bytes); // nothing, if its caller is gone
+    void answer(Call call, std::string bytes);       // nothing, if its caller is gone
+    std::uint64_t requests() const { return last_; } // whole ones, since the start
+    std::uint64_t bytes() const { return bytes_; }   // of requests read and of answers
 
   private:
     class Caller;
@@ -35,6 +37,7 @@
     Handler handler_;
     net::Fd listener_;
     Call last_ = 0;
+    std::uint64_t bytes_ = 0;
     std::list<std::shared_ptr<Caller>> callers_;
     std::map<Call, Caller*> waiting_;
 };
