Ask for the list early in a new life, as old changes count as told from its start

Followed in the logs: 75 schedulers of the lost zone start anew at 27.2 s with the list of their former lives, and first ask for it up to 1.25 s later; what has changed since counts from their start, with a grace of 1 s. Ruled out: silence and failed calls (no such line in any log). At fault: learn::Subscription::due, whose first call was spread over an eighth of the list's validity; it is spread over half of the grace at the most now.

--- a/src/learn/books.h
+++ b/src/learn/books.h
@@ -200,9 +200,11 @@
         asked_ = asked_ && !broken; // what still comes of the one that broke is no sign of a new one
         if (!broken && asked_) watching_ = watching_ || !remembered;
     }
-    // Whether to ask now; `chance` gives a number from 0 to 1 when it is needed.
-    template <class Chance> bool due(Time now, Time valid, Chance chance) {
-        if (ask_at_ < Time(0)) ask_at_ = now + from_seconds(chance() * seconds(valid) / 8);
+    // Whether to ask now; `chance` gives a number from 0 to 1 when it is needed. A new life may remember a
+    // list so old that its changes count as told from the first moment: its first call leaves half of the
+    // grace for drains to its answer.
+    template <class Chance> bool due(Time now, Time valid, Time drain_grace, Chance chance) {
+        if (ask_at_ < Time(0)) ask_at_ = now + from_seconds(chance() * first_spread(valid, drain_grace));
         if (watching_) failures_ = 0;
         if (std::exchange(failed_, false)) {
             watching_ = false;
@@ -215,6 +217,10 @@
     std::optional<Time> next() const { return watching_ ? std::nullopt : std::optional(ask_at_); }
 
   private:
+    static double first_spread(Time valid, Time drain_grace) {
+        return drain_grace > Time(0) ? std::min(seconds(valid) / 8, seconds(drain_grace) / 2)
+                                     : seconds(valid) / 8;
+    }
     bool watching_ = false, failed_ = false, asked_ = true;
     int failures_ = 0;
     Time ask_at_{-1};
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -636,7 +636,7 @@
 
     void keep_list() {
         if (!settings.list_on_request) return;
-        if (list.due(now, settings.list_valid, [&] { return uniform(); }))
+        if (list.due(now, settings.list_valid, settings.drain_grace, [&] { return uniform(); }))
             actions->emplace_back(WatchList{true});
         wake_by = std::min(wake_by, list.next().value_or(wake_by));
     }
--- a/tests/ordering_test.cpp
+++ b/tests/ordering_test.cpp
@@ -197,9 +197,9 @@
     net::Time now = 1s;
     for (int failures = 0; failures < 20; ++failures) {
         CAPTURE(failures);
-        REQUIRE(list.due(now, 10s, [] { return 0.0; }));
+        REQUIRE(list.due(now, 10s, 1s, [] { return 0.0; }));
         list.told(true, false);
-        CHECK_FALSE(list.due(now, 10s, [] { return 0.0; }));
+        CHECK_FALSE(list.due(now, 10s, 1s, [] { return 0.0; }));
         REQUIRE(list.next());
         CHECK(*list.next() - now <= learn::longest_back_off);
         now = *list.next();
@@ -208,6 +208,18 @@
     CHECK(learn::back_off_after(20, 1) == learn::longest_back_off / 2);
 }
 
+// Its first call came up to 1.25 s after its start, where the changes since its former life count from there
+// on.
+TEST_CASE("a new life with a remembered list asks for it early in the grace for drains") {
+    for (const auto grace : {50ms, 300ms, 1000ms}) {
+        learn::Subscription list;
+        const auto last = [] { return 1.0; };
+        list.told(false, true); // the list of its former life
+        CHECK_FALSE(list.due(1s, 10s, grace, last));
+        CHECK(list.due(1s + grace / 2 + 1ms, 10s, grace, last));
+    }
+}
+
 // With a short grace for drains it was asked every 0.1 s by each of its callers, which kept it overloaded.
 TEST_CASE("discovery that turns a call away beside a silent one is given a pause, and told of once") {
     Rig rig;
