Take no client in on a remembered list before discovery has said what is newer

At fault: Program::run, which served on the remembered list at once. Now it accepts when discovery has answered or a call to it has failed, 5 s after its start at the latest; the first call of a life asks for no wait. A test with the real process and a discovery that is slow to answer fails without the mend.

--- a/src/inventory/watch.cpp
+++ b/src/inventory/watch.cpp
@@ -81,7 +81,7 @@
 
 void Watch::watch(bool active) {
     watching_ = active;
-    if (active && calls_.empty()) ask(add(), next_hold());
+    if (active && calls_.empty()) ask(add(), heard_ ? next_hold() : 0ns);
     if (!active) hang_up();
 }
 
@@ -147,6 +147,7 @@
     if (call.answer().head().status != 200) return failed(call, "an answer other than 200");
     auto news = list_.read(call.answer().body());
     if (!news) return failed(call, "an answer that is no list");
+    heard_ = true;
     moved_ = silent_ = false;
     failures_ = 0;
     silence_.disarm();
--- a/src/inventory/watch.h
+++ b/src/inventory/watch.h
@@ -56,6 +56,7 @@
     net::Timer silence_;                       // the last call has had its time, or another may go out
     bool watching_ = false;
     bool moved_ = false;  // and has not yet given its list there
+    bool heard_ = false;  // an answer has come in this life: before, the first one is wanted at once
     bool silent_ = false; // since the last answer
     int failures_ = 0;    // in a row, of calls made beside a silent one
     std::uint64_t silences_ = 0;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -45,6 +45,8 @@
 // a yes.
 constexpr auto handover_time = 1s;
 constexpr auto fresh_time = 2s;
+// A start without a predecessor: the longest wait for discovery's first word, which comes or fails sooner.
+constexpr auto confirm_time = 5s;
 
 class Program final : private mgmt::Service, private upgrade::Succession::Run {
   public:
@@ -99,8 +101,12 @@
         if (succession_.shared()) {
             share_limits();
             fresh_.arm(loop_.now() + fresh_time);
-        } else {
+        } else if (list_.empty()) {
             serve();
+        } else {
+            // What has changed since its former life counts as told. So no client is taken in on the
+            // remembered list until discovery has said what is newer, or cannot.
+            fresh_.arm(loop_.now() + confirm_time);
         }
         host_.batch(loop_.now()); // the module asks for the list
         loop_.run();
@@ -153,7 +159,7 @@
     void on_list(willowrill::ListNews news) {
         // Where the module counts on news that come by themselves, it will not ask again.
         const bool broken = news.kind == willowrill::ListNews::Kind::broken;
-        if (!broken) fresh_.disarm();
+        if (!broken || !succession_.shared()) fresh_.disarm();
         if (broken && !settings_.decisions.list_on_request)
             watch_again_.arm(loop_.now() + watch_times_.reopen);
         if (!news.entries.empty())
--- /dev/null
+++ b/tests/lab/start_test.cpp
@@ -0,0 +1,83 @@
+// A scheduler that starts with the list of its former life: real process, discovery and workers of the test.
+#include "lab/folder.h"
+#include "lab/process.h"
+#include "lab/scale/hollow.h"
+#include "lab/server.h"
+#include "sockets.h"
+
+#include <doctest/doctest.h>
+
+#include <fstream>
+#include <optional>
+
+namespace willowrill::lab {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::settle;
+
+std::string list_of(int version, const net::Endpoint& worker, const char* state) {
+    return "{\"version\":" + std::to_string(version) + R"(,"full":true,"servers":[{"id":"w","addr":")" +
+           worker.text() + R"(","zone":"z0","kind":"small","cell":0,"state":")" + state + R"("}]})";
+}
+
+// The program, with a remembered list of one worker, and a discovery that answers when the test wants it.
+struct Started {
+    explicit Started(const net::Endpoint& asked) {
+        std::string config = scale::scheduler_config(0, 1, 1, asked);
+        config.insert(config.find("\"settings\""), "\"known\":" + list_of(1, worker.address(), "up") + ",");
+        std::ofstream(folder.path + "/config") << config;
+        process.emplace(loop, std::vector<std::string>{WILLOWRILLD},
+                        std::vector<std::pair<std::string, std::string>>{
+                            {"PROXY_CONFIG", folder.path + "/config"}, {"TMPDIR", ""}});
+        REQUIRE(settle(loop, [&] { return process->address_after("serves on ").has_value(); }));
+        client = testing::call(loop, *process->address_after("serves on "));
+        client->connection.write("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    Started() : Started(*net::Endpoint::parse("127.0.0.1:1")) {}
+
+    const Folder folder;
+    net::Loop loop;
+    std::size_t jobs = 0; // that have reached the worker; probes are none
+    Server worker{loop, {[this](Server::Call, const net::http::Head& head, const std::string&) {
+                      jobs += head.method == "POST" ? 1 : 0;
+                  }}};
+    std::optional<Process> process;
+    std::unique_ptr<testing::Peer> client;
+};
+
+} // namespace
+
+// It served on its remembered list until it had asked: to workers that had gone while it was away.
+TEST_CASE("a start takes no client in on a remembered list before discovery has said what is newer") {
+    net::Loop discovery_loop;
+    std::optional<Server::Call> asked;
+    std::string target;
+    Server discovery(discovery_loop,
+                     {[&](Server::Call call, const net::http::Head& head, const std::string&) {
+                         asked = call;
+                         target = head.target;
+                     }});
+    Started at(discovery.address());
+    REQUIRE(settle(discovery_loop, [&] { return asked.has_value(); }));
+    CHECK(target.find("from=1&hold_ms=1") != std::string::npos); // what is newer, and no wait
+    at.loop.run_once(0ms);
+    CHECK(at.client->got.empty());
+    discovery.answer(*asked, net::http::write_answer(200, {}, list_of(2, at.worker.address(), "draining")));
+    REQUIRE(
+        settle(discovery_loop, [&] { return !at.client->got.empty() || (at.loop.run_once(1ms), false); }));
+    CHECK(at.client->has("HTTP/1.1 200 "));
+    at.client->got.clear();
+    at.client->connection.write(
+        "POST /api HTTP/1.1\r\nHost: h\r\nX-Request-ID: a\r\nX-Priority-Class: job\r\n"
+        "X-Timeout-Ms: 300\r\nContent-Length: 2\r\n\r\nhi");
+    CHECK(settle(at.loop, [&] { return at.client->has("HTTP/1.1 503 "); }));
+    CHECK(at.jobs == 0);
+}
+
+TEST_CASE("a start whose discovery cannot be reached serves on what it remembers") {
+    Started at;
+    CHECK(settle(at.loop, [&] { return at.client->has("HTTP/1.1 200 "); }));
+}
+
+} // namespace willowrill::lab
