Hold jobs, not clients, until discovery has confirmed a remembered list

Now clients are taken in at once, and it is the module that does not hear of the remembered list before discovery has answered, failed, or let 5 s pass; jobs wait there by their own times, and /ready says no until then.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -45,7 +45,7 @@
 // a yes.
 constexpr auto handover_time = 1s;
 constexpr auto fresh_time = 2s;
-// A start without a predecessor: the longest wait for discovery's first word, which comes or fails sooner.
+// The longest wait for discovery's first word on a remembered list; as a rule it comes or fails sooner.
 constexpr auto confirm_time = 5s;
 
 class Program final : private mgmt::Service, private upgrade::Succession::Run {
@@ -63,11 +63,12 @@
                  [this](auto news) { on_list(std::move(news)); }),
           host_(settings_.decisions, settings_.max_open, config::message_memory(settings_), pool_, watch_),
           front_(
-              loop_, settings_, host_, per_side(settings_), [this] { return !list_.empty(); },
+              loop_, settings_, host_, per_side(settings_), [this] { return knows_workers(); },
               inheritance ? std::move(inheritance->listener) : net::Fd()),
           next_batch_(loop_.wheel(), [] {}), watch_again_(loop_.wheel(), [this] { watch_.watch(true); }),
           leave_(loop_.wheel(), [this] { front_.leave(end_); }),
           finish_(loop_.wheel(), [this] { front_.finish(); }), fresh_(loop_.wheel(), [] {}),
+          confirm_(loop_.wheel(), [this] { use_remembered(); }),
           signals_(loop_, {SIGTERM, SIGINT, SIGUSR1, SIGHUP}, [this](int signal) { on_signal(signal); }),
           succession_(loop_, std::move(door), std::move(inheritance), *this) {
         pool_.set_host(host_);
@@ -80,7 +81,7 @@
             if (auto news = list_.read(settings_.known)) {
                 news->kind = willowrill::ListNews::Kind::remembered;
                 log_entries(*news);
-                host_.list_news(std::move(*news));
+                remembered_ = std::move(news);
             } else {
                 spdlog::warn("inventory: the remembered list is no list; starting without it");
             }
@@ -101,13 +102,10 @@
         if (succession_.shared()) {
             share_limits();
             fresh_.arm(loop_.now() + fresh_time);
-        } else if (list_.empty()) {
-            serve();
         } else {
-            // What has changed since its former life counts as told. So no client is taken in on the
-            // remembered list until discovery has said what is newer, or cannot.
-            fresh_.arm(loop_.now() + confirm_time);
+            serve();
         }
+        if (remembered_) confirm_.arm(loop_.now() + confirm_time);
         host_.batch(loop_.now()); // the module asks for the list
         loop_.run();
         print_counters();
@@ -156,10 +154,18 @@
         if (serving_ && !stopping_) front_.accept(!serves);
     }
 
+    // What has changed since the former life counts as told from the first moment. So the module does not
+    // hear of the remembered list, and jobs wait, until discovery has said what is newer, or cannot.
+    void use_remembered() {
+        confirm_.disarm();
+        if (remembered_) host_.list_news(*std::exchange(remembered_, std::nullopt));
+    }
+
     void on_list(willowrill::ListNews news) {
         // Where the module counts on news that come by themselves, it will not ask again.
         const bool broken = news.kind == willowrill::ListNews::Kind::broken;
-        if (!broken || !succession_.shared()) fresh_.disarm();
+        if (!broken) fresh_.disarm();
+        use_remembered();
         if (broken && !settings_.decisions.list_on_request)
             watch_again_.arm(loop_.now() + watch_times_.reopen);
         if (!news.entries.empty())
@@ -267,7 +273,8 @@
         finish_.arm(std::max(end_, loop_.now() + accept_time));
     }
 
-    bool can_serve() const override { return serving_ && !list_.empty() && !stopping_; }
+    bool knows_workers() const { return !list_.empty() && !remembered_; }
+    bool can_serve() const override { return serving_ && knows_workers() && !stopping_; }
     void lame_duck(bool on) override { front_.lame_duck(on); }
     std::optional<Report> report(std::string_view path) const override {
         if (path == "/_counts") return Report{"application/json", fleet_ ? fleet_->counts_json() : ""};
@@ -336,8 +343,9 @@
     inventory::Watch watch_;
     core::Host host_;
     north::Front front_;
-    net::Timer next_batch_, watch_again_, leave_, finish_, fresh_;
-    net::Time end_{0}; // of what is taken in late
+    net::Timer next_batch_, watch_again_, leave_, finish_, fresh_, confirm_;
+    std::optional<willowrill::ListNews> remembered_; // until discovery's first word
+    net::Time end_{0};                               // of what is taken in late
     net::Signals signals_;
     upgrade::Succession succession_;
     std::optional<fleet::Fleet> fleet_;
