Rename the package mgmt to admin, and its desk to server

The old house words are withdrawn. No change of behaviour: the setting mgmt, PROXY_MGMT and the log's line keep their names, as operators and the platform read them.

--- a/src/mgmt/figures.cpp
+++ b/src/admin/figures.cpp
@@ -1,9 +1,9 @@
-#include "mgmt/figures.h"
+#include "admin/figures.h"
 
 #include <string_view>
 #include <utility>
 
-namespace willowrill::mgmt {
+namespace willowrill::admin {
 namespace {
 
 std::string label(std::string_view value) {
@@ -47,4 +47,4 @@
     return out;
 }
 
-} // namespace willowrill::mgmt
+} // namespace willowrill::admin
--- a/src/mgmt/figures.h
+++ b/src/admin/figures.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-namespace willowrill::mgmt {
+namespace willowrill::admin {
 
 struct ClassFigures {
     std::string name;
@@ -20,4 +20,4 @@
 
 std::string to_text(const Figures& figures); // in the Prometheus text format
 
-} // namespace willowrill::mgmt
+} // namespace willowrill::admin
--- a/src/mgmt/desk.cpp
+++ b/src/admin/server.cpp
@@ -1,4 +1,4 @@
-#include "mgmt/desk.h"
+#include "admin/server.h"
 
 #include "net/connection.h"
 #include "net/http.h"
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <utility>
 
-namespace willowrill::mgmt {
+namespace willowrill::admin {
 namespace {
 
 using namespace std::chrono_literals;
@@ -22,13 +22,13 @@
 
 } // namespace
 
-class Desk::Call final : public net::Connection::Owner {
+class Server::Call final : public net::Connection::Owner {
   public:
-    Call(Desk& desk, net::Fd fd)
-        : desk_(desk),
-          connection_(desk.loop_, *this, std::move(fd), net::Connection::State::open, net::http::read_ahead),
-          timer_(desk.loop_.wheel(), [this] { on_timer(); }) {
-        timer_.arm(desk.loop_.now() + call_time);
+    Call(Server& server, net::Fd fd)
+        : server_(server), connection_(server.loop_, *this, std::move(fd), net::Connection::State::open,
+                                       net::http::read_ahead),
+          timer_(server.loop_.wheel(), [this] { on_timer(); }) {
+        timer_.arm(server.loop_.now() + call_time);
     }
 
     void close() {
@@ -42,20 +42,20 @@
         if (answered_) return;
         connection_.consume(parser_.feed(connection_.input()));
         if (!parser_.bad() && !parser_.done()) return;
-        ++desk_.counters_.calls;
+        ++server_.counters_.calls;
         parser_.done() ? on_call() : answer(parser_.error(), "not a request that can be read\n");
     }
-    void on_closed() override { desk_.drop(*this); }
+    void on_closed() override { server_.drop(*this); }
     void on_timer() {
-        if (!answered_) ++desk_.counters_.silent;
-        desk_.drop(*this);
+        if (!answered_) ++server_.counters_.silent;
+        server_.drop(*this);
     }
 
     void on_call() {
         const net::http::Head& head = parser_.head();
         if (head.minor >= 1 && head.find("host") == nullptr) return answer(400, "Host is missing\n");
         const std::string_view path = std::string_view(head.target).substr(0, head.target.find('?'));
-        const auto report = desk_.service_.report(path);
+        const auto report = server_.service_.report(path);
         const bool reads = report || path == "/_ready" || path == "/_vars";
         const bool on = path == "/_lameduck/on";
         if (!reads && !on && path != "/_lameduck/off") return answer(404, "no such call\n");
@@ -63,7 +63,7 @@
         if (head.method != method)
             return answer(405, "this call goes by " + method + "\n", {{"Allow", method}});
         if (path == "/_ready") {
-            const bool yes = desk_.service_.can_serve();
+            const bool yes = server_.service_.can_serve();
             return answer(yes ? 200 : 503, yes ? "ready\n" : "not ready\n");
         }
         if (report) {
@@ -71,40 +71,40 @@
             return answer(200, report->text, {{"Content-Type", std::string(report->type)}});
         }
         if (path == "/_vars") {
-            return answer(200, to_text(desk_.service_.figures()) + desk_.service_.further_figures(),
+            return answer(200, to_text(server_.service_.figures()) + server_.service_.further_figures(),
                           {{"Content-Type", "text/plain; version=0.0.4; charset=utf-8"}});
         }
         spdlog::info("mgmt: lame duck {}", on ? "on" : "off");
-        desk_.service_.lame_duck(on);
+        server_.service_.lame_duck(on);
         answer(200, on ? "sending clients away\n" : "serving again\n");
     }
 
     void answer(int status, std::string_view body, Fields fields = {}) {
         answered_ = true;
-        if (status >= 400 && status != 503) ++desk_.counters_.bad;
+        if (status >= 400 && status != 503) ++server_.counters_.bad;
         fields.emplace_back("Connection", "close");
         connection_.write(net::http::write_answer(status, fields, body));
-        timer_.arm(desk_.loop_.now() + linger_time);
+        timer_.arm(server_.loop_.now() + linger_time);
         connection_.close_when_sent();
     }
 
-    Desk& desk_;
+    Server& server_;
     net::Connection connection_;
     net::http::Parser parser_{net::http::Parser::Kind::request};
     net::Timer timer_;
     bool answered_ = false;
 };
 
-Desk::Desk(net::Loop& loop, const net::Endpoint& address, Service& service)
+Server::Server(net::Loop& loop, const net::Endpoint& address, Service& service)
     : loop_(loop), service_(service), listener_(net::listen_on(address)) {
     loop_.watch(listener_.get(), POLLIN, *this);
 }
 
-Desk::~Desk() { loop_.forget(listener_.get()); }
+Server::~Server() { loop_.forget(listener_.get()); }
 
 // Callers that say nothing must not keep the others out: the oldest gives way to a new one, those that have
 // their answer first.
-void Desk::on_ready(short) {
+void Server::on_ready(short) {
     for (int accepted = 0; accepted < accepts_a_round; ++accepted) {
         net::Fd fd = net::accept_from(listener_);
         if (!fd.valid()) return;
@@ -118,7 +118,7 @@
     }
 }
 
-void Desk::drop(Call& call) {
+void Server::drop(Call& call) {
     const auto found = std::ranges::find(calls_, &call, &std::shared_ptr<Call>::get);
     if (found == calls_.end()) return;
     call.close();
@@ -126,4 +126,4 @@
     calls_.erase(found);
 }
 
-} // namespace willowrill::mgmt
+} // namespace willowrill::admin
--- a/src/mgmt/desk.h
+++ b/src/admin/server.h
@@ -1,8 +1,8 @@
-// The second address, for operators alone: readiness, the figures and the drain switch. One call a
-// connection. It knows the rest of the program by `Service` only.
+// The admin server: a second address, for operators alone, with readiness, the figures and the drain switch.
+// One call a connection. It knows the rest of the program by `Service` only.
 #pragma once
 
-#include "mgmt/figures.h"
+#include "admin/figures.h"
 #include "net/loop.h"
 #include "net/socket.h"
 
@@ -13,7 +13,7 @@
 #include <string>
 #include <string_view>
 
-namespace willowrill::mgmt {
+namespace willowrill::admin {
 
 class Service {
   public:
@@ -31,20 +31,20 @@
     virtual std::string further_figures() const { return ""; } // behind the others at /_vars
 };
 
-struct DeskCounters {
+struct ServerCounters {
     std::uint64_t calls = 0, bad = 0, silent = 0, evicted = 0;
 };
 
-class Desk final : private net::Pollable {
+class Server final : private net::Pollable {
   public:
     // How many callers it holds at once; these descriptors are kept free of clients and workers.
     static constexpr std::size_t most_callers = 8;
 
-    Desk(net::Loop& loop, const net::Endpoint& address, Service& service);
-    ~Desk() override;
+    Server(net::Loop& loop, const net::Endpoint& address, Service& service);
+    ~Server() override;
 
     net::Endpoint address() const { return net::local_address(listener_); }
-    const DeskCounters& counters() const { return counters_; }
+    const ServerCounters& counters() const { return counters_; }
 
   private:
     class Call;
@@ -56,7 +56,7 @@
     Service& service_;
     net::Fd listener_;
     std::list<std::shared_ptr<Call>> calls_; // the oldest first
-    DeskCounters counters_;
+    ServerCounters counters_;
 };
 
-} // namespace willowrill::mgmt
+} // namespace willowrill::admin
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,11 +1,11 @@
 // The scheduler: reads what it is told, puts the parts together, and ends in good order.
+#include "admin/server.h"
 #include "config/settings.h"
 #include "core/host.h"
 #include "fleet/fleet.h"
 #include "inventory/list.h"
 #include "inventory/watch.h"
 #include "log/log.h"
-#include "mgmt/desk.h"
 #include "net/loop.h"
 #include "net/signals.h"
 #include "north/front.h"
@@ -48,7 +48,7 @@
 // The longest wait for discovery's first word on a remembered list; as a rule it comes or fails sooner.
 constexpr auto confirm_time = 5s;
 
-class Program final : private mgmt::Service, private upgrade::Succession::Run {
+class Program final : private admin::Service, private upgrade::Succession::Run {
   public:
     Program(config::Settings settings, site::Site at_site, std::optional<std::string> door,
             std::optional<upgrade::Inheritance> inheritance)
@@ -76,7 +76,7 @@
         // A former run at an upgrade still has the address among the instances.
         if (site_.mesh) fleet_.emplace(loop_, site_, settings_, succession_.shared());
         if (fleet_) host_.set_ledger(*fleet_);
-        if (settings_.mgmt) desk_.emplace(loop_, *settings_.mgmt, static_cast<mgmt::Service&>(*this));
+        if (settings_.mgmt) admin_.emplace(loop_, *settings_.mgmt, static_cast<admin::Service&>(*this));
         if (!settings_.known.empty()) {
             if (auto news = list_.read(settings_.known)) {
                 news->kind = willowrill::ListNews::Kind::remembered;
@@ -91,9 +91,9 @@
 
     void run() {
         loop_.at_round_end([this] { on_round_end(); });
-        if (desk_) {
-            log::event(spdlog::level::info, "mgmt.open", {{"address", desk_->address().text()}},
-                       "operators' calls at " + desk_->address().text());
+        if (admin_) {
+            log::event(spdlog::level::info, "mgmt.open", {{"address", admin_->address().text()}},
+                       "operators' calls at " + admin_->address().text());
         }
         for (const std::string& remark : settings_.remarks)
             spdlog::warn("settings: {}", remark);
@@ -282,12 +282,12 @@
         return std::nullopt;
     }
     std::string further_figures() const override { return fleet_ ? fleet_->figures() : ""; }
-    mgmt::Figures figures() const override {
-        mgmt::Figures out{.classes = {},
-                          .attempts = pool_.counters().written,
-                          .in_flight = host_.open(),
-                          .workers_known = list_.listed(),
-                          .workers_excluded = host_.workers_excluded(loop_.now())};
+    admin::Figures figures() const override {
+        admin::Figures out{.classes = {},
+                           .attempts = pool_.counters().written,
+                           .in_flight = host_.open(),
+                           .workers_known = list_.listed(),
+                           .workers_excluded = host_.workers_excluded(loop_.now())};
         const std::vector<core::Tally>& tallies = host_.tallies();
         for (std::size_t i = 0; i < tallies.size(); ++i) {
             out.classes.push_back(
@@ -323,10 +323,10 @@
                      pool.crowded_out);
         if (const std::uint64_t dropped = log::dropped_lines(); dropped > 0)
             spdlog::info("log: dropped {}", dropped);
-        if (desk_) {
-            const mgmt::DeskCounters& desk = desk_->counters();
-            spdlog::info("mgmt: calls {} bad {} silent {} evicted {}", desk.calls, desk.bad, desk.silent,
-                         desk.evicted);
+        if (admin_) {
+            const admin::ServerCounters& admin = admin_->counters();
+            spdlog::info("mgmt: calls {} bad {} silent {} evicted {}", admin.calls, admin.bad, admin.silent,
+                         admin.evicted);
         }
         spdlog::info("inventory: lists {} broken {} silences {} version {}; batches {}; reloads {}",
                      host.lists, host.lists_broken, watch_.silences(), list_.version(), host.batches,
@@ -349,7 +349,7 @@
     net::Signals signals_;
     upgrade::Succession succession_;
     std::optional<fleet::Fleet> fleet_;
-    std::optional<mgmt::Desk> desk_;
+    std::optional<admin::Server> admin_;
     bool serving_ = false, stopping_ = false, ending_ = false;
     std::uint64_t reloads_ = 0;
 };
