--- a/src/core/host.cpp
+++ b/src/core/host.cpp
@@ -26,11 +26,11 @@
 
 } // namespace
 
-Host::Host(willowrill::Settings settings, std::size_t max_open, std::size_t most_bytes, Relays& relays,
+Host::Host(willowrill::Settings settings, std::size_t max_open, std::size_t most_bytes, Upstream& upstream,
            Inventory& inventory)
     : dispatcher_(settings), tick_(settings.tick),
       stay_away_(settings.takes_advice ? settings.max_stay_away : Duration(0)), max_open_(max_open),
-      most_bytes_(most_bytes), relays_(relays), inventory_(inventory) {
+      most_bytes_(most_bytes), upstream_(upstream), inventory_(inventory) {
     for (const willowrill::JobClass& job_class : settings.classes)
         usual_.push_back(job_class.aim);
     tallies_.resize(settings.classes.size());
@@ -120,7 +120,7 @@
 void Host::withdraw_unsent(JobId job) {
     const std::vector<Attempt>& attempts = entries_[job].attempts;
     for (Index i = 0; i < attempts.size(); ++i) {
-        if (attempts[i].out) relays_.withdraw_unsent(job, i);
+        if (attempts[i].out) upstream_.withdraw_unsent(job, i);
     }
 }
 
@@ -275,7 +275,7 @@
                        const Time latest = entry.message.deadline;
                        const Time give_up =
                            send.time_out > Duration(0) ? std::min(latest, now + send.time_out) : latest;
-                       relays_.start(send.job, attempt, send.worker, give_up, send.begin_by, entry.message);
+                       upstream_.start(send.job, attempt, send.worker, give_up, send.begin_by, entry.message);
                    },
                    [&](const willowrill::Refuse& refuse) {
                        if (Client* client = close(refuse.job, End::refused)) {
@@ -292,9 +292,9 @@
                    [&](const willowrill::Cancel& cancel) {
                        if (!entries_[cancel.job].attempts[cancel.attempt].out) return;
                        ++counters_.cancelled;
-                       relays_.cancel(cancel.job, cancel.attempt);
+                       upstream_.cancel(cancel.job, cancel.attempt);
                    },
-                   [&](const willowrill::Probe& probe) { relays_.probe(probe.worker); },
+                   [&](const willowrill::Probe& probe) { upstream_.probe(probe.worker); },
                    [&](const willowrill::Wake& wake) { wake_ = wake_ ? std::min(*wake_, wake.at) : wake.at; },
                    [&](const willowrill::WatchList& watch) { inventory_.watch(watch.active); },
                },
--- a/src/core/host.h
+++ b/src/core/host.h
@@ -1,6 +1,6 @@
 // The life of a message. The host is the only caller of the decision module: it turns what the other parts
 // tell into the module's events, carries its actions out through them, and keeps count. It knows no protocol
-// and no sockets, so that a second north side can share it.
+// and no sockets, so that a second frontend can share it.
 #pragma once
 
 #include <willowrill/dispatcher.h>
@@ -23,7 +23,7 @@
 using willowrill::Time;
 using willowrill::WorkerId;
 
-// What a client asks for. The host reads none of the texts but the id; the relay passes them on.
+// What a client asks for. The host reads none of the texts but the id; the upstream connections pass them on.
 struct Message {
     std::string id{}, idempotency_key{}, method{}, target{}, body{};
     Index job_class = 0, tenant = willowrill::none;
@@ -45,9 +45,9 @@
 };
 
 // Carries the attempts. Each `start` is followed by one `Host::attempt_ended`, in or after the call.
-class Relays {
+class Upstream {
   public:
-    virtual ~Relays() = default;
+    virtual ~Upstream() = default;
     // `begin_by`: an attempt whose request could not be written by then ends as one that never ran. `message`
     // stays where it is until the attempt has ended.
     virtual void start(JobId job, Index attempt, WorkerId worker, Time give_up, Time begin_by,
@@ -100,7 +100,7 @@
 class Host {
   public:
     // `most_bytes` is for the messages held, with their copies on the way to a worker and back.
-    Host(willowrill::Settings settings, std::size_t max_open, std::size_t most_bytes, Relays& relays,
+    Host(willowrill::Settings settings, std::size_t max_open, std::size_t most_bytes, Upstream& upstream,
          Inventory& inventory);
 
     // False: the id is in use, or no message more can be held. The client must outlive the message or call
@@ -173,7 +173,7 @@
     Duration tick_, stay_away_;
     std::vector<Duration> usual_; // by class
     std::size_t max_open_, most_bytes_, bytes_ = 0;
-    Relays& relays_;
+    Upstream& upstream_;
     Inventory& inventory_;
     Neighbour* neighbour_ = nullptr;
     Ledger* ledger_ = nullptr;
--- a/src/north/arrival_times.h
+++ b/src/frontend/arrival_times.h
@@ -8,7 +8,7 @@
 #include <array>
 #include <cstddef>
 
-namespace willowrill::north {
+namespace willowrill::frontend {
 
 class ArrivalTimes {
   public:
@@ -51,4 +51,4 @@
     net::Time full_at_{0};
 };
 
-} // namespace willowrill::north
+} // namespace willowrill::frontend
--- a/src/north/front.cpp
+++ b/src/frontend/front.cpp
@@ -1,7 +1,7 @@
-#include "north/front.h"
+#include "frontend/front.h"
 
-#include "north/arrival_times.h"
-#include "north/request.h"
+#include "frontend/arrival_times.h"
+#include "frontend/request.h"
 
 #include <spdlog/spdlog.h>
 
@@ -11,7 +11,7 @@
 #include <cstdio>
 #include <vector>
 
-namespace willowrill::north {
+namespace willowrill::frontend {
 namespace {
 
 using namespace std::chrono_literals;
@@ -372,4 +372,4 @@
     each_client([this](ClientConnection& client) { client.idle() ? drop(client) : client.cut_short(); });
 }
 
-} // namespace willowrill::north
+} // namespace willowrill::frontend
--- a/src/north/front.h
+++ b/src/frontend/front.h
@@ -1,4 +1,5 @@
-// The north side: accepts the clients' connections, reads their requests and writes their answers.
+// The client side (downstream): accepts the clients' connections, reads their requests and writes their
+// answers.
 #pragma once
 
 #include "config/settings.h"
@@ -11,7 +12,7 @@
 #include <optional>
 #include <unordered_map>
 
-namespace willowrill::north {
+namespace willowrill::frontend {
 
 struct FrontCounters {
     std::uint64_t accepted = 0, requests = 0, ready_checks = 0, rejected = 0, stalled = 0, full = 0,
@@ -74,4 +75,4 @@
     FrontCounters counters_;
 };
 
-} // namespace willowrill::north
+} // namespace willowrill::frontend
--- a/src/north/request.cpp
+++ b/src/frontend/request.cpp
@@ -1,11 +1,11 @@
-#include "north/request.h"
+#include "frontend/request.h"
 
 #include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <optional>
 
-namespace willowrill::north {
+namespace willowrill::frontend {
 namespace {
 
 using namespace std::chrono_literals;
@@ -107,4 +107,4 @@
     return true;
 }
 
-} // namespace willowrill::north
+} // namespace willowrill::frontend
--- a/src/north/request.h
+++ b/src/frontend/request.h
@@ -8,7 +8,7 @@
 
 #include <string>
 
-namespace willowrill::north {
+namespace willowrill::frontend {
 
 struct Rejection {
     int status = 400;
@@ -19,4 +19,4 @@
 bool read_message(net::http::Parser& request, const config::Settings& settings, net::Time now,
                   core::Message& message, Rejection& rejection);
 
-} // namespace willowrill::north
+} // namespace willowrill::frontend
--- a/src/lab/scale/hollow.h
+++ b/src/lab/scale/hollow.h
@@ -6,7 +6,7 @@
 #include "core/host.h"
 #include "inventory/watch.h"
 #include "lab/server.h"
-#include "relay/pool.h"
+#include "upstream/pool.h"
 
 #include <memory>
 #include <string>
@@ -27,7 +27,7 @@
     net::Loop& loop_;
     const config::Settings settings_;
     inventory::List list_;
-    relay::Pool pool_;
+    upstream::Pool pool_;
     inventory::Watch watch_;
     core::Host host_;
     net::Timer next_batch_;
--- a/src/lab/spread/world.h
+++ b/src/lab/spread/world.h
@@ -110,7 +110,7 @@
     std::vector<std::size_t> attempts{};
 };
 
-struct SpreadWorld::Scheduler final : core::Relays, core::Inventory {
+struct SpreadWorld::Scheduler final : core::Upstream, core::Inventory {
     Scheduler(SpreadWorld& in, std::size_t at) : world(in), self(at) {}
     void start(core::JobId job, Index attempt, WorkerId worker, Time give_up, Time,
                const core::Message& message) override {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -3,15 +3,15 @@
 #include "config/settings.h"
 #include "core/host.h"
 #include "fleet/fleet.h"
+#include "frontend/front.h"
 #include "inventory/list.h"
 #include "inventory/watch.h"
 #include "log/log.h"
 #include "net/loop.h"
 #include "net/signals.h"
-#include "north/front.h"
-#include "relay/pool.h"
 #include "site/site.h"
 #include "upgrade/succession.h"
+#include "upstream/pool.h"
 
 #include <sys/resource.h>
 
@@ -134,7 +134,7 @@
             share.sockets -= std::min(share.sockets, theirs > 0 ? theirs : share.sockets / 2);
         }
         const std::size_t most = per_side(share);
-        // With a successor that accepts, no more relays are needed than there are clients, and a few that
+        // With a successor that accepts, no more attempts are needed than there are clients, and a few that
         // outlive theirs.
         pool_.limit(succession_.succeeded() ? std::min(most, front_.size() + few) : most);
         front_.limit(most);
@@ -298,8 +298,8 @@
 
     void print_counters() const {
         const core::Counters& host = host_.counters();
-        const north::FrontCounters& front = front_.counters();
-        const relay::PoolCounters& pool = pool_.counters();
+        const frontend::FrontCounters& front = front_.counters();
+        const upstream::PoolCounters& pool = pool_.counters();
         spdlog::info("north: accepted {} requests {} ready-checks {} rejected {} stalled {} turned-away {} "
                      "evicted {} open {}",
                      front.accepted, front.requests, front.ready_checks, front.rejected, front.stalled,
@@ -338,11 +338,11 @@
     site::Site site_;                   // the operators' file, as last taken over
     net::Loop loop_;
     inventory::List list_;
-    relay::Pool pool_;
+    upstream::Pool pool_;
     const inventory::WatchTimes watch_times_;
     inventory::Watch watch_;
     core::Host host_;
-    north::Front front_;
+    frontend::Front front_;
     net::Timer next_batch_, watch_again_, leave_, finish_, fresh_, confirm_;
     std::optional<willowrill::ListNews> remembered_; // until discovery's first word
     net::Time end_{0};                               // of what is taken in late
--- a/src/relay/answer.cpp
+++ b/src/upstream/answer.cpp
@@ -1,11 +1,11 @@
-#include "relay/answer.h"
+#include "upstream/answer.h"
 
 #include <simdjson.h>
 
 #include <cmath>
 #include <cstdlib>
 
-namespace willowrill::relay {
+namespace willowrill::upstream {
 namespace {
 
 using simdjson::SUCCESS;
@@ -132,4 +132,4 @@
     return report;
 }
 
-} // namespace willowrill::relay
+} // namespace willowrill::upstream
--- a/src/relay/answer.h
+++ b/src/upstream/answer.h
@@ -12,7 +12,7 @@
 #include <string_view>
 #include <vector>
 
-namespace willowrill::relay {
+namespace willowrill::upstream {
 
 struct Verdict {
     willowrill::Outcome outcome = willowrill::Outcome::reset;
@@ -50,4 +50,4 @@
     std::string id_;
 };
 
-} // namespace willowrill::relay
+} // namespace willowrill::upstream
--- a/src/relay/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -1,4 +1,4 @@
-#include "relay/pool.h"
+#include "upstream/pool.h"
 
 #include <spdlog/spdlog.h>
 
@@ -6,7 +6,7 @@
 #include <cerrno>
 #include <cmath>
 
-namespace willowrill::relay {
+namespace willowrill::upstream {
 namespace {
 
 using namespace std::chrono_literals;
@@ -27,7 +27,7 @@
 
 } // namespace
 
-// One connection to a worker and the relay on it, if any.
+// One connection to a worker and the attempt on it, if any.
 class Pool::Channel final : public net::Connection::Owner, public std::enable_shared_from_this<Channel> {
   public:
     Channel(Pool& pool, core::WorkerId worker, const net::Endpoint& address, net::Fd fd)
@@ -38,7 +38,7 @@
 
     // The message must stay until the attempt has ended: while the connection comes up, the request waits
     // here.
-    void relay(core::JobId job, core::Index attempt, core::Time give_up, core::Time begin_by,
+    void carry(core::JobId job, core::Index attempt, core::Time give_up, core::Time begin_by,
                const core::Message& message) {
         job_ = job;
         attempt_ = attempt;
@@ -235,7 +235,7 @@
     core::Time give_up_{0};
     const core::Message* message_ = nullptr; // while its request waits for the connection
     net::Time rested_at_{0}, asked_at_{0};
-    bool reused_ = false; // has carried a relay before
+    bool reused_ = false; // has carried an attempt before
 };
 
 Pool::Pool(net::Loop& loop, const inventory::List& list, const std::vector<config::ReportName>& fields,
@@ -328,7 +328,7 @@
         return host_->attempt_ended(job, attempt, failure, loop_.now());
     }
     busy_.emplace(key_of(job, attempt), channel);
-    channel->relay(job, attempt, give_up, begin_by, message);
+    channel->carry(job, attempt, give_up, begin_by, message);
 }
 
 void Pool::probe(core::WorkerId worker) {
@@ -387,4 +387,4 @@
         channel->finish({Outcome::not_sent});
 }
 
-} // namespace willowrill::relay
+} // namespace willowrill::upstream
--- a/src/relay/pool.h
+++ b/src/upstream/pool.h
@@ -1,11 +1,11 @@
-// The connections to the workers. Each carries one relay at a time: one attempt of a message.
+// The connections to the workers. Each carries one attempt at a time.
 #pragma once
 
 #include "core/host.h"
 #include "inventory/list.h"
 #include "net/connection.h"
 #include "net/http.h"
-#include "relay/answer.h"
+#include "upstream/answer.h"
 
 #include <cstdint>
 #include <list>
@@ -13,7 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace willowrill::relay {
+namespace willowrill::upstream {
 
 struct PoolLimits {
     std::size_t connections = 0; // descriptors for this side
@@ -24,13 +24,13 @@
 struct PoolCounters {
     std::uint64_t opened = 0, reused = 0, refused = 0, retired = 0, hung_up = 0, evicted = 0,
                   reuse_failed = 0;
-    std::uint64_t written = 0; // relays whose request went out to its last byte
+    std::uint64_t written = 0; // attempts whose request went out to its last byte
     // Probes: sent to their last byte or not, and how they ended: with a report, with an answer that is no
     // 200, with one that holds no report, not in time, broken, or given up for a job's sake.
     std::uint64_t probes = 0, told = 0, unwilling = 0, nonsense = 0, late = 0, lost = 0, crowded_out = 0;
 };
 
-class Pool final : public core::Relays {
+class Pool final : public core::Upstream {
   public:
     Pool(net::Loop& loop, const inventory::List& list, const std::vector<config::ReportName>& fields,
          PoolLimits limits);
@@ -77,4 +77,4 @@
     PoolCounters counters_;
 };
 
-} // namespace willowrill::relay
+} // namespace willowrill::upstream
--- a/tests/host_test.cpp
+++ b/tests/host_test.cpp
@@ -36,7 +36,7 @@
     return out;
 }
 
-class World final : public core::Relays, public core::Inventory {
+class World final : public core::Upstream, public core::Inventory {
   public:
     struct Requester final : core::Client {
         void on_served(std::string_view text) override { ++answers, served = true, result = text; }
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -11,7 +11,7 @@
 using net::http::Parser;
 using Kind = Parser::Kind;
 
-// Feeds in pieces of random size, and takes the body out on the way as the relay does.
+// Feeds in pieces of random size, and takes the body out on the way as the upstream connections do.
 std::string parse_in_pieces(Parser& parser, std::string_view bytes, std::mt19937& random, std::size_t& used) {
     std::string body;
     used = 0;
--- a/tests/ordering_test.cpp
+++ b/tests/ordering_test.cpp
@@ -1,7 +1,7 @@
 // Events that meet in a bad order: the other side ends, or the list changes, just when something waits. Each
 // test makes that order happen with scripted peers, and does not wait for it by the clock.
+#include "frontend/arrival_times.h"
 #include "learn/books.h"
-#include "north/arrival_times.h"
 #include "rig.h"
 
 #include <doctest/doctest.h>
@@ -144,7 +144,7 @@
 }
 
 TEST_CASE("arrival times: bytes count as come when they did, and never later") {
-    north::ArrivalTimes times;
+    frontend::ArrivalTimes times;
     CHECK(times.first(9s) == 9s);
     times.waiting(10, 1s, false);
     times.waiting(30, 2s, false);
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -1,9 +1,9 @@
 // The parts that read texts: configuration, discovery's lists, workers' answers, clients' requests.
 #include "config/settings.h"
+#include "frontend/request.h"
 #include "inventory/list.h"
-#include "north/request.h"
 #include "rapid.h"
-#include "relay/answer.h"
+#include "upstream/answer.h"
 
 #include <doctest/doctest.h>
 
@@ -320,8 +320,8 @@
 
 TEST_CASE("workers' answers mean what the protocol's table says") {
     const auto fields = test_settings().report_fields;
-    relay::AnswerReader reader(fields);
-    std::vector<relay::Note> notes;
+    upstream::AnswerReader reader(fields);
+    std::vector<upstream::Note> notes;
     const auto read = [&](const std::string& answer, bool ends = true) {
         reader.begin("a");
         notes.clear();
@@ -402,7 +402,7 @@
 
 TEST_CASE("the answer to a probe holds a load report, in whichever form, or none") {
     const config::Settings settings = test_settings(); // its fields: load_share, x0
-    const relay::AnswerReader reader(settings.report_fields);
+    const upstream::AnswerReader reader(settings.report_fields);
     const auto read = [&](int status, const std::string& body, const net::http::Fields& fields = {}) {
         net::http::Parser parser(net::http::Parser::Kind::answer);
         parser.feed(net::http::write_answer(status, fields, body));
@@ -427,13 +427,13 @@
 TEST_CASE("clients' requests become messages, or are turned down as bad") {
     const config::Settings settings = test_settings();
     core::Message message;
-    north::Rejection rejection;
+    frontend::Rejection rejection;
     const auto read = [&](const std::string& fields) {
         message = {};
         net::http::Parser parser(net::http::Parser::Kind::request);
         parser.feed("POST /api?q=1 HTTP/1.1\r\n" + fields + "Content-Length: 2\r\n\r\nhi");
         REQUIRE(parser.done());
-        return north::read_message(parser, settings, 100s, message, rejection);
+        return frontend::read_message(parser, settings, 100s, message, rejection);
     };
     const std::string once = "X-Request-ID: a\r\nX-Priority-Class: once\r\n";
     const std::string keyed = "X-Request-ID: a\r\nX-Priority-Class: keyed\r\n";
--- a/tests/probing_test.cpp
+++ b/tests/probing_test.cpp
@@ -1,4 +1,5 @@
-// Load learnt by probing: what the module asks and makes of the answers, and how the relay carries it.
+// Load learnt by probing: what the module asks and makes of the answers, and how connections to workers carry
+// it.
 #include "learn/books.h"
 #include "learn/learn.h"
 
@@ -357,7 +358,7 @@
     CHECK(worker.own_slots == 0);
 }
 
-// It was asked again while the first question was out, and the relay's connection bore both.
+// It was asked again while the first question was out, and one connection bore both.
 TEST_CASE("a worker whose process starts anew is not asked twice at once") {
     Fleet fleet(asked_settings(0, 1), 1);
     fleet.answers = false;
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -129,7 +129,7 @@
     rig.worker.peers[0]->connection.write(Rig::done("a", "1"));
     rig.settle([&] { return client->has("\r\n\r\n1"); });
     rig.wait(30ms);
-    const relay::PoolCounters& counted = rig.pool.counters();
+    const upstream::PoolCounters& counted = rig.pool.counters();
     const auto answered = [&](const std::string& text, const std::uint64_t& counter) {
         const std::size_t asked = counted.probes;
         rig.worker.peers.back()->got.clear();
@@ -323,7 +323,7 @@
 // A reload may set limits below what is in use: what is open goes on, what comes is told when to come back.
 TEST_CASE("limits lowered below what is in use end nothing that is open") {
     Rig rig;
-    const auto relayed = rig.client(Rig::job("relayed"));
+    const auto busy = rig.client(Rig::job("busy"));
     REQUIRE(rig.worker_has(0, "\r\n\r\nhi"));
     const auto half = rig.client("POST /api HTTP/1.1\r\nHost: h\r\nX-Request-ID: half\r\n");
     REQUIRE(rig.settle([&] { return rig.front.size() == 2; }));
@@ -333,12 +333,12 @@
     half->connection.write("X-Priority-Class: once\r\nContent-Length: 2\r\n\r\nhi");
     CHECK(rig.settle([&] { return half->has("HTTP/1.1 503 "); }));
     CHECK(half->has("Retry-After: 2.000\r\n"));
-    rig.worker.peers[0]->connection.write(Rig::done("relayed", "whole"));
-    CHECK(rig.settle([&] { return relayed->has("whole"); }));
+    rig.worker.peers[0]->connection.write(Rig::done("busy", "whole"));
+    CHECK(rig.settle([&] { return busy->has("whole"); }));
     rig.front.limit(10);
     rig.pool.limit(10);
     rig.host.limit(1U << 20U);
-    relayed->connection.write(Rig::job("next"));
+    busy->connection.write(Rig::job("next"));
     CHECK(rig.settle([&] { return rig.host.attempts_out() == 1; }));
 }
 
@@ -354,7 +354,7 @@
     const auto serve = [&] {
         const auto [id, client] = send();
         while (!rig.worker_has(peer, "X-Request-ID: " + id + "\r\n"))
-            FAIL("no relay came");
+            FAIL("no attempt came");
         rig.worker.peers[peer]->connection.write(Rig::done(id, "of " + id));
         REQUIRE(rig.settle([&] { return client->has("of " + id); }));
     };
--- a/tests/property_test.cpp
+++ b/tests/property_test.cpp
@@ -187,7 +187,7 @@
         Time give_up{0};
     };
 
-    struct Node final : core::Relays, core::Inventory {
+    struct Node final : core::Upstream, core::Inventory {
         Node(World& in, const Settings& settings)
             : world(in), self(settings.self), probes(settings.probes), reports(settings.reports_with_answers),
               host(settings, 200, 1U << 20U, *this, *this) {}
@@ -380,7 +380,7 @@
                 end(late->first, Outcome::timed_out, 0);
             }
             for (Requester& one : requesters_) {
-                if (one.open && one.deadline < now) one.node->host.overdue(one.job); // the north side's guard
+                if (one.open && one.deadline < now) one.node->host.overdue(one.job); // the frontend's guard
             }
             bool any = false;
             for (Node& node : nodes_) {
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -1,10 +1,10 @@
 // The parts of the scheduler put together on loopback, for tests that play clients, workers and discovery.
 #pragma once
 
+#include "frontend/front.h"
 #include "inventory/watch.h"
-#include "north/front.h"
-#include "relay/pool.h"
 #include "sockets.h"
+#include "upstream/pool.h"
 
 #include <sys/socket.h>
 
@@ -17,11 +17,11 @@
 // One worker, known from the start, and a front for as many clients as the test wants.
 class Rig {
   public:
-    explicit Rig(std::size_t most_clients = 10, std::size_t most_relays = 10,
+    explicit Rig(std::size_t most_clients = 10, std::size_t most_attempts = 10,
                  config::Settings given = test_settings())
         : settings(std::move(given)), list(settings.names),
           pool(loop, list, settings.report_fields,
-               {.connections = most_relays, .idle = 5s, .connect_timeout = settings.connect_timeout}),
+               {.connections = most_attempts, .idle = 5s, .connect_timeout = settings.connect_timeout}),
           watch(loop, discovery.address, inventory::watch_times(10s, 1s), 1, list,
                 [this](auto news) { host.list_news(std::move(news)); }),
           host(settings.decisions, settings.max_open, 1U << 20U, pool, watch),
@@ -67,10 +67,10 @@
     net::Loop loop;
     Listener worker{loop}, discovery{loop};
     inventory::List list;
-    relay::Pool pool;
+    upstream::Pool pool;
     inventory::Watch watch;
     core::Host host;
-    north::Front front;
+    frontend::Front front;
 };
 
 // An address at which connections never come up: its queue is full and nobody takes from it.
