--- a/src/core/host.cpp
+++ b/src/core/host.cpp
@@ -26,8 +26,8 @@
 
 } // namespace
 
-Host::Host(willowrill::Settings settings, std::size_t max_open, std::size_t most_bytes, Upstream& upstream,
-           Inventory& inventory)
+Host::Host(const willowrill::Settings& settings, std::size_t max_open, std::size_t most_bytes,
+           Upstream& upstream, Inventory& inventory)
     : dispatcher_(settings), tick_(settings.tick),
       stay_away_(settings.takes_advice ? settings.max_stay_away : Duration(0)), max_open_(max_open),
       most_bytes_(most_bytes), upstream_(upstream), inventory_(inventory) {
--- a/src/core/host.h
+++ b/src/core/host.h
@@ -100,8 +100,8 @@
 class Host {
   public:
     // `most_bytes` is for the messages held, with their copies on the way to a worker and back.
-    Host(willowrill::Settings settings, std::size_t max_open, std::size_t most_bytes, Upstream& upstream,
-         Inventory& inventory);
+    Host(const willowrill::Settings& settings, std::size_t max_open, std::size_t most_bytes,
+         Upstream& upstream, Inventory& inventory);
 
     // False: the id is in use, or no message more can be held. The client must outlive the message or call
     // `client_left`.
--- a/src/counts/book.cpp
+++ b/src/counts/book.cpp
@@ -26,7 +26,7 @@
 
 std::uint32_t Book::intern(std::string_view tenant, std::string_view job_class) {
     const auto within = [&](auto& seen, std::string_view name, std::size_t most, std::string_view other) {
-        const std::string text(name);
+        std::string text(name);
         if (seen.contains(text)) return text;
         if (seen.size() >= most && name != other) {
             ++statistics_.over_limit;
--- a/src/frontend/request.cpp
+++ b/src/frontend/request.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::size_t longest_name = 256; // of an id or a key
 constexpr double longest_cost_us = 1e14;
-constexpr std::uint64_t longest_wait_ms = 24 * 3600000; // beyond that, a time is nonsense
+constexpr std::uint64_t longest_wait_ms = std::uint64_t{24} * 3600000; // beyond that, a time is nonsense
 
 std::optional<double> to_real(std::string_view text) {
     double value = 0;
--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -81,7 +81,7 @@
 LiveFleet::~LiveFleet() = default;
 
 std::string LiveFleet::write(const std::string& name, const std::string& text) {
-    const std::string path = options_.folder + "/" + name;
+    std::string path = options_.folder + "/" + name;
     std::ofstream(path) << text;
     ::chmod(path.c_str(), 0600);
     return path;
@@ -173,7 +173,7 @@
     while (!call->closed && !call->parser.done() && loop_.now() < end)
         loop_.run_once(1ms);
     call->connection.close();
-    const std::string body = call->parser.done() ? call->parser.body() : "";
+    std::string body = call->parser.done() ? call->parser.body() : "";
     loop_.bury(call);
     return body;
 }
--- a/src/lab/process.cpp
+++ b/src/lab/process.cpp
@@ -32,7 +32,7 @@
         if (!replaced) values.emplace_back(text);
     }
     for (const auto& [key, value] : environment)
-        values.push_back(key + "=" + value);
+        values.push_back(std::string(key).append("=").append(value));
     std::vector<char*> argv, envp;
     for (std::string& one : arguments)
         argv.push_back(one.data());
--- a/src/lab/spread/world.cpp
+++ b/src/lab/spread/world.cpp
@@ -182,7 +182,7 @@
     look(id);
 }
 
-void SpreadWorld::announce(std::vector<WorkerEntry> entries) {
+void SpreadWorld::announce(const std::vector<WorkerEntry>& entries) {
     Time last = now_;
     for (std::size_t i = 0; i < schedulers_.size(); ++i) {
         const Scheduler& one = *schedulers_[i];
@@ -343,7 +343,8 @@
             static_cast<double>(crew.busy() + static_cast<int>(crew.queued()) + workers_[id].coming + 1);
         return std::max(1.0, ahead / crew.slots()) / std::max(0.01, crew.speed()) + ahead * 1e-3;
     };
-    std::ranges::rotate(able, able.begin() + static_cast<std::ptrdiff_t>(chance_.below(able.size())));
+    std::rotate(able.begin(), able.begin() + static_cast<std::ptrdiff_t>(chance_.below(able.size())),
+                able.end());
     return *std::ranges::min_element(able, {}, wait);
 }
 
--- a/src/lab/spread/world.h
+++ b/src/lab/spread/world.h
@@ -48,7 +48,7 @@
     void end(const Fault& fault);
     void lose(std::size_t scheduler);
     void replace(std::size_t worker);
-    void announce(std::vector<WorkerEntry> entries);
+    void announce(const std::vector<WorkerEntry>& entries);
     void start(std::size_t scheduler);
     ListNews whole_list() const;
 
--- a/src/members/members.cpp
+++ b/src/members/members.cpp
@@ -289,6 +289,7 @@
             return member.state == State::alive && member.id != probe_.target;
         });
         std::vector<Address> addresses;
+        addresses.reserve(helpers.size());
         for (const Member* helper : helpers)
             addresses.push_back(helper->address);
         for (const Address& address : addresses) {
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -75,7 +75,7 @@
     return out;
 }
 
-Mesh::Mesh(net::Loop& loop, const site::Site& site, std::string instance, bool wait)
+Mesh::Mesh(net::Loop& loop, const site::Site& site, const std::string& instance, bool wait)
     : loop_(loop), settings_(*site.mesh),
       snapshot_every_(site.counts ? site.counts->snapshot_every : Time(0)), sealer_(keys_of(settings_)),
       replay_(4 * settings_.most_members), timer_(loop.wheel(), [this] { on_timer(); }),
@@ -89,8 +89,8 @@
     const std::uint64_t last = former && former->instance == instance ? former->number : 0;
     const net::Time now = loop_.now();
     const std::uint64_t number = counts::next_number(now, static_cast<std::uint32_t>(random_seed()), last);
-    node_ = std::make_unique<Node>(settings_of(site), std::move(instance), number,
-                                   address_of(settings_.advertise), random_seed(), now);
+    node_ = std::make_unique<Node>(settings_of(site), instance, number, address_of(settings_.advertise),
+                                   random_seed(), now);
     if (former) take_over(*former);
     open(wait);
 }
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -31,7 +31,7 @@
     // Throws std::system_error where the address cannot be had. `instance` is the name among the instances.
     // `wait`: a former run of this instance still has the address; it is taken over when that one is gone,
     // and until then this one counts without a word to anyone.
-    Mesh(net::Loop& loop, const site::Site& site, std::string instance, bool wait = false);
+    Mesh(net::Loop& loop, const site::Site& site, const std::string& instance, bool wait = false);
     ~Mesh() override;
 
     void
--- a/src/mesh/node.cpp
+++ b/src/mesh/node.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-Node::Node(NodeSettings settings, std::string instance, std::uint64_t number, members::Address address,
+Node::Node(NodeSettings settings, const std::string& instance, std::uint64_t number, members::Address address,
            std::uint64_t seed, Time now)
     : settings_(std::move(settings)), swim_(settings_.members, {instance, number}, address, seed, now),
       book_(settings_.limits, {instance, number, settings_.rate, settings_.burst}, now),
--- a/src/mesh/node.h
+++ b/src/mesh/node.h
@@ -34,7 +34,7 @@
 
 class Node {
   public:
-    Node(NodeSettings settings, std::string instance, std::uint64_t number, members::Address address,
+    Node(NodeSettings settings, const std::string& instance, std::uint64_t number, members::Address address,
          std::uint64_t seed, Time now);
 
     void start(Time now);
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -10,10 +10,10 @@
 
 namespace willowrill::net::http {
 
-inline constexpr std::size_t most_body = 64 * 1024;
-inline constexpr std::size_t most_head = 16 * 1024;
+inline constexpr std::size_t most_body = std::size_t{64} * 1024;
+inline constexpr std::size_t most_head = std::size_t{16} * 1024;
 // What a connection reads ahead of the parser, which takes all that is there.
-inline constexpr std::size_t read_ahead = 16 * 1024;
+inline constexpr std::size_t read_ahead = std::size_t{16} * 1024;
 
 struct Head {
     std::string method, target;                              // of a request
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -444,7 +444,7 @@
         if (name.unsettled > 0) --name.unsettled;
         name.over = name.over || ended.job_over;
         touched_.push_back(*job);
-        events_.emplace_back(std::move(ended));
+        events_.emplace_back(ended);
     } else if (kind == "heartbeat") {
         const auto job = known_job(event);
         const auto what = need_integer(event, "what");
--- a/src/site/section.cpp
+++ b/src/site/section.cpp
@@ -58,8 +58,8 @@
     return std::nullopt;
 }
 
-Section::Section(std::string file, std::string path, YAML::Node node, std::vector<Problem>& problems)
-    : file_(std::move(file)), path_(std::move(path)), node_(std::move(node)), problems_(problems) {
+Section::Section(std::string file, std::string path, const YAML::Node& node, std::vector<Problem>& problems)
+    : file_(std::move(file)), path_(std::move(path)), node_(node), problems_(problems) {
     if (node_ && !node_.IsNull() && !node_.IsMap()) {
         problems_.push_back(
             {file_, line(), path_, "found " + std::string(kind_of(node_)) + ", wanted a mapping of keys"});
--- a/src/site/section.h
+++ b/src/site/section.h
@@ -17,7 +17,7 @@
 
 class Section {
   public:
-    Section(std::string file, std::string path, YAML::Node node, std::vector<Problem>& problems);
+    Section(std::string file, std::string path, const YAML::Node& node, std::vector<Problem>& problems);
     // Complains of the keys that were never asked for.
     ~Section();
     Section(const Section&) = delete;
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -260,7 +260,7 @@
 // The one used last is the one least likely to be closed at the other end.
 std::shared_ptr<Pool::Channel> Pool::take_idle(core::WorkerId worker, bool settled_only) {
     for (auto at = idle_.rbegin(); at != idle_.rend();) {
-        const std::shared_ptr<Channel> channel = *at;
+        std::shared_ptr<Channel> channel = *at;
         ++at;
         if (channel->worker != worker) continue;
         if ((settled_only || distrust() > some_distrust) && !channel->settled()) continue;
