--- a/src/lab/scale/case.cpp
+++ b/src/lab/scale/case.cpp
@@ -1,5 +1,7 @@
 #include "lab/scale/case.h"
 
+#include "net/http.h"
+
 #include <sys/resource.h>
 #include <unistd.h>
 
@@ -13,6 +15,8 @@
 // Measured with 100 workers, rounded up: resident memory of a process, and of a hollow scheduler or worker.
 constexpr std::size_t process_mb = 12, hollow_kb = 1024;
 constexpr std::size_t kb_per_mb = 1024;
+// Of a worker in a list, rounded up; a list is sent whole to whoever starts.
+constexpr std::size_t entry_bytes = 124;
 constexpr std::size_t own_mb = 64, own_descriptors = 64; // of the laboratory
 
 } // namespace
@@ -77,6 +81,9 @@
 std::string refusal(const Case& one, const Machine& machine) {
     if (one.schedulers == 0 || one.workers == 0) return "a size needs a scheduler and a worker at least";
     if (one.real > one.schedulers) return "more real schedulers than schedulers";
+    if (one.workers * entry_bytes > net::http::most_body)
+        return "a list of " + std::to_string(one.workers) + " workers is longer than the " +
+               std::to_string(net::http::most_body) + " bytes that the protocol allows a body";
     const Need need = need_of(one);
     const auto over = [](const char* what, std::size_t wanted, std::size_t allowed) {
         return wanted <= allowed ? std::string()
