--- a/src/lab/capacity_command.cpp
+++ b/src/lab/capacity_command.cpp
@@ -91,7 +91,16 @@
     return {fit(points), between_percentiles(slopes), between_percentiles(values)};
 }
 
-enum class Over { schedulers, workers };
+// `share`: workers by schedulers, on which what is bounded for all schedulers together depends. Beyond
+// `widest_share` a scheduler makes as many probes as its ticks allow, and no size of interest lies there.
+enum class Over { schedulers, workers, share };
+constexpr double widest_share = 10;
+
+const char* name_of(Over over) {
+    return over == Over::schedulers ? "schedulers"
+           : over == Over::workers  ? "workers"
+                                    : "workers / schedulers";
+}
 
 // A figure of the table, and what it grows with.
 struct Figure {
@@ -102,15 +111,11 @@
 const std::vector<Figure>& figures() {
     static const std::vector<Figure> all{
         {"Scheduler, control: messages sent", "real-scheduler", "steady", "messages_per_s", "/s",
-         Over::workers},
-        {"Scheduler, control: messages sent", "real-scheduler", "steady", "messages_per_s", "/s",
-         Over::schedulers},
+         Over::share},
         {"Scheduler, control: bytes both ways", "real-scheduler", "steady", "bytes_per_s", "B/s",
-         Over::workers},
-        {"Scheduler, control: bytes both ways", "real-scheduler", "steady", "bytes_per_s", "B/s",
-         Over::schedulers},
+         Over::share},
         {"Scheduler, control: processor time", "real-scheduler", "steady", "cpu_ms_per_s", "ms/s",
-         Over::workers},
+         Over::share},
         {"Scheduler: resident memory", "real-scheduler", "steady", "memory_kb", "kB", Over::workers},
         {"Scheduler, data path: processor time of a job", "real-scheduler", "load", "cpu_us_per_job", "us",
          Over::workers},
@@ -131,19 +136,36 @@
     return all;
 }
 
-// The rows in which the other figure stays as it is in most.
-std::vector<Point> points_of(const std::vector<CsvRow>& rows, const Figure& figure) {
-    const std::string x = figure.over == Over::workers ? "workers" : "schedulers",
-                      held = figure.over == Over::workers ? "schedulers" : "workers";
-    std::map<std::string, std::set<std::string>> sizes; // by what is held
+double x_of(Over over, double schedulers, double workers) {
+    return over == Over::schedulers ? schedulers : over == Over::workers ? workers : workers / schedulers;
+}
+
+// The value of the other figure beside which most sizes were played.
+std::string held_value(const std::vector<CsvRow>& rows, const std::string& x, const std::string& held) {
+    std::map<std::string, std::set<std::string>> sizes;
     for (const CsvRow& row : rows)
         sizes[row.at(held)].insert(row.at(x));
-    const auto most = std::ranges::max_element(sizes, {}, [](const auto& one) { return one.second.size(); });
+    return std::ranges::max_element(sizes, {}, [](const auto& one) { return one.second.size(); })->first;
+}
+
+// A share takes all sizes, another figure those at which the other one is held.
+bool counts(const CsvRow& row, const Figure& figure, const std::string& held_schedulers,
+            const std::string& held_workers, double x) {
+    if (row.at("role") != figure.role || row.at("phase") != figure.phase || row.at(figure.column).empty())
+        return false;
+    if (figure.over == Over::share) return x <= widest_share;
+    return figure.over == Over::schedulers ? row.at("workers") == held_workers
+                                           : row.at("schedulers") == held_schedulers;
+}
+
+std::vector<Point> points_of(const std::vector<CsvRow>& rows, const Figure& figure) {
+    const std::string held_schedulers = held_value(rows, "workers", "schedulers"),
+                      held_workers = held_value(rows, "schedulers", "workers");
     std::vector<Point> out;
     for (const CsvRow& row : rows) {
-        const std::string& value = row.at(figure.column);
-        if (row.at("role") != figure.role || row.at("phase") != figure.phase || value.empty()) continue;
-        if (row.at(held) == most->first) out.push_back({std::stod(row.at(x)), std::stod(value)});
+        const double x = x_of(figure.over, std::stod(row.at("schedulers")), std::stod(row.at("workers")));
+        if (counts(row, figure, held_schedulers, held_workers, x))
+            out.push_back({x, std::stod(row.at(figure.column))});
     }
     return out;
 }
@@ -161,14 +183,14 @@
     for (const Figure& figure : figures()) {
         const std::vector<Point> points = points_of(rows, figure);
         if (points.size() < 2) continue;
-        const bool by_workers = figure.over == Over::workers;
-        const double x = static_cast<double>(by_workers ? options.workers : options.schedulers);
+        const double x =
+            x_of(figure.over, static_cast<double>(options.schedulers), static_cast<double>(options.workers));
         const Estimate found = estimate(points, x, options.resamples);
-        out << "| " << figure.title << " | " << (by_workers ? "workers" : "schedulers") << " | "
-            << number(found.line.at_zero) << " " << figure.unit << " | " << number(found.line.slope) << " ("
-            << number(found.slope.low) << " to " << number(found.slope.high) << ") | "
-            << number(exponent(points)) << " | " << number(found.line.at(x)) << " ("
-            << number(found.value.low) << " to " << number(found.value.high) << ") " << figure.unit << " |\n";
+        out << "| " << figure.title << " | " << name_of(figure.over) << " | " << number(found.line.at_zero)
+            << " " << figure.unit << " | " << number(found.line.slope) << " (" << number(found.slope.low)
+            << " to " << number(found.slope.high) << ") | " << number(exponent(points)) << " | "
+            << number(found.line.at(x)) << " (" << number(found.value.low) << " to "
+            << number(found.value.high) << ") " << figure.unit << " |\n";
     }
 }
 
@@ -194,7 +216,7 @@
 
 // One small plot for each figure that grows, points and line.
 std::string plot_script(const std::vector<CsvRow>& rows, const std::string& file) {
-    const std::vector<std::size_t> shown{2, 5, 7, 8, 14, 16}; // places in `figures`
+    const std::vector<std::size_t> shown{0, 2, 3, 5, 6, 8}; // places in `figures`
     std::ostringstream out;
     out << "set terminal svg size 960,620 font 'DejaVu Sans,11' background 'white'\nset output '" << file
         << "'\nset multiplot layout 2,3\nset grid\nunset key\nset yrange [0:*]\n";
@@ -206,9 +228,9 @@
         out << "$points << E\n";
         for (const Point& point : points)
             out << point.x << ' ' << point.y << '\n';
-        out << "E\nset title '" << figure.title << "'\nset xlabel '"
-            << (figure.over == Over::workers ? "workers" : "schedulers") << "'\nset ylabel '" << figure.unit
-            << "'\nplot $points with points pointtype 7, " << line.at_zero << " + " << line.slope << " * x\n";
+        out << "E\nset title '" << figure.title << "'\nset xlabel '" << name_of(figure.over)
+            << "'\nset ylabel '" << figure.unit << "'\nplot $points with points pointtype 7, " << line.at_zero
+            << " + " << line.slope << " * x\n";
     }
     out << "unset multiplot\n";
     return out.str();
