--- a/tests/lab/scale_test.cpp
+++ b/tests/lab/scale_test.cpp
@@ -67,7 +67,7 @@
     one.schedulers = 5000;
     one.workers = 500;
     CHECK(refusal(one, machine).find("descriptors") == 0);
-    one.schedulers = 4;
+    one.schedulers = 301;
     one.workers = 5;
     CHECK(refusal(one, {.processes = 300, .descriptors = 20000, .memory_mb = 100}).find("megabytes") == 0);
     one.schedulers = 1;
