--- a/src/lab/spread/world.h
+++ b/src/lab/spread/world.h
@@ -48,7 +48,7 @@
     void end(const Fault& fault);
     void lose(std::size_t scheduler);
     void replace(std::size_t worker);
-    void announce(std::vector<WorkerEntry> entries);
+    void announce(const std::vector<WorkerEntry>& entries);
     void start(std::size_t scheduler);
     ListNews whole_list() const;
 
@@ -110,7 +110,7 @@
     std::vector<std::size_t> attempts{};
 };
 
-struct SpreadWorld::Scheduler final : core::Relays, core::Inventory {
+struct SpreadWorld::Scheduler final : core::Upstream, core::Inventory {
     Scheduler(SpreadWorld& in, std::size_t at) : world(in), self(at) {}
     void start(core::JobId job, Index attempt, WorkerId worker, Time give_up, Time,
                const core::Message& message) override {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,17 +1,17 @@
 // The scheduler: reads what it is told, puts the parts together, and ends in good order.
+#include "admin/server.h"
 #include "config/settings.h"
 #include "core/host.h"
 #include "fleet/fleet.h"
+#include "frontend/front.h"
 #include "inventory/list.h"
 #include "inventory/watch.h"
 #include "log/log.h"
-#include "mgmt/desk.h"
 #include "net/loop.h"
 #include "net/signals.h"
-#include "north/front.h"
-#include "relay/pool.h"
 #include "site/site.h"
 #include "upgrade/succession.h"
+#include "upstream/pool.h"
 
 #include <sys/resource.h>
 
@@ -48,7 +48,7 @@
 // The longest wait for discovery's first word on a remembered list; as a rule it comes or fails sooner.
 constexpr auto confirm_time = 5s;
 
-class Program final : private mgmt::Service, private upgrade::Succession::Run {
+class Program final : private admin::Service, private upgrade::Succession::Run {
   public:
     Program(config::Settings settings, site::Site at_site, std::optional<std::string> door,
             std::optional<upgrade::Inheritance> inheritance)
@@ -76,7 +76,7 @@
         // A former run at an upgrade still has the address among the instances.
         if (site_.mesh) fleet_.emplace(loop_, site_, settings_, succession_.shared());
         if (fleet_) host_.set_ledger(*fleet_);
-        if (settings_.mgmt) desk_.emplace(loop_, *settings_.mgmt, static_cast<mgmt::Service&>(*this));
+        if (settings_.mgmt) admin_.emplace(loop_, *settings_.mgmt, static_cast<admin::Service&>(*this));
         if (!settings_.known.empty()) {
             if (auto news = list_.read(settings_.known)) {
                 news->kind = willowrill::ListNews::Kind::remembered;
@@ -91,9 +91,9 @@
 
     void run() {
         loop_.at_round_end([this] { on_round_end(); });
-        if (desk_) {
-            log::event(spdlog::level::info, "mgmt.open", {{"address", desk_->address().text()}},
-                       "operators' calls at " + desk_->address().text());
+        if (admin_) {
+            log::event(spdlog::level::info, "mgmt.open", {{"address", admin_->address().text()}},
+                       "operators' calls at " + admin_->address().text());
         }
         for (const std::string& remark : settings_.remarks)
             spdlog::warn("settings: {}", remark);
@@ -134,7 +134,7 @@
             share.sockets -= std::min(share.sockets, theirs > 0 ? theirs : share.sockets / 2);
         }
         const std::size_t most = per_side(share);
-        // With a successor that accepts, no more relays are needed than there are clients, and a few that
+        // With a successor that accepts, no more attempts are needed than there are clients, and a few that
         // outlive theirs.
         pool_.limit(succession_.succeeded() ? std::min(most, front_.size() + few) : most);
         front_.limit(most);
@@ -282,12 +282,12 @@
         return std::nullopt;
     }
     std::string further_figures() const override { return fleet_ ? fleet_->figures() : ""; }
-    mgmt::Figures figures() const override {
-        mgmt::Figures out{.classes = {},
-                          .attempts = pool_.counters().written,
-                          .in_flight = host_.open(),
-                          .workers_known = list_.listed(),
-                          .workers_excluded = host_.workers_excluded(loop_.now())};
+    admin::Figures figures() const override {
+        admin::Figures out{.classes = {},
+                           .attempts = pool_.counters().written,
+                           .in_flight = host_.open(),
+                           .workers_known = list_.listed(),
+                           .workers_excluded = host_.workers_excluded(loop_.now())};
         const std::vector<core::Tally>& tallies = host_.tallies();
         for (std::size_t i = 0; i < tallies.size(); ++i) {
             out.classes.push_back(
@@ -298,8 +298,8 @@
 
     void print_counters() const {
         const core::Counters& host = host_.counters();
-        const north::FrontCounters& front = front_.counters();
-        const relay::PoolCounters& pool = pool_.counters();
+        const frontend::FrontCounters& front = front_.counters();
+        const upstream::PoolCounters& pool = pool_.counters();
         spdlog::info("north: accepted {} requests {} ready-checks {} rejected {} stalled {} turned-away {} "
                      "evicted {} open {}",
                      front.accepted, front.requests, front.ready_checks, front.rejected, front.stalled,
@@ -323,10 +323,10 @@
                      pool.crowded_out);
         if (const std::uint64_t dropped = log::dropped_lines(); dropped > 0)
             spdlog::info("log: dropped {}", dropped);
-        if (desk_) {
-            const mgmt::DeskCounters& desk = desk_->counters();
-            spdlog::info("mgmt: calls {} bad {} silent {} evicted {}", desk.calls, desk.bad, desk.silent,
-                         desk.evicted);
+        if (admin_) {
+            const admin::ServerCounters& admin = admin_->counters();
+            spdlog::info("mgmt: calls {} bad {} silent {} evicted {}", admin.calls, admin.bad, admin.silent,
+                         admin.evicted);
         }
         spdlog::info("inventory: lists {} broken {} silences {} version {}; batches {}; reloads {}",
                      host.lists, host.lists_broken, watch_.silences(), list_.version(), host.batches,
@@ -338,18 +338,18 @@
     site::Site site_;                   // the operators' file, as last taken over
     net::Loop loop_;
     inventory::List list_;
-    relay::Pool pool_;
+    upstream::Pool pool_;
     const inventory::WatchTimes watch_times_;
     inventory::Watch watch_;
     core::Host host_;
-    north::Front front_;
+    frontend::Front front_;
     net::Timer next_batch_, watch_again_, leave_, finish_, fresh_, confirm_;
     std::optional<willowrill::ListNews> remembered_; // until discovery's first word
     net::Time end_{0};                               // of what is taken in late
     net::Signals signals_;
     upgrade::Succession succession_;
     std::optional<fleet::Fleet> fleet_;
-    std::optional<mgmt::Desk> desk_;
+    std::optional<admin::Server> admin_;
     bool serving_ = false, stopping_ = false, ending_ = false;
     std::uint64_t reloads_ = 0;
 };
