--- a/src/data/exchange.cpp
+++ b/src/data/exchange.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <utility>
 
 namespace willowrill::data {
@@ -152,7 +153,8 @@
         ++context_.counters.failed;
         co_return;
     }
-    co_await refuse(final_error());
+    const Error error = final_error();
+    co_await refuse(error);
 }
 
 bool Exchange::may_send_again(AttemptEnd end) {
@@ -275,7 +277,7 @@
     for (int stale = 0; stale < stale_answers; ++stale) {
         http::response_parser<http::buffer_body> parser;
         parser.header_limit(65536);
-        parser.body_limit(boost::none);
+        parser.body_limit(std::numeric_limits<std::uint64_t>::max()); // none at all is taken for 0 by this Beast
         if (request_.method() == http::verb::head) parser.skip(true);
         ErrorCode error;
         co_await http::async_read_header(connection->socket, connection->buffer, parser,
@@ -378,10 +380,10 @@
     out += "\r\n";
     head_sent_ = true;
     change_state(ExchangeState::relaying);
-    co_return co_await write_client(std::move(out));
+    co_return co_await write_client(out);
 }
 
-asio::awaitable<bool> Exchange::write_client(std::string bytes) {
+asio::awaitable<bool> Exchange::write_client(const std::string& bytes) {
     ErrorCode error;
     co_await asio::async_write(client_.socket(), asio::buffer(bytes),
                                asio::redirect_error(asio::use_awaitable, error));
@@ -417,7 +419,8 @@
         arm(can_move ? std::min(deadline_ - answer_margin, steady_now() + longest)
                      : deadline_ - answer_margin);
         if (!head_sent_) client_ok = co_await send_head(parser.get().base());
-        if (client_ok) client_ok = co_await write_client(fmt::format("{:x}\r\n{}\r\n", whole.size(), whole));
+        const std::string chunk = fmt::format("{:x}\r\n{}\r\n", whole.size(), whole);
+        if (client_ok) client_ok = co_await write_client(chunk);
     }
     const bool whole_stream = parser.is_done() && !error && client_ok && events_.rest().empty();
     const bool framed = parser.chunked() || parser.content_length();
@@ -430,7 +433,8 @@
     current_ = nullptr;
     disarm();
     if (!head_sent_) client_ok = co_await send_head(parser.get().base());
-    if (client_ok) client_ok = co_await write_client("0\r\n\r\n");
+    const std::string last_chunk = "0\r\n\r\n";
+    if (client_ok) client_ok = co_await write_client(last_chunk);
     if (state_ == ExchangeState::client_left) co_return AttemptEnd::answered;
     change_state(ExchangeState::answered);
     if (!client_ok) keep_alive_ = false;
@@ -438,7 +442,7 @@
     co_return AttemptEnd::answered;
 }
 
-asio::awaitable<void> Exchange::refuse(Error error) {
+asio::awaitable<void> Exchange::refuse(const Error& error) {
     keep_alive_ = keep_alive_ && !context_.leaving;
     auto answer = http_server::error_response(request_, error);
     if (!attempt_id_.empty()) answer.set("Attempt-Id", attempt_id_);
--- a/src/data/exchange.h
+++ b/src/data/exchange.h
@@ -70,8 +70,8 @@
                                             http::response_parser<http::buffer_body>& parser,
                                             const std::string& address);
     asio::awaitable<bool> send_head(const http::response_header<>& head);
-    asio::awaitable<bool> write_client(std::string bytes);
-    asio::awaitable<void> refuse(errors::Error error);
+    asio::awaitable<bool> write_client(const std::string& bytes);
+    asio::awaitable<void> refuse(const errors::Error& error);
     bool may_send_again(AttemptEnd end);
     errors::Error final_error() const;
     std::string upstream_request(const routing::Worker& worker) const;
--- a/src/data/front.cpp
+++ b/src/data/front.cpp
@@ -44,8 +44,9 @@
     ClientSession& operator=(const ClientSession&) = delete;
 
     static asio::awaitable<void> run(std::shared_ptr<ClientSession> self) {
-        while (co_await self->serve_one()) {
-        }
+        bool more = true;
+        while (more)
+            more = co_await self->serve_one();
         self->close();
     }
 
@@ -82,9 +83,15 @@
         const std::string target = text(request.target());
         const std::string path = target.substr(0, target.find('?'));
         const configuration::Route* route = in_force->routes.find(text(request[http::field::host]), path);
-        if (route == nullptr) co_return co_await refuse(request, {ErrorKind::unknown_route, path});
-        if (request.find("Attempt-Id") == request.end())
-            co_return co_await refuse(request, {ErrorKind::malformed_request, "Attempt-Id is missing"});
+        // Errors are named before they are awaited with: GCC 12 destroys such temporaries twice (its bug 99576).
+        if (route == nullptr) {
+            const Error error{ErrorKind::unknown_route, path};
+            co_return co_await refuse(request, error);
+        }
+        if (request.find("Attempt-Id") == request.end()) {
+            const Error error{ErrorKind::malformed_request, "Attempt-Id is missing"};
+            co_return co_await refuse(request, error);
+        }
         ++shared_->under_way;
         Exchange exchange(context(), stream_, request, in_force, *route, arrived);
         watch_client(exchange);
@@ -98,12 +105,13 @@
 
     // While a request is being answered its client sends nothing more, or its next request, or leaves.
     void watch_client(Exchange& exchange) {
-        const auto on_ready = [self = this->shared_from_this(), &exchange,
-                               serial = ++watch_serial_](ErrorCode error) {
+        const auto on_ready = [self = this->shared_from_this(), &exchange, serial = ++watch_serial_](ErrorCode error) {
             if (self->watch_serial_ != serial || error == asio::error::operation_aborted) return;
-            ErrorCode failed;
-            if (!error && self->stream_.socket().available(failed) > 0 && !failed) return;
-            exchange.client_gone();
+            switch (transport::pending(self->stream_.socket())) {
+            case transport::Pending::nothing: return self->watch_client(exchange);
+            case transport::Pending::bytes: return;
+            case transport::Pending::ended: return exchange.client_gone();
+            }
         };
         stream_.socket().async_wait(Tcp::socket::wait_read, on_ready);
     }
@@ -135,7 +143,7 @@
         co_return false;
     }
 
-    asio::awaitable<bool> refuse(const ClientRequest& request, Error error) {
+    asio::awaitable<bool> refuse(const ClientRequest& request, const Error& error) {
         ++context().counters.bad;
         const bool keep = request.keep_alive() && !context().leaving;
         auto answer = http_server::error_response(request, error);
--- a/src/data/worker_pool.cpp
+++ b/src/data/worker_pool.cpp
@@ -32,7 +32,7 @@
 }
 
 asio::awaitable<WorkerConnectionPtr>
-WorkerPool::connect(std::string address, std::chrono::milliseconds timeout, std::size_t most_open) {
+WorkerPool::connect(const std::string& address, std::chrono::milliseconds timeout, std::size_t most_open) {
     const auto endpoint = settings::parse_endpoint(address);
     if (!endpoint || open_[address] >= most_open) co_return nullptr;
     ErrorCode error;
@@ -69,12 +69,14 @@
 
 // Bytes or an end while it rests: either way it is of no use any more.
 void WorkerPool::watch(const std::string& address, const WorkerConnectionPtr& connection) {
-    connection->socket.async_wait(Tcp::socket::wait_read,
-                                  [this, address, connection, rest = connection->rest](ErrorCode) {
-                                      if (rest != connection->rest) return;
-                                      std::erase(idle_[address], connection);
-                                      drop(address, connection);
-                                  });
+    connection->socket.async_wait(
+        Tcp::socket::wait_read, [this, address, connection, rest = connection->rest](ErrorCode) {
+            if (rest != connection->rest) return;
+            if (transport::pending(connection->socket) == transport::Pending::nothing)
+                return watch(address, connection);
+            std::erase(idle_[address], connection);
+            drop(address, connection);
+        });
 }
 
 void WorkerPool::drop(const std::string& address, const WorkerConnectionPtr& connection) {
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -17,35 +17,41 @@
 
 Error bad(std::string detail) { return {ErrorKind::bad_settings, std::move(detail)}; }
 
+// A field that is missing or null has its default.
+template <class T>
+T value_or(const Json& object, const char* key, T otherwise) {
+    const auto found = object.find(key);
+    return found == object.end() || found->is_null() ? otherwise : found->get<T>();
+}
+
 Endpoint endpoint_or_none(const Json& endpoints, const char* key) {
-    if (!endpoints.contains(key)) return {};
-    const auto parsed = parse_endpoint(endpoints.at(key).get<std::string>());
+    const auto parsed = parse_endpoint(value_or(endpoints, key, std::string()));
     return parsed ? parsed.value() : Endpoint{};
 }
 
 std::chrono::milliseconds seconds_of(const Json& timers, const char* key,
                                      std::chrono::milliseconds otherwise) {
     constexpr double ms_per_s = 1000;
-    if (!timers.contains(key)) return otherwise;
-    return std::chrono::milliseconds(static_cast<std::int64_t>(timers.at(key).get<double>() * ms_per_s));
+    const double otherwise_s = static_cast<double>(otherwise.count()) / ms_per_s;
+    return std::chrono::milliseconds(static_cast<std::int64_t>(value_or(timers, key, otherwise_s) * ms_per_s));
 }
 
 std::chrono::milliseconds milliseconds_of(const Json& timers, const char* key,
                                           std::chrono::milliseconds otherwise) {
-    if (!timers.contains(key)) return otherwise;
-    return std::chrono::milliseconds(static_cast<std::int64_t>(timers.at(key).get<double>()));
+    return std::chrono::milliseconds(
+        static_cast<std::int64_t>(value_or(timers, key, static_cast<double>(otherwise.count()))));
 }
 
 Timers timers_of(const Json& document) {
     Timers out;
-    const Json timers = document.value("timers", Json::object());
+    const Json timers = value_or<Json>(document, "timers", Json::object());
     out.grace = seconds_of(timers, "graceS", out.grace);
     out.drain = milliseconds_of(timers, "drainMs", out.drain);
-    out.retry_ratio = timers.value("retryRatio", out.retry_ratio);
+    out.retry_ratio = value_or(timers, "retryRatio", out.retry_ratio);
     out.retry_window = seconds_of(timers, "retryWindowS", out.retry_window);
-    out.retry_slack = timers.value("retrySlack", out.retry_slack);
-    out.cold_excess = timers.value("coldExcess", out.cold_excess);
-    out.cold_slack = timers.value("coldSlack", out.cold_slack);
+    out.retry_slack = value_or(timers, "retrySlack", out.retry_slack);
+    out.cold_excess = value_or(timers, "coldExcess", out.cold_excess);
+    out.cold_slack = value_or(timers, "coldSlack", out.cold_slack);
     out.longest_ttl = seconds_of(timers, "ttl_max_s", out.longest_ttl);
     return out;
 }
@@ -54,10 +60,10 @@
     Settings out;
     out.node_name = document.at("nodeName").get<std::string>();
     out.zone = document.at("zone").get<std::string>();
-    out.region = document.value("region", std::string());
-    out.regions = document.value("zones", std::map<std::string, std::string>());
+    out.region = value_or(document, "region", std::string());
+    out.regions = value_or(document, "zones", std::map<std::string, std::string>());
     out.address = document.at("ipAddress").get<std::string>();
-    const Json endpoints = document.value("endpoints", Json::object());
+    const Json endpoints = value_or<Json>(document, "endpoints", Json::object());
     out.front = endpoint_or_none(endpoints, "front");
     out.readiness = endpoint_or_none(endpoints, "readiness");
     out.control = endpoint_or_none(endpoints, "control");
@@ -65,20 +71,18 @@
     const auto ports = document.at("internalPorts").get<std::vector<std::uint16_t>>();
     out.first_internal_port = ports.at(0);
     out.last_internal_port = ports.at(1);
-    for (const auto& seed : document.value("seedNodes", std::vector<std::string>()))
+    for (const auto& seed : value_or(document, "seedNodes", std::vector<std::string>()))
         if (const auto parsed = parse_endpoint(seed)) out.seeds.push_back(parsed.value());
-    out.initial_start = document.value("initialStart", false);
-    out.data_path = document.value("dataPath", std::string());
-    const Json resilience = document.value("resilience", Json::object());
-    out.tolerated_members = std::max<std::size_t>(1, resilience.value("nodes", std::size_t{1}));
-    const Json platform = document.value("platformApi", Json::object());
-    if (platform.contains("address"))
-        if (const auto parsed = parse_endpoint(platform.at("address").get<std::string>()))
-            out.platform = parsed.value();
-    out.platform_calls_per_s = platform.value("ratePerS", out.platform_calls_per_s);
-    const Json limits = document.value("limits", Json::object());
-    out.memory_mb = limits.value("memoryMb", out.memory_mb);
-    out.most_files = limits.value("maxFiles", out.most_files);
+    out.initial_start = value_or(document, "initialStart", false);
+    out.data_path = value_or(document, "dataPath", std::string());
+    const Json resilience = value_or<Json>(document, "resilience", Json::object());
+    out.tolerated_members = std::max<std::size_t>(1, value_or(resilience, "nodes", std::size_t{1}));
+    const Json platform = value_or<Json>(document, "platformApi", Json::object());
+    out.platform = endpoint_or_none(platform, "address");
+    out.platform_calls_per_s = value_or(platform, "ratePerS", out.platform_calls_per_s);
+    const Json limits = value_or<Json>(document, "limits", Json::object());
+    out.memory_mb = value_or(limits, "memoryMb", out.memory_mb);
+    out.most_files = value_or(limits, "maxFiles", out.most_files);
     out.timers = timers_of(document);
     return out;
 }
--- a/src/transport/socket_options.cpp
+++ b/src/transport/socket_options.cpp
@@ -3,6 +3,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <cerrno>
+
 namespace willowrill::transport {
 
 void prepare(Tcp::socket& socket, std::chrono::milliseconds unacknowledged) {
@@ -12,4 +14,12 @@
     ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
 }
 
+Pending pending(Tcp::socket& socket) {
+    char byte = 0;
+    const ssize_t n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (n > 0) return Pending::bytes;
+    const bool none = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+    return none ? Pending::nothing : Pending::ended;
+}
+
 } // namespace willowrill::transport
--- a/src/transport/socket_options.h
+++ b/src/transport/socket_options.h
@@ -11,4 +11,12 @@
 // without power says nothing, and a write to it would hang.
 void prepare(Tcp::socket& socket, std::chrono::milliseconds unacknowledged);
 
+// What stands at a socket whose wait for reading came to an end, without reading it.
+enum class Pending {
+    nothing, // a spurious wake-up: bytes that were read meanwhile
+    bytes,
+    ended // by the peer, or by an error
+};
+Pending pending(Tcp::socket& socket);
+
 } // namespace willowrill::transport
