Elect sooner after a start; start without readings; ask health without reports

Cause: after all processes were killed, three members stood at once before they could reach each other, and schedulers waited for readings; workers without an engine refuse a report with 400, each counted as an arrival. Ruled out: the time of a process's start, which is the platform's. Change: a member stands only once it reaches a quorum, in the order of succession, earlier ones with higher epochs; 150 ms for first readings; a connection closed during a write no longer empties its queue twice (exit 139).

--- a/src/data/data_plane.cpp
+++ b/src/data/data_plane.cpp
@@ -16,7 +16,7 @@
 using nlohmann::json;
 
 constexpr auto tick_period = 50ms;
-constexpr auto readings_wait = 600ms;       // a start does not wait longer for first readings
+constexpr auto readings_wait = 150ms;       // a start does not wait longer for first readings
 constexpr auto schedulers_remembered = 30s; // shares of budgets grow only after so long
 constexpr auto clients_move_on = 3300ms; // addresses are kept for up to three times what the directory says
 constexpr auto grace_margin = 700ms;     // the process ends this long before the platform ends it
--- a/src/data/reading_exchange.cpp
+++ b/src/data/reading_exchange.cpp
@@ -13,6 +13,7 @@
 constexpr std::uint64_t ticks_between_arrangements = 4;
 constexpr std::uint64_t ticks_between_publications = 4;
 constexpr routing::Time probe_period{400};
+constexpr routing::Time health_period{1000};
 constexpr std::chrono::milliseconds probe_timeout{450};
 constexpr int failures_until_dead = 2;
 constexpr routing::Time report_lag{250}; // a report shows its worker as it was so long ago, at the latest
@@ -20,6 +21,20 @@
 constexpr auto avoid_time = 4000ms;
 constexpr auto dial_timeout = 400ms;
 
+// A worker that answers nonsense is as good as silent.
+bool read_report(const std::string& body, routing::Reading& reading) {
+    try {
+        const json report = json::parse(body);
+        reading.active = report.at("active").get<std::size_t>();
+        reading.queued = report.at("queued").get<std::size_t>();
+        reading.cache_used = report.value("cacheUsed", std::uint64_t{0});
+        reading.cache_total = report.value("cacheTotal", std::uint64_t{0});
+        return true;
+    } catch (const json::exception&) {
+        return false;
+    }
+}
+
 std::string scope_name(bool own) { return own ? "own" : "all"; }
 
 } // namespace
@@ -40,7 +55,8 @@
 void ReadingExchange::tick() {
     ++ticks_;
     if (context_.in_force) {
-        if (ticks_ % ticks_between_arrangements == 0)
+        const bool starting = !has_readings();
+        if (starting || ticks_ % ticks_between_arrangements == 0)
             for (const configuration::Service& service : context_.in_force->configuration.services)
                 arrange(service.name);
         probe_due();
@@ -172,16 +188,13 @@
     routing::Reading reading;
     reading.as_of = steady_now() - report_lag;
     bool good = false;
-    if (response != nullptr && response->result() == http::status::ok) {
-        const json report = json::parse(response->body(), nullptr, false);
-        try {
-            reading.active = report.at("active").get<std::size_t>();
-            reading.queued = report.at("queued").get<std::size_t>();
-            reading.cache_used = report.value("cacheUsed", std::uint64_t{0});
-            reading.cache_total = report.value("cacheTotal", std::uint64_t{0});
-            good = true;
-        } catch (const json::exception&) { // a worker that answers nonsense is as good as silent
-        }
+    const auto* service = context_.in_force->configuration.find_service(worker->second.instance.service);
+    if (service != nullptr && !service->has_engine) {
+        // An answer of any kind: what it says may be false, and being full is no fault.
+        good = response != nullptr;
+        reading.active = worker->second.in_flight;
+    } else if (response != nullptr && response->result() == http::status::ok) {
+        good = read_report(response->body(), reading);
     }
     prober->second.failures = good ? 0 : prober->second.failures + 1;
     if (!good && prober->second.failures < failures_until_dead) return;
--- a/src/replication/election.cpp
+++ b/src/replication/election.cpp
@@ -8,19 +8,19 @@
 namespace willowrill::replication {
 
 // Backups stand one after the other: in-sync members in the order after the last primary, then the others.
-Time Replica::election_delay() const {
-    const Timing& timing = options_.timing;
+std::size_t Replica::place_in_order() const {
     const std::vector<MemberId>& order = register_.decided.in_sync;
     const auto self = std::ranges::find(order, options_.self);
-    std::size_t place = order.size() + 1;
-    if (self != order.end() && register_.intact) {
-        const auto last = std::ranges::find(order, register_.decided.primary);
-        const auto size = static_cast<std::ptrdiff_t>(order.size());
-        const std::ptrdiff_t from = last == order.end() ? 0 : last - order.begin();
-        place = static_cast<std::size_t>(((self - order.begin()) - from + size) % size);
-    }
-    const Time base = heard_in_this_life_ ? timing.election : Time{0};
-    return base + timing.election_step * static_cast<int>(place);
+    if (self == order.end() || !register_.intact) return order.size() + 1;
+    const auto last = std::ranges::find(order, register_.decided.primary);
+    const auto size = static_cast<std::ptrdiff_t>(order.size());
+    const std::ptrdiff_t from = last == order.end() ? 0 : last - order.begin();
+    return static_cast<std::size_t>(((self - order.begin()) - from + size) % size);
+}
+
+Time Replica::election_delay() const {
+    const Time base = heard_in_this_life_ ? options_.timing.election : Time{0};
+    return base + options_.timing.election_step * static_cast<int>(place_in_order());
 }
 
 // All members whose promise may be needed: witnesses of what is in force or may be, and spare members.
@@ -47,7 +47,10 @@
 
 void Replica::stand(bool tentative) {
     planned_change_ = role_ == Role::primary;
-    candidate_epoch_ = std::max({highest_seen_, register_.promised, register_.accepted.epoch}) + 1;
+    // Two that stand at once get different epochs, the earlier in the order the higher: one of them prevails.
+    const std::size_t members = register_.decided.in_sync.size() + 2;
+    const Epoch advantage = members - std::min(members, place_in_order());
+    candidate_epoch_ = std::max({highest_seen_, register_.promised, register_.accepted.epoch}) + 1 + advantage;
     promises_.clear();
     installed_.clear();
     accepted_by_.clear();
--- a/src/replication/replica.cpp
+++ b/src/replication/replica.cpp
@@ -67,12 +67,14 @@
 
 void Replica::on(const Tick&) {
     if (stand_not_before_ == Time{0}) stand_not_before_ = now_ + options_.timing.first_election;
+    if (!reaches_quorum())
+        quorum_reached_ = Time{-1};
+    else if (quorum_reached_ < Time{0})
+        quorum_reached_ = now_;
     switch (role_) {
-    case Role::recovering:
-        return try_recovery();
+    case Role::recovering: return try_recovery();
     case Role::backup:
-        if (voting_ && !leaving_ && now_ >= stand_not_before_ && now_ - primary_heard_ > election_delay())
-            stand(true);
+        if (may_stand()) stand(true);
         return;
     case Role::canvassing:
     case Role::collecting:
@@ -87,6 +89,13 @@
     }
 }
 
+// The primary has been silent for long, and enough witnesses could answer: in the order of succession.
+bool Replica::may_stand() const {
+    if (!voting_ || leaving_ || now_ < stand_not_before_ || quorum_reached_ < Time{0}) return false;
+    const Time turn = options_.timing.election_step * static_cast<int>(place_in_order());
+    return now_ - primary_heard_ > election_delay() && now_ - quorum_reached_ >= turn;
+}
+
 void Replica::on(const Received& received) {
     Peer& peer = peers_[received.from];
     if (peer.steady_since < Time{0} || now_ - peer.heard > options_.timing.member_silent)
@@ -305,6 +314,13 @@
            now_ - peer.steady_since >= options_.timing.member_steady;
 }
 
+bool Replica::reaches_quorum() const {
+    std::set<MemberId> reached{options_.self};
+    for (const auto& [id, peer] : peers_)
+        if (peer.connected) reached.insert(id);
+    return has_quorum(register_.decided.witnesses, reached);
+}
+
 bool Replica::has_quorum(const std::vector<MemberId>& group, const std::set<MemberId>& of) const {
     const auto present = static_cast<std::size_t>(
         std::ranges::count_if(group, [&](const MemberId& id) { return of.contains(id); }));
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -29,7 +29,7 @@
     Time heartbeat{250};
     Time election{1000};       // without a heartbeat for so long, a backup stands for primary
     Time election_step{150};   // and so much later for each member before it in the order of succession
-    Time first_election{300};  // the same right after a start, when nobody can have been primary in this life
+    Time first_election{100};  // after a start, how long a primary that serves has to make itself heard
     Time phase{700};           // an election phase that takes longer is given up
     Time gather{100};          // how long a candidate waits for further promises beyond those it needs
     Time gather_planned{300};  // the same where a primary changes the membership and nothing is urgent
@@ -191,6 +191,8 @@
     bool save_state(const ReplicatedState& next);
     void send(const MemberId& to, Message message);
     bool alive(const MemberId& member) const;
+    bool may_stand() const;
+    bool reaches_quorum() const;
     bool has_quorum(const std::vector<MemberId>& group, const std::set<MemberId>& of) const;
     bool steady(const MemberId& member) const;
     std::vector<MemberId> spares() const;
@@ -198,6 +200,7 @@
     std::vector<MemberId> electors() const;
     const EpochRecord& highest_accepted() const;
     const EpochRecord& highest_decided() const;
+    std::size_t place_in_order() const;
     Time election_delay() const;
     bool hears_primary() const;
     std::size_t fewest_in_sync() const { return options_.tolerated + 1; }
@@ -222,6 +225,7 @@
     bool heard_in_this_life_ = false;
     Time role_since_{0};
     Time stand_not_before_{0};
+    Time quorum_reached_{-1}; // connected to enough witnesses since then; negative: is not
 
     // Of the election under way.
     Epoch candidate_epoch_ = 0;
--- a/src/transport/frame_connection.cpp
+++ b/src/transport/frame_connection.cpp
@@ -54,7 +54,7 @@
     asio::async_write(socket_, asio::buffer(*frame),
                       [self = shared_from_this(), frame](ErrorCode error, std::size_t /*bytes*/) {
                           self->writing_ = false;
-                          if (error) return self->close();
+                          if (error || !self->open_) return self->close(); // closing has emptied the queue
                           self->waiting_bytes_ -= frame->size();
                           self->queue_.pop_front();
                           self->write_next();
