Send long shared prompts to one holder in any region; count X in memory

Cause: each region read the same shared parts anew, priced when read again within seconds; a place says nothing of a prompt of 50,000 tokens. Change: the holder of 4,096 shared tokens and more is one of all workers; a dispatch adds the larger of its place and its share of the memory to X.

--- a/src/data/exchange.cpp
+++ b/src/data/exchange.cpp
@@ -80,7 +80,8 @@
     deadline_ = arrived + allowed;
     attempt_id_ = text(request["Attempt-Id"]);
     demand_.route = &route;
-    demand_.prompt_key = route.affinity ? routing::shared_prompt_key(text(request["Prompt-Prefix"])) : "";
+    if (route.affinity)
+        demand_.prompt = routing::read_prompt(text(request["Prompt-Prefix"]), text(request["Token-Count"]));
 }
 
 Time Exchange::left() const { return deadline_ - steady_now(); }
@@ -277,7 +278,8 @@
     for (int stale = 0; stale < stale_answers; ++stale) {
         http::response_parser<http::buffer_body> parser;
         parser.header_limit(65536);
-        parser.body_limit(std::numeric_limits<std::uint64_t>::max()); // none at all is taken for 0 by this Beast
+        parser.body_limit(
+            std::numeric_limits<std::uint64_t>::max()); // none at all is taken for 0 by this Beast
         if (request_.method() == http::verb::head) parser.skip(true);
         ErrorCode error;
         co_await http::async_read_header(connection->socket, connection->buffer, parser,
--- a/src/routing/selector.cpp
+++ b/src/routing/selector.cpp
@@ -4,6 +4,7 @@
 #include "policy/score.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace willowrill::routing {
 namespace {
@@ -12,8 +13,18 @@
 constexpr double preferred = 0.1;
 constexpr double next = 0.2;
 constexpr double last_resort = 1.0;
-// A dispatch takes one place: X grows by the tier's I, scaled so that the preferred tier's step is one place.
-constexpr double steps_per_place = 10;
+// X grows by the tier's I, scaled so that at the preferred tier it is the share that the request takes.
+constexpr double steps_per_increment = 10;
+// To read so many tokens takes longer than a round trip between regions.
+constexpr std::uint64_t far_holder_tokens = 4096;
+
+// What a request takes of a worker: a place or, where that is more, memory for its tokens.
+double share_of(const Demand& demand, const Worker& worker) {
+    const double place = 1 / static_cast<double>(std::max<std::size_t>(1, worker.instance.capacity));
+    if (!demand.service->has_engine || demand.service->cache_tokens == 0) return place;
+    return std::max(place, static_cast<double>(demand.prompt.tokens) /
+                               static_cast<double>(demand.service->cache_tokens));
+}
 
 } // namespace
 
@@ -22,13 +33,30 @@
     return found == regions.end() ? other : found->second;
 }
 
-std::string shared_prompt_key(std::string_view prompt_prefix) {
-    const std::size_t last = prompt_prefix.rfind(',');
-    if (last == std::string_view::npos) return {};
-    std::string_view shared = prompt_prefix.substr(0, last);
-    if (const std::size_t before = shared.rfind(','); before != std::string_view::npos)
-        shared.remove_prefix(before + 1);
-    return std::string(shared.substr(0, shared.find(':')));
+namespace {
+
+std::uint64_t tokens_in(std::string_view text) {
+    std::uint64_t out = 0;
+    std::from_chars(text.data(), text.data() + text.size(), out);
+    constexpr std::uint64_t most = 1U << 30U; // a client may claim anything
+    return std::min(out, most);
+}
+
+} // namespace
+
+Prompt read_prompt(std::string_view prompt_prefix, std::string_view token_count) {
+    Prompt out;
+    const std::size_t comma = token_count.find(',');
+    out.tokens = tokens_in(token_count.substr(0, comma));
+    if (comma != std::string_view::npos) out.tokens += tokens_in(token_count.substr(comma + 1));
+    for (std::size_t end = prompt_prefix.find(','); end != std::string_view::npos; end = prompt_prefix.find(',')) {
+        const std::string_view part = prompt_prefix.substr(0, end);
+        prompt_prefix.remove_prefix(end + 1);
+        const std::size_t colon = part.find(':');
+        out.shared_key = std::string(part.substr(0, colon));
+        if (colon != std::string_view::npos) out.shared_tokens += tokens_in(part.substr(colon + 1));
+    }
+    return out;
 }
 
 bool Selector::eligible(const Worker& worker, const Demand& demand, const Bounds& bounds) const {
@@ -41,14 +69,16 @@
     return homes.empty() || std::ranges::count(homes, place_.region_of(instance.zone)) > 0;
 }
 
-// The worker of the nearest region that all schedulers there send this prompt's kin to.
-std::string Selector::holder_of(const std::vector<Worker*>& able, const std::string& prompt_key) const {
-    if (prompt_key.empty()) return {};
+// The worker that all schedulers send this prompt's kin to: of this region or, where reading the shared parts again
+// takes longer than the way to another region, of all.
+std::string Selector::holder_of(const std::vector<Worker*>& able, const Prompt& prompt) const {
+    if (prompt.shared_key.empty()) return {};
+    const bool anywhere = prompt.shared_tokens >= far_holder_tokens;
     std::string best;
     std::uint64_t best_weight = 0;
     for (const Worker* worker : able) {
-        if (place_.region_of(worker->instance.zone) != place_.region) continue;
-        const std::uint64_t weight = ownership::rendezvous_weight(prompt_key, worker->instance.id);
+        if (!anywhere && place_.region_of(worker->instance.zone) != place_.region) continue;
+        const std::uint64_t weight = ownership::rendezvous_weight(prompt.shared_key, worker->instance.id);
         if (best.empty() || weight > best_weight) {
             best = worker->instance.id;
             best_weight = weight;
@@ -58,9 +88,9 @@
 }
 
 double Selector::increment(const Worker& worker, const std::string& holder) const {
+    if (!holder.empty() && worker.instance.id == holder) return preferred;
     if (place_.region_of(worker.instance.zone) != place_.region) return last_resort;
-    if (holder.empty()) return worker.instance.zone == place_.zone ? preferred : next;
-    return worker.instance.id == holder ? preferred : next;
+    return holder.empty() && worker.instance.zone == place_.zone ? preferred : next;
 }
 
 Choice Selector::choose(Time now, Workers& workers, const Demand& demand, const Bounds& bounds,
@@ -68,7 +98,7 @@
     std::vector<Worker*> able;
     for (auto& [id, worker] : workers)
         if (eligible(worker, demand, bounds)) able.push_back(&worker);
-    const std::string holder = holder_of(able, demand.prompt_key);
+    const std::string holder = holder_of(able, demand.prompt);
 
     Choice best;
     double best_score = policy::unreachable;
@@ -88,8 +118,7 @@
             ties = total < best_score ? 1 : ties + 1;
             if (ties > 1 && random_() % ties != 0) continue;
             best_score = total;
-            const auto places = static_cast<double>(std::max<std::size_t>(1, worker->instance.capacity));
-            best = {worker, tier * steps_per_place / places};
+            best = {worker, tier * steps_per_increment * share_of(demand, *worker)};
         }
         if (best.worker != nullptr) return best;
     }
--- a/src/routing/selector.h
+++ b/src/routing/selector.h
@@ -26,11 +26,18 @@
     const std::string& region_of(const std::string& zone) const;
 };
 
+// What a model request says of its prompt.
+struct Prompt {
+    std::string shared_key;          // the deepest part that other requests may share, empty where there is none
+    std::uint64_t shared_tokens = 0; // of all parts that may be shared
+    std::uint64_t tokens = 0;        // of the whole prompt, and the most that may go out
+};
+
 // What is asked for.
 struct Demand {
     const configuration::Route* route = nullptr;
     const configuration::Service* service = nullptr;
-    std::string prompt_key;      // the deepest shared prompt part, empty where there is none
+    Prompt prompt;
     std::set<std::string> tried; // workers that had this request or could not be reached
 };
 
@@ -62,13 +69,14 @@
   private:
     bool eligible(const Worker& worker, const Demand& demand, const Bounds& bounds) const;
     double increment(const Worker& worker, const std::string& holder) const;
-    std::string holder_of(const std::vector<Worker*>& able, const std::string& prompt_key) const;
+    std::string holder_of(const std::vector<Worker*>& able, const Prompt& prompt) const;
 
     Place place_;
     std::mt19937_64 random_;
 };
 
-// The deepest part of `Prompt-Prefix` that other requests may share, or nothing.
-std::string shared_prompt_key(std::string_view prompt_prefix);
+// Reads `Prompt-Prefix` ("ID:TOKENS,...", the last part the request's own) and `Token-Count` ("IN,OUT"). What makes no
+// sense counts as nothing.
+Prompt read_prompt(std::string_view prompt_prefix, std::string_view token_count);
 
 } // namespace willowrill::routing
