--- a/src/control/scheduler_hub.cpp
+++ b/src/control/scheduler_hub.cpp
@@ -10,8 +10,7 @@
 
 void SchedulerHub::adopt(const transport::FrameConnectionPtr& connection) {
     if (sessions_.size() >= membership::most_leases) return connection->close();
-    sessions_[connection] = std::nullopt;
-    if (state_ && callbacks_.is_current()) connection->send_frame(state_);
+    send_state(connection, sessions_[connection]);
     if (members_) connection->send_frame(members_);
     for (const auto& [zone, frame] : zones_)
         connection->send_frame(frame);
@@ -21,12 +20,11 @@
     const auto session = sessions_.find(connection);
     if (session == sessions_.end() || message.at("type") != "lease") return;
     const auto lease = message.at("lease").get<membership::Lease>();
-    session->second = lease;
+    session->second.lease = lease;
     callbacks_.renewed(lease);
+    // One that came while this member was behind, or between two primaries, is owed the state.
+    send_state(connection, session->second);
     const bool current = callbacks_.is_current();
-    // A scheduler that joined while this member was behind gets the state as soon as it is known to be
-    // current.
-    if (current && state_ && lease.phase == membership::Phase::starting) connection->send_frame(state_);
     connection->send(
         {{"type", "beat"}, {"renewal", lease.renewal}, {"current", current}, {"core", callbacks_.core()}});
 }
@@ -34,7 +32,7 @@
 void SchedulerHub::on_closed(const transport::FrameConnectionPtr& connection) {
     const auto session = sessions_.find(connection);
     if (session == sessions_.end()) return;
-    const auto lease = session->second;
+    const auto lease = session->second.lease;
     sessions_.erase(session);
     if (lease) callbacks_.ended(*lease);
 }
@@ -47,7 +45,16 @@
                                         {"version", state.version},
                                         {"configuration", state.configuration},
                                         {"evacuated", state.evacuated_zones}});
-    push(state_);
+    for (auto& [connection, session] : sessions_) {
+        session.state = state_;
+        connection->send_frame(state_);
+    }
+}
+
+void SchedulerHub::send_state(const transport::FrameConnectionPtr& connection, Session& session) {
+    if (!state_ || session.state == state_ || !callbacks_.is_current()) return;
+    session.state = state_;
+    connection->send_frame(state_);
 }
 
 void SchedulerHub::publish_members(const std::vector<membership::Lease>& leases) {
@@ -65,7 +72,7 @@
 }
 
 void SchedulerHub::push(const Frame& frame) {
-    for (const auto& [connection, lease] : sessions_)
+    for (const auto& [connection, session] : sessions_)
         connection->send_frame(frame);
 }
 
--- a/src/control/scheduler_hub.h
+++ b/src/control/scheduler_hub.h
@@ -37,10 +37,15 @@
 
   private:
     using Frame = std::shared_ptr<const std::string>;
+    struct Session {
+        std::optional<membership::Lease> lease;
+        Frame state; // the newest that this scheduler was sent
+    };
     void push(const Frame& frame);
+    void send_state(const transport::FrameConnectionPtr& connection, Session& session);
 
     Callbacks callbacks_;
-    std::map<transport::FrameConnectionPtr, std::optional<membership::Lease>> sessions_;
+    std::map<transport::FrameConnectionPtr, Session> sessions_;
     Frame state_, members_;
     std::map<std::string, Frame> zones_;
 };
--- a/src/data/reading_exchange.cpp
+++ b/src/data/reading_exchange.cpp
@@ -173,11 +173,14 @@
                                                                   endpoint.value().port);
         }
         if (prober.client->busy() || now < prober.due) continue;
-        prober.due = now + probe_period;
+        const configuration::Service* service =
+            context_.in_force->configuration.find_service(worker.instance.service);
+        if (service == nullptr) continue;
+        // Only model workers report their load; of others no more is asked than whether they answer at all.
+        prober.due = now + (service->has_engine ? probe_period : health_period);
         ++probes_;
-        prober.client->get(
-            "/-/report", probe_timeout,
-            [this, id = id](const http_client::Response* response) { on_report(id, response); });
+        prober.client->get(service->has_engine ? "/-/report" : service->health_path, probe_timeout,
+                           [this, id = id](const http_client::Response* response) { on_report(id, response); });
     }
 }
 
