--- a/src/routing/selector.h
+++ b/src/routing/selector.h
@@ -28,7 +28,7 @@
 
 // What a model request says of its prompt.
 struct Prompt {
-    std::string shared_key;          // the deepest part that other requests may share, empty where there is none
+    std::string shared_key;          // the deepest part that others may share, empty where there is none
     std::uint64_t shared_tokens = 0; // of all parts that may be shared
     std::uint64_t tokens = 0;        // of the whole prompt, and the most that may go out
 };
@@ -75,8 +75,8 @@
     std::mt19937_64 random_;
 };
 
-// Reads `Prompt-Prefix` ("ID:TOKENS,...", the last part the request's own) and `Token-Count` ("IN,OUT"). What makes no
-// sense counts as nothing.
+// Reads `Prompt-Prefix` ("ID:TOKENS,...", the last part the request's own) and `Token-Count` ("IN,OUT"). What
+// makes no sense counts as nothing.
 Prompt read_prompt(std::string_view prompt_prefix, std::string_view token_count);
 
 } // namespace willowrill::routing
--- a/tests/system/configuration_test.cpp
+++ b/tests/system/configuration_test.cpp
@@ -39,7 +39,8 @@
     const std::string text =
         R"({"configVersion":7,"routes":[{"name":"r","host":"H.example:80","pathPrefix":"/a/",
         "routeClass":"streaming","timeoutMs":15000,"targetMs":1000,"priority":1,"distribution":[
-        {"service":"s","weight":90},{"service":"t","weight":10}],"maxAttempts":2,"affinity":true,"resumable":true,
+        {"service":"s","weight":90},{"service":"t","weight":10}],"maxAttempts":2,"affinity":true,
+        "resumable":true,
         "gap_aim_ms":400,"homeRegions":["north"],"later":1}],"services":[{"name":"s","maxConnections":390,
         "coldStartS":3.0,"coldRateS":10.0,"engine":{"capacity":64,"cacheTokens":491479}},{"name":"t"}],
         "limits":{"maxHeaderBytes":1000,"maxBodyBytes":2000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
--- a/tests/system/settings_test.cpp
+++ b/tests/system/settings_test.cpp
@@ -16,7 +16,8 @@
 Test(settings, a_machine_without_a_disk_and_fields_of_later_days) {
     const auto read =
         parse(std::string(least) + R"(,"dataPath":null,"endpoints":{"front":"10.0.0.1:80","control":null},
-        "seedNodes":["10.0.0.1:90","nonsense"],"zones":{"z":"r"},"timers":{"graceS":8,"retrySlack":62,"coldExcess":1.5},
+        "seedNodes":["10.0.0.1:90","nonsense"],"zones":{"z":"r"},
+        "timers":{"graceS":8,"retrySlack":62,"coldExcess":1.5},
         "platformApi":null,"later":{"x":1}})");
     cr_assert(static_cast<bool>(read));
     cr_assert(read.value().data_path.empty());
