Name owners of the platform's list as soon as there is a primary; dial sooner

Cause: after a restart of everything, schedulers waited up to 0.25 s for the next round of assignments and 0.25 s for the next dial. Change: assignments follow at once on becoming primary, readings on an assignment; dials every 100 ms.

--- a/src/control/control_plane.cpp
+++ b/src/control/control_plane.cpp
@@ -19,7 +19,7 @@
 using nlohmann::json;
 
 constexpr std::chrono::milliseconds tick_period{50};
-constexpr std::uint64_t ticks_between_dials = 5;
+constexpr std::uint64_t ticks_between_dials = 2;
 constexpr std::uint64_t ticks_between_gossip = 14;
 constexpr std::uint64_t ticks_between_assignments = 5;
 constexpr std::chrono::milliseconds lease_duration{2200};
@@ -195,6 +195,7 @@
     feeding_ = false;
     if (const replication::Role role = replica_.role(); role != last_role_) {
         last_role_ = role;
+        if (replica_.is_primary()) assign(); // schedulers that start wait for the list
         const replication::EpochRecord& record = replica_.witness_register().decided;
         fmt::print(stderr, "level=info event=role member={} role={} epoch={} in_sync={} witnesses={}\n",
                    self_, name_of(role), record.epoch, joined(record.in_sync), joined(record.witnesses));
@@ -346,6 +347,7 @@
         else
             reader_.yield(zone, token);
     }
+    reader_.tick(Clock::now());
 }
 
 void ControlPlane::on_own_list(const discovery::ZoneList& list) {
