Remove a break of the simulated core that its checker does not notice

Change: the flag goes; the case stands as single tests (recovery: an_empty_disk_neither_votes_nor_counts and its neighbours).

--- a/src/simulation/cluster.cpp
+++ b/src/simulation/cluster.cpp
@@ -146,7 +146,7 @@
         replication::Options options;
         options.self = member.id;
         options.seeds = seeds_;
-        options.initial_start = std::exchange(member.first_start, false) || plan_.break_trusts_empty_disk;
+        options.initial_start = std::exchange(member.first_start, false);
         options.tolerated = plan_.tolerated;
         options.random_seed = random_();
         member.disk->crash_chance = 0; // a start that dies would only start again
--- a/src/simulation/cluster.h
+++ b/src/simulation/cluster.h
@@ -62,7 +62,6 @@
     double crash_chance = 0.001;
     // Deliberate breaks, each of which the checker must notice.
     bool break_forgets_registers = false; // registers are not durable
-    bool break_trusts_empty_disk = false; // a wiped member believes that it starts for the first time
     bool break_answers_for_others =
         false;                            // backups are taken to have stored what may never have reached them
     bool break_unconfirmed_reads = false; // a member that takes itself for the primary answers reads at once
