--- a/src/configuration/control_state.cpp
+++ b/src/configuration/control_state.cpp
@@ -1,9 +1,12 @@
 #include "configuration/control_state.h"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <nlohmann/json.hpp>
+#include <sodium.h>
 
 #include <algorithm>
+#include <stdexcept>
 
 namespace willowrill::configuration {
 namespace {
@@ -13,24 +16,48 @@
 using errors::Result;
 using Json = nlohmann::json;
 
-// FNV-1a of the version and the body.
-std::uint64_t digest_of(const PutConfiguration& order) {
-    constexpr std::uint64_t basis = 0xcbf29ce484222325ULL, prime = 0x100000001b3ULL;
-    std::uint64_t out = basis;
-    const auto mix = [&](unsigned char byte) { out = (out ^ byte) * prime; };
-    for (const char c : fmt::format("{}:", order.based_on.value_or(0)))
-        mix(static_cast<unsigned char>(c));
-    for (const char c : order.body)
-        mix(static_cast<unsigned char>(c));
+// The version ends with a colon, so that no two orders give the same bytes.
+OrderDigest digest_of(const PutConfiguration& order) {
+    const std::string bytes = fmt::format("{}:{}", order.based_on.value_or(0), order.body);
+    OrderDigest out{};
+    static_assert(out.size() == crypto_hash_sha256_BYTES);
+    crypto_hash_sha256(out.data(), reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size());
     return out;
 }
 
+std::string to_hex(const OrderDigest& digest) { return fmt::format("{:02x}", fmt::join(digest, "")); }
+
+OrderDigest from_hex(const std::string& text) {
+    OrderDigest out{};
+    std::size_t length = 0;
+    const char* end = nullptr;
+    if (sodium_hex2bin(out.data(), out.size(), text.data(), text.size(), nullptr, &length, &end) != 0 ||
+        length != out.size() || end != text.data() + text.size())
+        throw std::invalid_argument("not a digest: " + text);
+    return out;
+}
+
+// The order is based on another version than the current one, and is not among those remembered. It was
+// surely not taken if whatever was taken on top of that version is remembered still.
+Error conflict(const ControlState& state, Version based_on) {
+    if (based_on < state.forgotten_through)
+        return {ErrorKind::outcome_forgotten,
+                fmt::format("orders based on versions below {} are not remembered", state.forgotten_through)};
+    return {ErrorKind::version_conflict, fmt::format("version {} is current", state.version)};
+}
+
+void remember(ControlState& state, const TakenOrder& order) {
+    state.taken.push_back(order);
+    if (state.taken.size() <= most_taken) return;
+    state.forgotten_through = state.taken.front().version;
+    state.taken.pop_front();
+}
+
 Result<Applied> put(const ControlState& state, const PutConfiguration& order) {
-    const std::uint64_t digest = digest_of(order);
+    const OrderDigest digest = digest_of(order);
     if (std::ranges::count(state.taken, digest, &TakenOrder::digest) > 0) return Applied{Unchanged{}};
     if (!order.based_on) return Error{ErrorKind::invalid_configuration, "If-Match must name a version"};
-    if (*order.based_on != state.version)
-        return Error{ErrorKind::version_conflict, fmt::format("version {} is current", state.version)};
+    if (*order.based_on != state.version) return conflict(state, *order.based_on);
     const auto parsed = parse(order.body);
     if (!parsed) return parsed.error();
     if (parsed.value().version <= state.version)
@@ -39,8 +66,11 @@
     ControlState next = state;
     next.version = parsed.value().version;
     next.configuration = order.body;
-    next.taken.push_back({digest, next.version});
-    if (next.taken.size() > most_taken) next.taken.pop_front();
+    remember(next, {digest, next.version});
+    const std::size_t size = encode(next).size();
+    if (size > most_state_bytes)
+        return Error{ErrorKind::state_too_large,
+                     fmt::format("the state would take {} of {} bytes", size, most_state_bytes)};
     return Applied{std::move(next)};
 }
 
@@ -72,11 +102,12 @@
 std::string encode(const ControlState& state) {
     Json taken = Json::array();
     for (const TakenOrder& order : state.taken)
-        taken.push_back(Json{order.digest, order.version});
+        taken.push_back(Json{to_hex(order.digest), order.version});
     return Json{{"version", state.version},
                 {"configuration", state.configuration},
                 {"evacuated", state.evacuated_zones},
-                {"taken", std::move(taken)}}
+                {"taken", std::move(taken)},
+                {"forgotten_through", state.forgotten_through}}
         .dump();
 }
 
@@ -89,7 +120,8 @@
         json.at("configuration").get_to(out.configuration);
         json.at("evacuated").get_to(out.evacuated_zones);
         for (const Json& order : json.at("taken"))
-            out.taken.push_back({order.at(0).get<std::uint64_t>(), order.at(1).get<Version>()});
+            out.taken.push_back({from_hex(order.at(0).get<std::string>()), order.at(1).get<Version>()});
+        json.at("forgotten_through").get_to(out.forgotten_through);
     } catch (const std::exception& error) {
         return Error{ErrorKind::storage_failed, error.what()};
     }
--- a/src/control/core_mesh.cpp
+++ b/src/control/core_mesh.cpp
@@ -14,11 +14,13 @@
 CoreMesh::CoreMesh(asio::io_context& loop, MemberId self, std::uint16_t internal_port, Callbacks callbacks)
     : loop_(loop), self_(std::move(self)), internal_port_(internal_port), callbacks_(std::move(callbacks)) {}
 
-void CoreMesh::know(const MemberId& member) {
-    if (member == self_ || links_.contains(member) || links_.size() >= most_core_members) return;
-    if (!settings::parse_endpoint(member)) return;
+bool CoreMesh::know(const MemberId& member) {
+    if (member == self_) return false;
+    if (links_.contains(member)) return true;
+    if (links_.size() >= most_core_members || !settings::parse_endpoint(member)) return false;
     links_[member] = {};
     dial(member);
+    return true;
 }
 
 void CoreMesh::maintain() {
@@ -54,10 +56,10 @@
 }
 
 void CoreMesh::broadcast(const nlohmann::json& message) {
-    std::shared_ptr<const std::string> frame;
+    transport::Frame frame;
     for (const auto& [member, link] : links_) {
         if (!link.connection) continue;
-        if (!frame) frame = transport::FrameConnection::frame_of(message);
+        if (!frame) frame = transport::frame_of(message);
         link.connection->send_frame(frame);
     }
 }
--- a/src/control/core_mesh.h
+++ b/src/control/core_mesh.h
@@ -26,8 +26,8 @@
     // `internal_port`: where core members listen for each other, alike on all machines.
     CoreMesh(asio::io_context& loop, MemberId self, std::uint16_t internal_port, Callbacks callbacks);
 
-    // Keeps trying to reach this member from now on.
-    void know(const MemberId& member);
+    // Keeps trying to reach this member from now on. False where it is no member's id, or there are too many.
+    bool know(const MemberId& member);
     // Dials whom it is not connected to; called now and then.
     void maintain();
     void send(const MemberId& to, const nlohmann::json& message);
--- /dev/null
+++ b/src/control/core_node.cpp
@@ -0,0 +1,92 @@
+#include "control/core_node.h"
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <random>
+#include <utility>
+
+namespace willowrill::control {
+namespace {
+
+std::uint64_t draw_seed(const std::string& name) {
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) ^ device() ^ std::hash<std::string>()(name);
+}
+
+replication::Options options_of(const settings::Settings& settings) {
+    replication::Options out;
+    out.self = settings::to_text(settings.control);
+    out.initial_start = settings.initial_start;
+    for (const settings::Endpoint& seed : settings.seeds)
+        out.seeds.push_back(settings::to_text(seed));
+    out.tolerated = settings.tolerated_members;
+    out.random_seed = draw_seed(settings.node_name);
+    return out;
+}
+
+} // namespace
+
+CoreNode::CoreNode(asio::io_context& loop, const settings::Settings& settings, Callbacks callbacks)
+    : self_(settings::to_text(settings.control)), callbacks_(std::move(callbacks)),
+      replica_(options_of(settings)), orders_([this](replication::Event event) { feed(std::move(event)); }),
+      disk_(loop, settings.data_path, [this](replication::Event event) { feed(std::move(event)); }) {}
+
+replication::Time CoreNode::steady_now() {
+    return std::chrono::duration_cast<replication::Time>(std::chrono::steady_clock::now().time_since_epoch());
+}
+
+// Events that actions give rise to wait for their turn: the replica is never entered twice.
+void CoreNode::feed(replication::Event event) {
+    events_.push_back(std::move(event));
+    if (std::exchange(feeding_, true)) return;
+    while (!events_.empty()) {
+        const replication::Event next = std::move(events_.front());
+        events_.pop_front();
+        std::vector<replication::Action> actions;
+        replica_.step(steady_now(), next, actions);
+        for (const replication::Action& action : actions)
+            carry_out(action);
+    }
+    feeding_ = false;
+    log_role();
+}
+
+void CoreNode::carry_out(const replication::Action& action) {
+    if (const auto* send = std::get_if<replication::Send>(&action))
+        return callbacks_.send(send->to, send->message);
+    if (const auto* save = std::get_if<replication::Save>(&action)) return disk_.save(*save);
+    if (const auto* committed = std::get_if<replication::Committed>(&action)) return orders_.on(*committed);
+    if (const auto* undecided = std::get_if<replication::Undecided>(&action)) return orders_.on(*undecided);
+    if (const auto* confirmed = std::get_if<replication::Confirmed>(&action)) return orders_.on(*confirmed);
+    on_state_changed();
+}
+
+void CoreNode::on_state_changed() {
+    const replication::ReplicatedState& committed = replica_.committed();
+    const auto state = configuration::decode(*committed.content);
+    if (!state) {
+        fmt::print(stderr, "level=error event=state-unreadable member={} detail=\"{}\"\n", self_,
+                   state.error().detail);
+        return;
+    }
+    orders_.on_state(state.value(), committed.position);
+    callbacks_.on_state(committed.position, state.value());
+}
+
+void CoreNode::log_role() {
+    const replication::Role role = replica_.role();
+    const replication::EpochRecord& record = replica_.witness_register().decided;
+    if (role == last_role_ && record.epoch == last_epoch_) return;
+    const bool rose = role == replication::Role::primary && role != last_role_;
+    last_role_ = role;
+    last_epoch_ = record.epoch;
+    fmt::print(
+        stderr,
+        "level=info event=role member={} role={} reason={} epoch={} primary={} in_sync={} witnesses={}\n",
+        self_, replication::name_of(role), replica_.role_reason(), record.epoch, record.primary,
+        fmt::join(record.in_sync, ","), fmt::join(record.witnesses, ","));
+    if (rose) callbacks_.on_primary();
+}
+
+} // namespace willowrill::control
--- /dev/null
+++ b/src/control/core_node.h
@@ -0,0 +1,55 @@
+// This process as a member of the core: the replica with its disk, and the queue of orders in front of it.
+// One thread.
+#pragma once
+
+#include "control/disk_worker.h"
+#include "control/order_queue.h"
+#include "replication/replica.h"
+#include "settings/settings.h"
+
+#include <deque>
+#include <functional>
+
+namespace willowrill::control {
+
+using replication::MemberId;
+
+class CoreNode {
+  public:
+    struct Callbacks {
+        std::function<void(const MemberId&, const replication::Message&)> send;
+        std::function<void(const replication::Position&, const configuration::ControlState&)> on_state;
+        std::function<void()> on_primary; // this member has just become the primary
+    };
+    CoreNode(asio::io_context& loop, const settings::Settings& settings, Callbacks callbacks);
+
+    void feed(replication::Event event);
+    void tick() { feed(replication::Tick{}); }
+
+    OrderQueue& orders() { return orders_; }
+    bool is_primary() const { return replica_.is_primary(); }
+    std::optional<MemberId> primary() const { return replica_.primary(); }
+    // Whether a quorum vouched a moment ago for the state that is held here.
+    bool current() const { return replica_.current(steady_now()); }
+    bool may_end() const { return replica_.may_end(steady_now()); }
+    const replication::WitnessRegister& witness_register() const { return replica_.witness_register(); }
+
+    static replication::Time steady_now();
+
+  private:
+    void carry_out(const replication::Action& action);
+    void on_state_changed();
+    void log_role();
+
+    MemberId self_;
+    Callbacks callbacks_;
+    replication::Replica replica_;
+    std::deque<replication::Event> events_;
+    bool feeding_ = false;
+    replication::Role last_role_ = replication::Role::loading;
+    replication::Epoch last_epoch_ = 0;
+    OrderQueue orders_;
+    DiskWorker disk_;
+};
+
+} // namespace willowrill::control
--- a/src/control/disk.cpp
+++ b/src/control/disk.cpp
@@ -1,26 +1,29 @@
 #include "control/disk.h"
 
+#include "configuration/control_state.h"
 #include "replication/codec.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
+#include <utility>
 
 namespace willowrill::control {
 namespace {
 
-constexpr std::size_t slots = 4;
-constexpr std::size_t register_bytes = 8192;
-constexpr std::size_t state_bytes = 512U << 10U;
+constexpr std::size_t slots = 3;
+constexpr std::size_t register_room = 16U << 10U;
+// Of the position's line, and of zones evacuated on top of the largest configuration.
+constexpr std::size_t spare_room = 4096;
+constexpr std::size_t state_room = configuration::most_state_bytes + spare_room;
 
 template <class Decode>
-auto newest(const std::optional<storage::RecordRing>& ring, Decode decode)
+auto newest(const storage::RecordRing& ring, Decode decode)
     -> std::optional<decltype(decode(std::string()))> {
-    if (!ring || !ring->newest()) return std::nullopt;
+    if (!ring.newest()) return std::nullopt;
     try {
-        return decode(*ring->newest());
-    } catch (const nlohmann::json::exception& error) {
+        return decode(*ring.newest());
+    } catch (const std::exception& error) {
         fmt::print(stderr, "level=error event=record-unreadable detail=\"{}\"\n", error.what());
         return std::nullopt;
     }
@@ -40,33 +43,26 @@
 } // namespace
 
 errors::Result<std::unique_ptr<Disk>> Disk::open(const std::filesystem::path& folder) {
-    auto disk = std::make_unique<Disk>();
-    if (folder.empty()) return disk;
-    auto registers = storage::RecordRing::open(folder, "register", slots, register_bytes);
+    auto registers = storage::RecordRing::open(folder, "register", slots, register_room);
     if (!registers) return registers.error();
-    auto states = storage::RecordRing::open(folder, "state", slots, state_bytes);
+    auto states = storage::RecordRing::open(folder, "state", slots, state_room);
     if (!states) return states.error();
     report("register", registers.value());
     report("state", states.value());
-    disk->registers_.emplace(std::move(registers.value()));
-    disk->states_.emplace(std::move(states.value()));
-    return disk;
+    return std::unique_ptr<Disk>(new Disk(std::move(registers.value()), std::move(states.value())));
 }
 
-std::optional<replication::WitnessRegister> Disk::load_register() {
-    return newest(registers_, replication::decode_register);
+replication::Loaded Disk::load() const {
+    return {newest(registers_, replication::decode_register), newest(states_, replication::decode_state)};
 }
 
-std::optional<replication::ReplicatedState> Disk::load_state() {
-    return newest(states_, replication::decode_state);
-}
-
-bool Disk::save(const replication::WitnessRegister& value) {
-    return !registers_ || registers_->write(replication::encode_register(value));
-}
-
-bool Disk::save(const replication::ReplicatedState& value) {
-    return !states_ || states_->write(replication::encode_state(value));
+bool Disk::save(const replication::Save& request) {
+    if (failed_ && !request.restores) return false;
+    const auto* value = std::get_if<replication::WitnessRegister>(&request.record);
+    failed_ = value != nullptr ? !registers_.write(replication::encode_register(*value))
+                               : !states_.write(replication::encode_state(
+                                     std::get<replication::ReplicatedState>(request.record)));
+    return !failed_;
 }
 
 } // namespace willowrill::control
--- a/src/control/disk.h
+++ b/src/control/disk.h
@@ -1,8 +1,9 @@
-// A core member's durable state in two rings of records: the witness register, and the replicated state.
+// A core member's durable state in two rings of records: the witness register, and the replicated state. One
+// thread; every call waits for the disk.
 #pragma once
 
 #include "errors/error.h"
-#include "replication/types.h"
+#include "replication/replica.h"
 #include "storage/record_ring.h"
 
 #include <filesystem>
@@ -10,19 +11,22 @@
 
 namespace willowrill::control {
 
-class Disk : public replication::Storage {
+class Disk {
   public:
-    // An empty path: nothing is durable, which only a deployment without disks should want.
     static errors::Result<std::unique_ptr<Disk>> open(const std::filesystem::path& folder);
 
-    std::optional<replication::WitnessRegister> load_register() override;
-    std::optional<replication::ReplicatedState> load_state() override;
-    bool save(const replication::WitnessRegister& value) override;
-    bool save(const replication::ReplicatedState& value) override;
+    replication::Loaded load() const;
+    // True once the record will survive a loss of power; otherwise its fate is unknown, and all are refused
+    // up to the next one that restores.
+    bool save(const replication::Save& request);
 
   private:
-    std::optional<storage::RecordRing> registers_;
-    std::optional<storage::RecordRing> states_;
+    Disk(storage::RecordRing registers, storage::RecordRing states)
+        : registers_(std::move(registers)), states_(std::move(states)) {}
+
+    storage::RecordRing registers_;
+    storage::RecordRing states_;
+    bool failed_ = false; // and not restored yet
 };
 
 } // namespace willowrill::control
--- /dev/null
+++ b/src/control/disk_worker.cpp
@@ -0,0 +1,96 @@
+#include "control/disk_worker.h"
+
+#include <fmt/format.h>
+
+#include <chrono>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+namespace willowrill::control {
+namespace {
+
+constexpr std::chrono::milliseconds open_again{500};
+
+} // namespace
+
+// What the thread and the loop have in common; outlives the worker where a call to the disk does not return.
+struct DiskWorker::Shared {
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::deque<replication::Save> requests; // bounded by the replica, which asks nothing of a silent disk
+    asio::io_context* loop = nullptr;       // null once the worker is gone
+    std::filesystem::path folder;
+    OnEvent on_event; // of the loop's thread alone
+
+    void tell(const std::shared_ptr<Shared>& self, replication::Event event) {
+        const std::lock_guard lock(mutex);
+        if (loop == nullptr) return;
+        asio::post(*loop, [self, event = std::move(event)] {
+            if (self->on_event) self->on_event(event);
+        });
+    }
+
+    // Nothing once the worker is gone.
+    std::optional<replication::Save> next() {
+        std::unique_lock lock(mutex);
+        changed.wait(lock, [this] { return loop == nullptr || !requests.empty(); });
+        if (loop == nullptr) return std::nullopt;
+        replication::Save request = std::move(requests.front());
+        requests.pop_front();
+        return request;
+    }
+
+    // Whether the worker still wants it after the pause.
+    bool pause() {
+        std::unique_lock lock(mutex);
+        return !changed.wait_for(lock, open_again, [this] { return loop == nullptr; });
+    }
+
+    std::unique_ptr<Disk> open() {
+        for (std::string told;;) {
+            auto disk = Disk::open(folder);
+            if (disk) return std::move(disk.value());
+            if (std::exchange(told, disk.error().detail) != disk.error().detail)
+                fmt::print(stderr, "level=error event=disk-unusable detail=\"{}\"\n", told);
+            if (!pause()) return nullptr;
+        }
+    }
+
+    static void run(const std::shared_ptr<Shared>& self) {
+        const std::unique_ptr<Disk> disk = self->folder.empty() ? nullptr : self->open();
+        if (!disk && !self->folder.empty()) return;
+        self->tell(self, disk ? disk->load() : replication::Loaded{});
+        while (const auto request = self->next()) {
+            if (!disk || disk->save(*request))
+                self->tell(self, replication::Saved{request->ticket});
+            else
+                self->tell(self, replication::SaveFailed{request->ticket});
+        }
+    }
+};
+
+DiskWorker::DiskWorker(asio::io_context& loop, std::filesystem::path folder, OnEvent on_event)
+    : shared_(std::make_shared<Shared>()) {
+    shared_->loop = &loop;
+    shared_->folder = std::move(folder);
+    shared_->on_event = std::move(on_event);
+    std::thread(Shared::run, shared_).detach();
+}
+
+DiskWorker::~DiskWorker() {
+    const std::lock_guard lock(shared_->mutex);
+    shared_->loop = nullptr;
+    shared_->on_event = nullptr;
+    shared_->changed.notify_all();
+}
+
+void DiskWorker::save(replication::Save request) {
+    const std::lock_guard lock(shared_->mutex);
+    shared_->requests.push_back(std::move(request));
+    shared_->changed.notify_all();
+}
+
+} // namespace willowrill::control
--- /dev/null
+++ b/src/control/disk_worker.h
@@ -0,0 +1,33 @@
+// Carries a core member's saves to its disk on a thread of its own, so that a disk that is slow or stalled
+// holds up nothing else. Answers come as events on the loop. All calls on the loop's thread.
+#pragma once
+
+#include "control/disk.h"
+#include "transport/asio.h"
+
+#include <filesystem>
+#include <functional>
+#include <memory>
+
+namespace willowrill::control {
+
+class DiskWorker {
+  public:
+    using OnEvent = std::function<void(replication::Event)>; // Loaded once, then Saved and SaveFailed
+
+    // Opens and reads the folder, again and again until the disk lets it. An empty path: nothing is durable,
+    // which only a deployment without disks should want.
+    DiskWorker(asio::io_context& loop, std::filesystem::path folder, OnEvent on_event);
+    // Does not wait for the disk.
+    ~DiskWorker();
+    DiskWorker(const DiskWorker&) = delete;
+    DiskWorker& operator=(const DiskWorker&) = delete;
+
+    void save(replication::Save request);
+
+  private:
+    struct Shared;
+    std::shared_ptr<Shared> shared_;
+};
+
+} // namespace willowrill::control
--- /dev/null
+++ b/src/control/list_owners.h
@@ -0,0 +1,59 @@
+// The platform's list of workers at this core member: the primary names an owner for each zone, owners read
+// the platform, and everyone takes in the newest list. One thread.
+#pragma once
+
+#include "control/platform_reader.h"
+#include "discovery/instances.h"
+#include "ownership/ownership.h"
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace willowrill::control {
+
+class ListOwners {
+  public:
+    struct Callbacks {
+        std::function<void(const nlohmann::json&)> broadcast; // to all other core members
+        std::function<void(const discovery::ZoneList&)> changed;
+    };
+    ListOwners(asio::io_context& loop, const settings::Settings& settings, Callbacks callbacks);
+
+    void tick() { reader_.tick(Clock::now()); }
+    // As the primary of this epoch, names the owners among these members and tells them.
+    void assign(std::uint64_t epoch, const std::vector<std::string>& live);
+    // Another member is the primary.
+    void stop_assigning() { assigner_.reset(); }
+    // A message of another member: "assign", "zone" or "zone-unchanged". Throws nlohmann::json::exception on
+    // one of the wrong shape.
+    void on_message(const std::string& type, const nlohmann::json& message);
+    // All lists, as messages for a member that has just come.
+    std::vector<nlohmann::json> messages() const;
+
+  private:
+    using Clock = std::chrono::steady_clock;
+    struct PublishedZone {
+        std::vector<discovery::Instance> instances;
+        Clock::time_point at;
+    };
+    void take_assignments(const nlohmann::json& message);
+    void on_own_list(const discovery::ZoneList& list);
+    void take_list(const discovery::ZoneList& list);
+
+    std::string self_;
+    std::vector<std::string> zones_;
+    Callbacks callbacks_;
+    discovery::Catalogue catalogue_;
+    std::map<std::string, PublishedZone> published_;
+    PlatformReader reader_;
+    std::optional<ownership::Assigner> assigner_;
+    std::uint64_t assigner_epoch_ = 0;
+    std::map<std::string, Clock::time_point> told_; // when a zone's whole list was last sent to the core
+};
+
+} // namespace willowrill::control
--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -6,6 +6,9 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <fstream>
+#include <functional>
+#include <sstream>
 
 namespace {
 
@@ -15,6 +18,10 @@
     std::ifstream file(path);
     std::ostringstream text;
     text << file.rdbuf();
+    if (!file) {
+        fmt::print(stderr, "{}: cannot be read\n", path);
+        return 1;
+    }
     const auto parsed = configuration::parse(text.str());
     if (parsed) {
         fmt::print("{}: good, version {}, {} routes\n", path, parsed.value().version,
@@ -26,13 +33,8 @@
 }
 
 int serve(const settings::Settings& settings, const std::string& path) {
-    auto disk = control::Disk::open(settings.data_path);
-    if (!disk) {
-        fmt::print(stderr, "level=error event=disk-unusable detail=\"{}\"\n", disk.error().detail);
-        return 1;
-    }
     asio::io_context loop(1);
-    control::ControlPlane plane(loop, settings, path, std::move(disk.value()));
+    control::ControlPlane plane(loop, settings, path);
     asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
     std::function<void()> wait = [&] {
         signals.async_wait([&](ErrorCode error, int signal) {
--- /dev/null
+++ b/src/control/operator_api.cpp
@@ -0,0 +1,95 @@
+#include "control/operator_api.h"
+
+#include <fmt/format.h>
+
+#include <charconv>
+#include <utility>
+
+namespace willowrill::control {
+namespace {
+
+using errors::Error;
+using errors::ErrorKind;
+using http_server::error_response;
+using http_server::json_response;
+using http_server::Request;
+using http_server::Respond;
+
+constexpr std::string_view configuration_path = "/-/configuration";
+constexpr std::string_view evacuation_path = "/-/evacuation/";
+
+// The version in an If-Match header, with or without quotes.
+std::optional<configuration::Version> version_in(std::string_view text) {
+    if (text.size() >= 2 && text.front() == '"' && text.back() == '"') text = text.substr(1, text.size() - 2);
+    configuration::Version out = 0;
+    const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), out);
+    if (error != std::errc() || stop != text.data() + text.size()) return std::nullopt;
+    return out;
+}
+
+} // namespace
+
+void OperatorApi::on_request(const Request& request, const Respond& respond) {
+    const std::string target(request.target().substr(0, request.target().find('?')));
+    if (target == configuration_path) return on_configuration(request, respond);
+    if (target.starts_with(evacuation_path))
+        return on_evacuation(request, respond, target.substr(evacuation_path.size()));
+    respond(error_response(request, {ErrorKind::unknown_resource, target}));
+}
+
+// Says whether the request was answered here, as another member is the primary or none is known.
+bool OperatorApi::redirect(const Request& request, const Respond& respond) const {
+    if (node_.is_primary()) return false;
+    const auto primary = node_.primary();
+    if (!primary || *primary == self_) {
+        respond(error_response(request, {ErrorKind::not_primary, "no primary is known"}));
+        return true;
+    }
+    auto response = json_response(request, 307, R"({"detail":"another member is the primary"})");
+    response.set(http::field::location, fmt::format("http://{}{}", *primary, std::string(request.target())));
+    respond(std::move(response));
+    return true;
+}
+
+void OperatorApi::on_configuration(const Request& request, const Respond& respond) {
+    if (request.method() == http::verb::get) {
+        if (redirect(request, respond)) return;
+        return node_.orders().read([request, respond](errors::Result<std::string> text) {
+            if (!text) return respond(error_response(request, text.error()));
+            if (text.value().empty())
+                return respond(
+                    error_response(request, {ErrorKind::unknown_resource, "there is no configuration yet"}));
+            respond(json_response(request, 200, std::move(text.value())));
+        });
+    }
+    if (request.method() == http::verb::put) {
+        const auto match = request.find(http::field::if_match);
+        configuration::PutConfiguration order{std::nullopt, request.body()};
+        if (match != request.end())
+            order.based_on = version_in({match->value().data(), match->value().size()});
+        return submit(request, respond, std::move(order));
+    }
+    respond(error_response(request, {ErrorKind::method_not_allowed, "use GET or PUT"}));
+}
+
+void OperatorApi::on_evacuation(const Request& request, const Respond& respond, std::string zone) {
+    if (!zones_.contains(zone))
+        return respond(error_response(request, {ErrorKind::unknown_resource, "no such zone"}));
+    if (request.method() == http::verb::post)
+        return submit(request, respond, configuration::Evacuate{std::move(zone)});
+    if (request.method() == http::verb::delete_)
+        return submit(request, respond, configuration::EndEvacuation{std::move(zone)});
+    respond(error_response(request, {ErrorKind::method_not_allowed, "use POST or DELETE"}));
+}
+
+void OperatorApi::submit(const Request& request, const Respond& respond, configuration::Order order) {
+    if (redirect(request, respond)) return;
+    node_.orders().submit(std::move(order), [request, respond](OrderResult result) {
+        if (result) return respond(json_response(request, 200, "{}"));
+        fmt::print(stderr, "level=info event=order-refused target={} detail=\"{}\"\n",
+                   std::string(request.target()), result.error().detail);
+        respond(error_response(request, result.error()));
+    });
+}
+
+} // namespace willowrill::control
--- /dev/null
+++ b/src/control/operator_api.h
@@ -0,0 +1,34 @@
+// The operators' interface of a core member: configuration and evacuations. Only the primary answers; the
+// others name it, or say at once that they cannot. One thread.
+#pragma once
+
+#include "control/core_node.h"
+#include "http/server.h"
+
+#include <set>
+#include <string>
+
+namespace willowrill::control {
+
+class OperatorApi {
+  public:
+    // `zones`: those that can be evacuated.
+    OperatorApi(CoreNode& node, MemberId self, std::set<std::string> zones)
+        : node_(node), self_(std::move(self)), zones_(std::move(zones)) {}
+
+    void on_request(const http_server::Request& request, const http_server::Respond& respond);
+
+  private:
+    void on_configuration(const http_server::Request& request, const http_server::Respond& respond);
+    void on_evacuation(const http_server::Request& request, const http_server::Respond& respond,
+                       std::string zone);
+    void submit(const http_server::Request& request, const http_server::Respond& respond,
+                configuration::Order order);
+    bool redirect(const http_server::Request& request, const http_server::Respond& respond) const;
+
+    CoreNode& node_;
+    MemberId self_;
+    std::set<std::string> zones_;
+};
+
+} // namespace willowrill::control
--- a/src/control/order_queue.cpp
+++ b/src/control/order_queue.cpp
@@ -41,8 +41,9 @@
         return finish(BOOST_OUTCOME_V2_NAMESPACE::success());
     running_->phase = Phase::replicating;
     running_->id = next_id_++;
-    feed_(replication::Propose{
-        running_->id, configuration::encode(std::get<configuration::ControlState>(applied.value()))});
+    feed_(
+        replication::Propose{running_->id, position_,
+                             configuration::encode(std::get<configuration::ControlState>(applied.value()))});
 }
 
 void OrderQueue::on(const replication::Committed& committed) {
--- a/src/control/order_queue.h
+++ b/src/control/order_queue.h
@@ -30,7 +30,11 @@
     // The newest configuration as it was sent.
     void read(OnReadDone done);
 
-    void on_state(const configuration::ControlState& state) { state_ = state; }
+    // The newest committed state, and where it stands.
+    void on_state(const configuration::ControlState& state, const replication::Position& position) {
+        state_ = state;
+        position_ = position;
+    }
     void on(const replication::Confirmed& confirmed);
     void on(const replication::Committed& committed);
     void on(const replication::Undecided& undecided);
@@ -51,7 +55,8 @@
     void finish(OrderResult result);
 
     std::function<void(replication::Event)> feed_;
-    configuration::ControlState state_; // the newest committed one
+    configuration::ControlState state_;
+    replication::Position position_;
     std::uint64_t next_id_ = 1;
     std::optional<Running> running_;
     std::deque<Waiting> waiting_; // at most `most_waiting_orders`
--- /dev/null
+++ b/src/data/core_connection.cpp
@@ -0,0 +1,78 @@
+#include "data/core_connection.h"
+
+#include "membership/codec.h"
+
+#include <utility>
+
+namespace willowrill::data {
+namespace {
+
+using distribution::SteadyTime;
+
+constexpr std::chrono::milliseconds tick_period{100};
+constexpr std::chrono::milliseconds dial_timeout{500};
+
+SteadyTime steady_now() {
+    return std::chrono::duration_cast<SteadyTime>(std::chrono::steady_clock::now().time_since_epoch());
+}
+
+} // namespace
+
+CoreConnection::CoreConnection(asio::io_context& loop, std::uint16_t core_port, Callbacks callbacks)
+    : loop_(loop), core_port_(core_port), callbacks_(std::move(callbacks)), session_([this] {
+          std::vector<std::string> hosts;
+          for (const settings::Endpoint& seed : callbacks_.seeds())
+              hosts.push_back(seed.host);
+          return hosts;
+      }),
+      timer_(loop) {}
+
+void CoreConnection::tick() {
+    feed(distribution::SessionTick{});
+    timer_.expires_after(tick_period);
+    timer_.async_wait([this](ErrorCode error) {
+        if (!error) tick();
+    });
+}
+
+void CoreConnection::feed(const distribution::SessionEvent& event) {
+    std::vector<distribution::SessionAction> actions;
+    session_.step(steady_now(), event, actions);
+    for (const distribution::SessionAction& action : actions)
+        std::visit([this](const auto& one) { carry_out(one); }, action);
+}
+
+void CoreConnection::carry_out(const distribution::Dial& dial) {
+    transport::dial(loop_, dial.host, core_port_, dial_timeout,
+                    [this](const transport::FrameConnectionPtr& connection) {
+                        if (connection) return on_connected(connection);
+                        feed(distribution::DialFailed{});
+                    });
+}
+
+void CoreConnection::on_connected(const transport::FrameConnectionPtr& connection) {
+    connection_ = connection;
+    connection->start([this](const nlohmann::json& message) { feed(distribution::MessageReceived{message}); },
+                      [this, raw = connection.get()] {
+                          if (connection_.get() != raw) return; // it was left before
+                          connection_ = nullptr;
+                          feed(distribution::ConnectionLost{});
+                      });
+    connection->send({{"type", "hello"}, {"version", transport::protocol_version}, {"kind", "scheduler"}});
+    feed(distribution::DialSucceeded{});
+}
+
+void CoreConnection::carry_out(const distribution::Disconnect&) {
+    if (const auto connection = std::exchange(connection_, nullptr)) connection->close();
+}
+
+void CoreConnection::carry_out(const distribution::RenewLease& renewal) {
+    if (!connection_) return;
+    membership::Lease lease = callbacks_.lease();
+    lease.renewal = renewal.renewal;
+    connection_->send({{"type", "lease"}, {"lease", lease}});
+}
+
+void CoreConnection::carry_out(const distribution::Pushed& pushed) { callbacks_.on_push(pushed.message); }
+
+} // namespace willowrill::data
--- a/src/data/data_plane.h
+++ b/src/data/data_plane.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "data/context.h"
-#include "data/core_session.h"
+#include "data/core_connection.h"
 #include "data/front.h"
 #include "data/reading_exchange.h"
 #include "discovery/instances.h"
@@ -49,7 +49,7 @@
     std::size_t most_schedulers_ = 0;
     Clock::time_point most_since_;
     std::optional<Clock::time_point> workers_known_since_;
-    CoreSession core_;
+    CoreConnection core_;
     ReadingExchange readings_;
     http_server::Server readiness_;
     std::optional<Front> front_;
--- a/src/data/reading_exchange.cpp
+++ b/src/data/reading_exchange.cpp
@@ -221,7 +221,7 @@
                 list.push_back({id, (now - reading.as_of).count(), reading.active, reading.queued,
                                 reading.cache_used, reading.cache_total, reading.answered});
             }
-            frame = transport::FrameConnection::frame_of(
+            frame = transport::frame_of(
                 {{"type", "readings"}, {"service", subscriber.service}, {"list", std::move(list)}});
         }
         connection->send_frame(frame);
--- /dev/null
+++ b/src/distribution/core_session.h
@@ -0,0 +1,87 @@
+// A scheduler's session with the core: renews its lease at one core member and takes in what that pushes.
+// Goes to another where the member falls silent or behind. Pure: connections and time come from outside.
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace willowrill::distribution {
+
+inline constexpr std::size_t most_core_members = 64;
+
+using SteadyTime = std::chrono::milliseconds;
+
+// ---- Events ----------------------------------------------------------------------------------------------
+
+struct SessionTick {};
+struct DialSucceeded {};
+struct DialFailed {};
+struct ConnectionLost {};
+struct MessageReceived {
+    nlohmann::json message;
+};
+// What the lease says has changed: the core is to know at once.
+struct LeaseChanged {};
+using SessionEvent =
+    std::variant<SessionTick, DialSucceeded, DialFailed, ConnectionLost, MessageReceived, LeaseChanged>;
+
+// ---- Actions ---------------------------------------------------------------------------------------------
+
+// Answered by `DialSucceeded` or `DialFailed`.
+struct Dial {
+    std::string host;
+};
+struct Disconnect {};
+struct RenewLease {
+    std::uint64_t renewal = 0;
+};
+// A state, a list of members or a list of workers.
+struct Pushed {
+    nlohmann::json message;
+};
+using SessionAction = std::variant<Dial, Disconnect, RenewLease, Pushed>;
+
+class CoreSession {
+  public:
+    // `seeds`: hosts of core members as the settings name them now; asked only when one is looked for.
+    explicit CoreSession(std::function<std::vector<std::string>()> seeds) : seeds_(std::move(seeds)) {}
+
+    // Throws nlohmann::json::exception on a message of the wrong shape.
+    void step(SteadyTime now, const SessionEvent& event, std::vector<SessionAction>& actions);
+    bool connected() const { return phase_ == Phase::connected; }
+
+  private:
+    enum class Phase { idle, dialling, connected };
+
+    void on(const SessionTick&);
+    void on(const DialSucceeded&);
+    void on(const DialFailed&);
+    void on(const ConnectionLost&);
+    void on(const MessageReceived& received);
+    void on(const LeaseChanged&);
+    void change_phase(Phase next);
+    void dial_next();
+    void renew();
+    void on_beat(const nlohmann::json& beat);
+    std::vector<std::string> candidates() const;
+
+    std::function<std::vector<std::string>()> seeds_;
+    SteadyTime now_{0};
+    std::vector<SessionAction>* actions_ = nullptr;
+
+    Phase phase_ = Phase::idle;
+    std::string host_;               // dialled last
+    std::string preferred_;          // the one that was current last
+    std::vector<std::string> known_; // as the last current one named them, at most `most_core_members`
+    std::size_t next_candidate_ = 0;
+    SteadyTime renewed_{0}, answered_{0}, current_{0};
+    std::uint64_t renewal_ = 0;
+};
+
+} // namespace willowrill::distribution
--- a/src/control/scheduler_hub.h
+++ b/src/distribution/scheduler_hub.h
@@ -1,23 +1,31 @@
 // The schedulers' sessions at a core member: takes their leases in and pushes what they need to know
-// (configuration, evacuations, members, workers) whenever it changes. One thread.
+// (configuration, evacuations, members, workers) whenever it changes. Hands out the state only while a quorum
+// vouches for it, so that a member which is cut off gives an old one to nobody. Pure; one thread.
 #pragma once
 
 #include "configuration/control_state.h"
 #include "discovery/instances.h"
 #include "membership/lease_table.h"
 #include "replication/types.h"
-#include "transport/frame_connection.h"
+#include "transport/frame.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
-#include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
-namespace willowrill::control {
+namespace willowrill::distribution {
+
+using SessionId = std::uint64_t; // of one connection; not used again
+using transport::Frame;
 
 class SchedulerHub {
   public:
     struct Callbacks {
+        std::function<void(SessionId, const Frame&)> send;
+        std::function<void(SessionId)> close;                  // there are too many
         std::function<bool()> is_current;                      // whether this member's state is current
         std::function<std::vector<std::string>()> core;        // ids of the core members known
         std::function<void(const membership::Lease&)> renewed; // by its holder, here
@@ -25,9 +33,10 @@
     };
     explicit SchedulerHub(Callbacks callbacks) : callbacks_(std::move(callbacks)) {}
 
-    void adopt(const transport::FrameConnectionPtr& connection);
-    void on_message(const transport::FrameConnectionPtr& connection, const nlohmann::json& message);
-    void on_closed(const transport::FrameConnectionPtr& connection);
+    void adopt(SessionId id);
+    // Throws nlohmann::json::exception on a message of the wrong shape.
+    void on_message(SessionId id, const nlohmann::json& message);
+    void on_closed(SessionId id);
 
     void publish_state(const replication::Position& position, const configuration::ControlState& state);
     void publish_members(const std::vector<membership::Lease>& leases);
@@ -36,18 +45,17 @@
     std::size_t sessions() const { return sessions_.size(); }
 
   private:
-    using Frame = std::shared_ptr<const std::string>;
     struct Session {
         std::optional<membership::Lease> lease;
         Frame state; // the newest that this scheduler was sent
     };
-    void push(const Frame& frame);
-    void send_state(const transport::FrameConnectionPtr& connection, Session& session);
+    void push(const Frame& frame) const;
+    void send_state(SessionId id, Session& session) const;
 
     Callbacks callbacks_;
-    std::map<transport::FrameConnectionPtr, Session> sessions_;
+    std::map<SessionId, Session> sessions_; // at most `most_leases`
     Frame state_, members_;
     std::map<std::string, Frame> zones_;
 };
 
-} // namespace willowrill::control
+} // namespace willowrill::distribution
--- a/src/errors/error.h
+++ b/src/errors/error.h
@@ -17,6 +17,8 @@
     method_not_allowed,     // at our own interfaces
     invalid_configuration,  // unreadable, against the schema, or contradictory
     version_conflict,       // If-Match names another version than the current one
+    outcome_forgotten,      // it may have been taken long ago; that is not remembered any more
+    state_too_large,        // members could not keep the state that it asks for
     not_primary,            // this process cannot have the order decided; try another
     undecided,              // the order was taken in but may or may not be in force
     not_ready,              // no configuration is known yet
@@ -53,6 +55,10 @@
         return {400, "invalid configuration", false};
     case ErrorKind::version_conflict:
         return {412, "another version is current", false};
+    case ErrorKind::outcome_forgotten:
+        return {504, "outcome not remembered, read the configuration", false};
+    case ErrorKind::state_too_large:
+        return {413, "too large to be kept", false};
     case ErrorKind::not_primary:
         return {503, "not the primary", true};
     case ErrorKind::undecided:
--- a/src/replication/codec.cpp
+++ b/src/replication/codec.cpp
@@ -25,7 +25,8 @@
 // NOLINTEND(readability-identifier-naming)
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PromiseRequest, epoch, tentative)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PromiseReply, epoch, tentative, granted, witness_register, position)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PromiseReply, epoch, tentative, granted, leaving, witness_register,
+                                   position)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FetchRequest, epoch)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FetchReply, epoch, state)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(InstallRequest, epoch, state)
@@ -34,8 +35,9 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AcceptReply, epoch, stored, promised)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReplicateRequest, epoch, state)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReplicateReply, epoch, position, stored, promised)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Heartbeat, number, record, committed)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HeartbeatReply, number, epoch, promised, holds, voting, intact, leaving)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Heartbeat, number, record, committed, in_contact, echo)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HeartbeatReply, number, epoch, promised, holds, voting, intact, leaving,
+                                   sent_at)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Learn, epoch, state)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecoveryRequest, nonce)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecoveryReply, nonce, voting, witness_register)
@@ -79,7 +81,17 @@
 
 std::string encode_register(const WitnessRegister& value) { return Json(value).dump(); }
 WitnessRegister decode_register(const std::string& text) { return Json::parse(text).get<WitnessRegister>(); }
-std::string encode_state(const ReplicatedState& value) { return Json(value).dump(); }
-ReplicatedState decode_state(const std::string& text) { return Json::parse(text).get<ReplicatedState>(); }
+
+// The position in a line of its own, then the content as it is.
+std::string encode_state(const ReplicatedState& value) {
+    return Json(value.position).dump() + "\n" + *value.content;
+}
+
+ReplicatedState decode_state(const std::string& text) {
+    const std::size_t line = text.find('\n');
+    if (line == std::string::npos) return Json::parse(text).get<ReplicatedState>(); // of version 1
+    return {Json::parse(text.substr(0, line)).get<Position>(),
+            std::make_shared<const std::string>(text.substr(line + 1))};
+}
 
 } // namespace willowrill::replication
--- a/src/replication/election.cpp
+++ b/src/replication/election.cpp
@@ -56,21 +56,27 @@
     installed_.clear();
     accepted_by_.clear();
     if (!tentative) return start_collecting();
-    change_role(Role::canvassing);
-    promises_[options_.self] = {register_, state_.position};
+    change_role(Role::canvassing, "primary-silent");
+    promises_[options_.self] = {register_, state_.position, leaving_};
     for (const MemberId& id : electors())
         send(id, PromiseRequest{candidate_epoch_, true});
     count_promises();
 }
 
+// Nobody else is asked before its own promise is durable: a disk that stalls must not fence others.
 void Replica::start_collecting() {
     promises_.clear();
-    change_role(Role::collecting);
+    change_role(Role::collecting, planned_change_ ? "membership-change" : "enough-would-promise");
     WitnessRegister next = register_;
     next.promised = candidate_epoch_;
     highest_seen_ = std::max(highest_seen_, candidate_epoch_);
-    if (!save_register(next)) return abandon_election(0);
-    promises_[options_.self] = {register_, state_.position};
+    save(next);
+    after_saves(OwnPromise{candidate_epoch_});
+}
+
+void Replica::carry_out(const OwnPromise& promise) {
+    if (role_ != Role::collecting || promise.epoch != candidate_epoch_) return;
+    promises_[options_.self] = {register_, state_.position, leaving_};
     for (const MemberId& id : electors())
         send(id, PromiseRequest{candidate_epoch_, false});
     plan_record();
@@ -83,11 +89,11 @@
     if (!reply.granted) {
         const Epoch promised = reply.witness_register.promised;
         highest_seen_ = std::max(highest_seen_, promised);
-        if (!reply.tentative && promised >= candidate_epoch_) abandon_election(promised);
+        if (!reply.tentative && promised >= candidate_epoch_) abandon_election(promised, "outbid");
         return;
     }
     const std::vector<MemberId> before = electors();
-    promises_[from] = {reply.witness_register, reply.position};
+    promises_[from] = {reply.witness_register, reply.position, reply.leaving};
     for (const MemberId& id : electors()) // witnesses of a record that was not known here
         if (!std::ranges::binary_search(before, id))
             send(id, PromiseRequest{candidate_epoch_, reply.tentative});
@@ -118,31 +124,59 @@
     return *best;
 }
 
-// Grows to what bears the losses tolerated, and replaces witnesses that left or are silent for long.
+// Has left, or was silent or unable to vote for long.
+bool Replica::replaceable(const MemberId& witness) const {
+    if (witness == options_.self) return false;
+    const auto found = peers_.find(witness);
+    const Time patience = options_.timing.witness_silent;
+    if (found == peers_.end()) return now_ - started_ >= patience;
+    const Peer& peer = found->second;
+    if (peer.leaving || now_ - std::max(peer.heard, started_) >= patience) return true;
+    const bool hears_votes = role_ == Role::primary || planned_change_; // replies go to the primary alone
+    return hears_votes && now_ - std::max(peer.voting_at, primary_since_) >= patience;
+}
+
+// Grows to what bears the losses tolerated, and replaces witnesses where spare members stand by.
 std::vector<MemberId> Replica::next_witnesses(const std::vector<MemberId>& present) const {
     std::vector<MemberId> next = highest_accepted().witnesses;
     std::vector<MemberId> free;
+    if (std::ranges::count(next, options_.self) == 0) free.push_back(options_.self);
     for (const MemberId& id : spares())
         if (std::ranges::count(present, id) > 0 && std::ranges::count(next, id) == 0) free.push_back(id);
     for (MemberId& id : next) {
         if (free.empty()) break;
-        if (id == options_.self) continue;
         const auto peer = peers_.find(id);
         const bool left = peer != peers_.end() && peer->second.leaving;
-        const Time silent = peer == peers_.end() ? now_ : now_ - peer->second.heard;
-        if (!left && (silent < options_.timing.witness_silent || std::ranges::count(present, id) > 0))
-            continue;
+        if (!replaceable(id) || (!left && std::ranges::count(present, id) > 0)) continue;
         id = free.back();
         free.pop_back();
     }
-    while (!free.empty() && next.size() < 2 * options_.tolerated + 1) {
-        next.push_back(free.back());
-        free.pop_back();
+    // By two at a time: one more of an even number bears no further loss, and asks for a larger quorum.
+    while (free.size() >= 2 && next.size() + 2 <= full_size()) {
+        next.insert(next.end(), free.end() - 2, free.end());
+        free.resize(free.size() - 2);
     }
     std::ranges::sort(next);
     return next;
 }
 
+// The witnesses that promised and stay; those that leave only where there are too few others.
+std::vector<MemberId> Replica::next_in_sync(const std::vector<MemberId>& witnesses) const {
+    std::vector<MemberId> next, leaving;
+    for (const MemberId& id : witnesses) {
+        const auto promise = promises_.find(id);
+        if (promise == promises_.end()) continue;
+        (promise->second.leaving ? leaving : next).push_back(id);
+    }
+    if (std::ranges::count(next, options_.self) == 0 && std::ranges::count(leaving, options_.self) == 0)
+        next.push_back(options_.self);
+    while (next.size() < fewest_in_sync() && !leaving.empty()) {
+        next.push_back(leaving.back());
+        leaving.pop_back();
+    }
+    return next;
+}
+
 void Replica::plan_record() {
     std::set<MemberId> present;
     for (const auto& [id, promise] : promises_)
@@ -162,42 +196,42 @@
     if (source == nullptr) return; // nobody here is sure to hold what was acknowledged
 
     const std::vector<MemberId> witnesses = next_witnesses({present.begin(), present.end()});
-    EpochRecord plan{candidate_epoch_, options_.self, {}, witnesses};
-    bool all = true;
-    for (const MemberId& id : witnesses) {
-        if (present.contains(id))
-            plan.in_sync.push_back(id);
-        else
-            all = all && !alive(id);
-    }
-    if (std::ranges::count(plan.in_sync, options_.self) == 0) plan.in_sync.push_back(options_.self);
+    const EpochRecord plan{candidate_epoch_, options_.self, next_in_sync(witnesses), witnesses};
     if (plan.in_sync.size() < fewest_in_sync()) return;
+    // Spare members too: a change for their sake must not be planned before they could promise.
+    const std::vector<MemberId> asked = electors();
+    const bool all =
+        std::ranges::all_of(asked, [&](const MemberId& id) { return present.contains(id) || !alive(id); });
     if (quorum_since_ < Time{0}) quorum_since_ = now_;
     const Time gather = planned_change_ ? options_.timing.gather_planned : options_.timing.gather;
     if (!all && now_ - quorum_since_ < gather) return;
     for (auto& [id, peer] : peers_) // who is too slow to promise is not asked for again at once
         if (!present.contains(id)) peer.steady_since = now_;
 
-    planned_ = std::move(plan);
+    planned_ = plan;
     groups_ = {decided.witnesses, accepted.witnesses, planned_.witnesses};
     if (best == state_.position && register_.intact) return install();
     if (*source == options_.self) return install();
     fetch_from_ = *source;
-    change_role(Role::fetching);
+    change_role(Role::fetching, "another-holds-newer-state");
     send(fetch_from_, FetchRequest{candidate_epoch_});
 }
 
 void Replica::on_message(const MemberId& from, const FetchReply& reply) {
     if (role_ != Role::fetching || reply.epoch != candidate_epoch_ || from != fetch_from_) return;
-    if (reply.state.position != state_.position && !save_state(reply.state)) return abandon_election(0);
+    if (reply.state.position != state_.position) save(reply.state);
     WitnessRegister next = register_;
     next.intact = true;
-    if (!save_register(next)) return abandon_election(0);
-    install();
+    save(next);
+    after_saves(OwnInstall{candidate_epoch_});
+}
+
+void Replica::carry_out(const OwnInstall& install_of) {
+    if (role_ == Role::fetching && install_of.epoch == candidate_epoch_) install();
 }
 
 void Replica::install() {
-    change_role(Role::installing);
+    change_role(Role::installing, "state-known");
     installed_ = {options_.self};
     for (const MemberId& id : planned_.in_sync) {
         if (id == options_.self) continue;
@@ -212,18 +246,24 @@
 
 void Replica::on_message(const MemberId& from, const InstallReply& reply) {
     if (role_ != Role::installing || reply.epoch != candidate_epoch_) return;
-    if (!reply.stored) return abandon_election(reply.promised);
+    if (!reply.stored) return abandon_election(reply.promised, "install-refused");
     installed_.insert(from);
     maybe_accept();
 }
 
 void Replica::maybe_accept() {
     if (role_ != Role::installing || installed_.size() < planned_.in_sync.size()) return;
-    change_role(Role::accepting);
+    change_role(Role::accepting, "state-installed");
     WitnessRegister next = register_;
     next.accepted = planned_;
-    if (!save_register(next)) return abandon_election(0);
+    save(next);
+    after_saves(OwnAccept{candidate_epoch_});
+}
+
+void Replica::carry_out(const OwnAccept& accept) {
+    if (role_ != Role::accepting || accept.epoch != candidate_epoch_) return;
     accepted_by_ = {options_.self};
+    accept_sent_ = now_;
     std::set<MemberId> all;
     for (const std::vector<MemberId>& group : groups_)
         all.insert(group.begin(), group.end());
@@ -235,7 +275,7 @@
 void Replica::on_message(const MemberId& from, const AcceptReply& reply) {
     if (role_ != Role::accepting || reply.epoch != candidate_epoch_) return;
     if (!reply.stored) {
-        if (reply.promised > candidate_epoch_) abandon_election(reply.promised);
+        if (reply.promised > candidate_epoch_) abandon_election(reply.promised, "outbid");
         return;
     }
     accepted_by_.insert(from);
@@ -249,16 +289,24 @@
 }
 
 // Another candidate may be ahead: it gets its time, and a random share more keeps two from meeting again.
-void Replica::abandon_election(Epoch seen) {
+void Replica::abandon_election(Epoch seen, const char* reason) {
     highest_seen_ = std::max(highest_seen_, seen);
     drop_orders();
-    change_role(Role::backup);
+    change_role(Role::backup, reason);
     const auto spread = static_cast<std::uint64_t>(options_.timing.phase.count());
-    stand_not_before_ = now_ + Time{static_cast<std::int64_t>(random_() % spread)};
+    stand_not_before_ =
+        std::max(stand_not_before_, now_ + Time{static_cast<std::int64_t>(random_() % spread)});
+}
+
+// A member that won and could not serve would win again: others have their turn first, for longer each time.
+void Replica::lose_turn() {
+    const Timing& timing = options_.timing;
+    turn_pause_ = std::clamp(2 * turn_pause_, timing.turn_first, timing.turn_longest);
+    stand_not_before_ = std::max(stand_not_before_, now_ + turn_pause_);
 }
 
 void Replica::on_message(const MemberId& from, const Yield& yield) {
-    if (role_ != Role::backup || !voting_ || leaving_) return;
+    if (role_ != Role::backup || !can_vote() || leaving_) return;
     if (from == register_.decided.primary && yield.epoch == register_.decided.epoch) stand(false);
 }
 
--- a/src/replication/primary.cpp
+++ b/src/replication/primary.cpp
@@ -7,17 +7,18 @@
 namespace willowrill::replication {
 
 void Replica::become_primary() {
-    change_role(Role::primary);
+    change_role(Role::primary, planned_change_ ? "membership-changed" : "elected");
     WitnessRegister next = register_;
     next.decided = planned_;
-    save_register(next);
+    save(next);
+    if (!planned_change_) primary_since_ = now_;
     reconfigured_ = now_;
     primary_heard_ = now_;
     heard_in_this_life_ = true;
     for (auto& [id, peer] : peers_) {
         peer.heartbeat = 0;
-        // Who stored the record has just taken this member for the primary.
-        if (accepted_by_.contains(id)) peer.heartbeat_at = now_;
+        // Who stored the record took this member for the primary after it was sent.
+        if (accepted_by_.contains(id)) peer.heartbeat_at = accept_sent_;
     }
     // Every in-sync member holds this state.
     const bool proposed = proposal_ && proposal_->position == state_.position;
@@ -30,46 +31,76 @@
         proposal_.reset();
     }
     heartbeat();
-    for (auto& [id, needed] : confirmations_)
-        needed = beat_number_;
+    for (auto& [id, waiting] : confirmations_)
+        waiting.heartbeat = beat_number_;
 }
 
-void Replica::step_down(Epoch seen) {
+void Replica::step_down(Epoch seen, const char* reason) {
     highest_seen_ = std::max(highest_seen_, seen);
     drop_orders();
-    change_role(Role::backup);
-    stand_not_before_ = now_ + options_.timing.phase;
+    change_role(Role::backup, reason);
+    stand_not_before_ = std::max(stand_not_before_, now_ + options_.timing.phase);
+}
+
+// Asks the next in-sync member that can to take over, without waiting for the silence.
+void Replica::hand_over() {
+    yield_sent_ = now_;
+    for (const MemberId& id : register_.decided.in_sync) {
+        const auto peer = peers_.find(id);
+        if (id == options_.self || peer == peers_.end() || !alive(id)) continue;
+        if (peer->second.leaving || !peer->second.voting) continue;
+        return send(id, Yield{register_.decided.epoch});
+    }
 }
 
 void Replica::drop_orders() {
     if (proposal_) actions_->emplace_back(Undecided{proposal_->id});
     proposal_.reset();
-    for (const auto& [id, needed] : confirmations_)
+    for (const auto& [id, waiting] : confirmations_)
         actions_->emplace_back(Undecided{id});
     confirmations_.clear();
 }
 
+// At the first start the core grows to the size that bears the losses tolerated before it takes anything.
+bool Replica::has_grown() const {
+    if (register_.decided.witnesses.size() >= full_size()) return true;
+    return !first_start_ || now_ - started_ >= options_.timing.growth;
+}
+
 void Replica::on(const Propose& event) {
-    if (role_ != Role::primary || proposal_ || register_.promised != register_.decided.epoch) {
+    const bool possible = role_ == Role::primary && !proposal_ && can_vote() && has_grown();
+    if (!possible || register_.promised != register_.decided.epoch || event.based_on != committed_.position ||
+        state_.position != committed_.position) {
         actions_->emplace_back(Undecided{event.id});
         return;
     }
     Position next{register_.decided.epoch, 1};
     if (state_.position.epoch == next.epoch) next.sequence = state_.position.sequence + 1;
-    if (!save_state({next, std::make_shared<const std::string>(event.content)})) {
-        actions_->emplace_back(Undecided{event.id});
-        return step_down(0);
-    }
-    proposal_ = Proposal{event.id, next, now_, {options_.self}};
+    save(ReplicatedState{next, std::make_shared<const std::string>(event.content)});
+    proposal_ = Proposal{event.id, next, now_, {}};
     for (const MemberId& id : register_.decided.in_sync)
         send(id, ReplicateRequest{next.epoch, state_});
+    after_saves(OwnCopy{next});
+}
+
+void Replica::carry_out(const OwnCopy& copy) {
+    if (role_ != Role::primary || !proposal_ || proposal_->position != copy.position) return;
+    proposal_->stored.insert(options_.self);
     check_commit();
 }
 
+// What a broken connection swallowed is sent again.
+void Replica::resend_proposal() {
+    if (!proposal_ || now_ - proposal_->sent < options_.timing.resend) return;
+    proposal_->sent = now_;
+    for (const MemberId& id : register_.decided.in_sync)
+        if (!proposal_->stored.contains(id)) send(id, ReplicateRequest{proposal_->position.epoch, state_});
+}
+
 void Replica::on_message(const MemberId& from, const ReplicateReply& reply) {
     if (role_ != Role::primary || reply.epoch != register_.decided.epoch) return;
     if (!reply.stored) {
-        if (reply.promised > reply.epoch) step_down(reply.promised);
+        if (reply.promised > reply.epoch) step_down(reply.promised, "fenced");
         return;
     }
     if (!proposal_ || proposal_->position != reply.position) return;
@@ -88,12 +119,12 @@
 }
 
 void Replica::on(const Confirm& event) {
-    if (role_ != Role::primary) {
+    if (role_ != Role::primary || !current(now_)) {
         actions_->emplace_back(Undecided{event.id});
         return;
     }
     heartbeat();
-    confirmations_[event.id] = beat_number_;
+    confirmations_[event.id] = {beat_number_, now_};
     check_confirmations();
 }
 
@@ -101,36 +132,64 @@
     std::erase_if(confirmations_, [&](const auto& waiting) {
         std::set<MemberId> answered{options_.self};
         for (const auto& [id, peer] : peers_)
-            if (peer.heartbeat >= waiting.second) answered.insert(id);
+            if (peer.heartbeat >= waiting.second.heartbeat) answered.insert(id);
         if (!has_quorum(register_.decided.witnesses, answered)) return false;
         actions_->emplace_back(Confirmed{waiting.first});
         return true;
     });
 }
 
+void Replica::expire_confirmations() {
+    std::erase_if(confirmations_, [&](const auto& waiting) {
+        if (now_ - waiting.second.since <= options_.timing.confirm) return false;
+        actions_->emplace_back(Undecided{waiting.first});
+        return true;
+    });
+}
+
 void Replica::heartbeat() {
+    constexpr std::size_t most_remembered = 256;
     ++beat_number_;
     beat_sent_ = now_;
+    beats_.emplace_back(beat_number_, now_);
+    if (beats_.size() > most_remembered) beats_.pop_front();
     for (const auto& [id, peer] : peers_)
-        if (peer.connected) send(id, Heartbeat{beat_number_, register_.decided, committed_.position});
+        if (peer.connected) send_heartbeat(id);
+}
+
+void Replica::send_heartbeat(const MemberId& to) {
+    const auto peer = peers_.find(to);
+    const std::int64_t echo = peer == peers_.end() ? 0 : peer->second.reply_sent_at;
+    send(to, Heartbeat{beat_number_, register_.decided, committed_.position, current(now_), echo});
+}
+
+// When the heartbeat of this number was sent; long ago where that is not remembered.
+Time Replica::sent_at(std::uint64_t number) const {
+    const auto beat = std::ranges::find(beats_, number, &std::pair<std::uint64_t, Time>::first);
+    return beat == beats_.end() ? Time{-1'000'000} : beat->second;
 }
 
 void Replica::on_message(const MemberId& from, const HeartbeatReply& reply) {
     Peer& peer = peers_[from];
+    if (reply.voting && !peer.voting) peer.steady_since = now_;
+    if (reply.voting) peer.voting_at = now_;
     peer.voting = reply.voting;
     peer.intact = reply.intact;
     peer.leaving = reply.leaving;
     highest_seen_ = std::max(highest_seen_, reply.promised);
     if (role_ != Role::primary || reply.epoch != register_.decided.epoch) return;
-    if (reply.promised > reply.epoch) return step_down(reply.promised);
+    if (reply.promised > reply.epoch) return step_down(reply.promised, "fenced");
+    const bool first = peer.reply_sent_at == 0;
+    peer.reply_sent_at = std::max(peer.reply_sent_at, reply.sent_at);
     // One that recovers answers, but its promise is worth nothing yet.
     if (reply.voting) {
         peer.heartbeat = std::max(peer.heartbeat, reply.number);
-        peer.heartbeat_at = now_;
+        peer.heartbeat_at = std::max(peer.heartbeat_at, sent_at(reply.number));
     }
     peer.holds = reply.holds;
+    if (first) send_heartbeat(from); // so that it knows at once how fresh this is
     constexpr Time learn_again{300};
-    if (peer.holds < committed_.position && !proposal_ && now_ - peer.learn_sent >= learn_again) {
+    if (peer.holds < committed_.position && now_ - peer.learn_sent >= learn_again) {
         peer.learn_sent = now_;
         send(from, Learn{reply.epoch, committed_});
     }
@@ -140,32 +199,48 @@
 // Looks after the in-sync set and the witnesses; any change of either is a new epoch.
 void Replica::supervise_members() {
     const Timing& timing = options_.timing;
-    if (storage_broken_) return step_down(0);
+    constexpr Time yield_again{500};
+    if (!disk_answers()) {
+        hand_over();
+        lose_turn();
+        return step_down(0, "disk-silent");
+    }
     if (now_ - reconfigured_ > timing.primary_alone && !current(now_)) {
         std::set<MemberId> answered{options_.self};
         for (const auto& [id, peer] : peers_)
             if (now_ - peer.heartbeat_at <= timing.primary_alone) answered.insert(id);
-        if (!has_quorum(register_.decided.witnesses, answered)) return step_down(0);
+        if (!has_quorum(register_.decided.witnesses, answered)) {
+            if (now_ - primary_since_ < timing.served) lose_turn();
+            return step_down(0, "no-quorum");
+        }
     }
+    if (now_ - primary_since_ >= timing.served) turn_pause_ = Time{0};
+    expire_confirmations();
+    resend_proposal();
     if (now_ - beat_sent_ >= timing.heartbeat) heartbeat();
+    if (leaving_ && now_ - yield_sent_ >= yield_again) hand_over();
     if (leaving_ || now_ - reconfigured_ < timing.member_silent) return;
+    if (membership_should_change()) stand(false);
+}
 
+bool Replica::membership_should_change() const {
     const EpochRecord& record = register_.decided;
-    bool change = false;
     std::vector<MemberId> present{options_.self};
-    for (const MemberId& id : record.in_sync) {
-        const Peer& peer = peers_[id];
-        if (id != options_.self)
-            change = change || !alive(id) || peer.leaving || !peer.voting || !peer.intact;
-    }
+    std::size_t staying = 1;
     for (const auto& [id, peer] : peers_) {
         if (!steady(id)) continue;
         present.push_back(id);
         const bool witness = std::ranges::count(record.witnesses, id) > 0;
-        change = change || (witness && std::ranges::count(record.in_sync, id) == 0);
+        if (witness && std::ranges::count(record.in_sync, id) == 0) return true;
+        staying += witness ? 1 : 0;
+    }
+    for (const MemberId& id : record.in_sync) {
+        if (id == options_.self) continue;
+        const auto peer = peers_.find(id);
+        if (peer == peers_.end() || !alive(id) || !peer->second.voting || !peer->second.intact) return true;
+        if (peer->second.leaving && staying >= fewest_in_sync()) return true;
     }
-    change = change || next_witnesses(present) != record.witnesses;
-    if (change) stand(false);
+    return next_witnesses(present) != record.witnesses;
 }
 
 } // namespace willowrill::replication
--- a/src/replication/replica.cpp
+++ b/src/replication/replica.cpp
@@ -7,33 +7,34 @@
 
 namespace willowrill::replication {
 
-namespace {
-
-constexpr Epoch initial_epoch = 1;
-
-} // namespace
+const char* name_of(Role role) {
+    switch (role) {
+    case Role::loading:
+        return "loading";
+    case Role::recovering:
+        return "recovering";
+    case Role::storage_failed:
+        return "storage-failed";
+    case Role::backup:
+        return "backup";
+    case Role::canvassing:
+        return "canvassing";
+    case Role::collecting:
+        return "collecting";
+    case Role::fetching:
+        return "fetching";
+    case Role::installing:
+        return "installing";
+    case Role::accepting:
+        return "accepting";
+    case Role::primary:
+        return "primary";
+    }
+    return "unknown";
+}
 
-Replica::Replica(Options options, Storage& storage)
-    : options_(std::move(options)), storage_(storage), random_(options_.random_seed) {
+Replica::Replica(Options options) : options_(std::move(options)), random_(options_.random_seed) {
     std::ranges::sort(options_.seeds);
-    format_or_load();
-}
-
-// A disk with a register is believed, whatever the settings say of a first start.
-void Replica::format_or_load() {
-    nonce_ = random_();
-    if (auto state = storage_.load_state()) state_ = *state;
-    if (auto stored = storage_.load_register()) {
-        register_ = *stored;
-        voting_ = true;
-    } else if (options_.initial_start && !options_.seeds.empty()) {
-        const bool is_seed = std::ranges::count(options_.seeds, options_.self) > 0;
-        EpochRecord first{initial_epoch, options_.seeds.front(), options_.seeds, options_.seeds};
-        WitnessRegister next{initial_epoch, first, first, is_seed};
-        voting_ = save_register(next);
-    }
-    highest_seen_ = register_.promised;
-    if (!voting_) role_ = Role::recovering;
 }
 
 void Replica::step(Time now, const Event& event, std::vector<Action>& actions) {
@@ -50,15 +51,29 @@
 }
 
 bool Replica::current(Time now) const {
-    if (role_ != Role::primary) return heard_in_this_life_ && now - primary_heard_ <= options_.timing.current;
+    if (role_ != Role::primary) return now - contact_at_ <= options_.timing.current;
     std::set<MemberId> answered{options_.self};
     for (const auto& [id, peer] : peers_)
         if (now - peer.heartbeat_at <= options_.timing.current) answered.insert(id);
     return has_quorum(register_.decided.witnesses, answered);
 }
 
-void Replica::change_role(Role next) {
+// A spare member that could take this one's place is one that is connected and no witness.
+bool Replica::may_end(Time now) const {
+    if (role_ == Role::primary) return false;
+    if (!has_register_) return true;
+    if (!heard_in_this_life_ || now - primary_heard_ > options_.timing.current) return false;
+    const EpochRecord& record = register_.decided;
+    if (std::ranges::count(record.in_sync, options_.self) > 0) return false;
+    if (std::ranges::count(record.witnesses, options_.self) == 0) return true;
+    return std::ranges::none_of(peers_, [&](const auto& peer) {
+        return peer.second.connected && std::ranges::count(record.witnesses, peer.first) == 0;
+    });
+}
+
+void Replica::change_role(Role next, const char* reason) {
     role_ = next;
+    role_reason_ = reason;
     role_since_ = now_;
     quorum_since_ = Time{-1};
 }
@@ -72,8 +87,12 @@
     else if (quorum_reached_ < Time{0})
         quorum_reached_ = now_;
     switch (role_) {
+    case Role::loading:
+        return;
     case Role::recovering:
         return try_recovery();
+    case Role::storage_failed:
+        return restore();
     case Role::backup:
         if (may_stand()) stand(true);
         return;
@@ -82,7 +101,10 @@
     case Role::fetching:
     case Role::installing:
     case Role::accepting:
-        if (now_ - role_since_ > options_.timing.phase) return abandon_election(0);
+        if (now_ - role_since_ > options_.timing.phase) {
+            if (!outstanding_.empty()) lose_turn(); // its own disk is too slow to serve
+            return abandon_election(0, "election-phase-too-long");
+        }
         if (role_ == Role::collecting) plan_record();
         return;
     case Role::primary:
@@ -92,7 +114,7 @@
 
 // The primary has been silent for long, and enough witnesses could answer: in the order of succession.
 bool Replica::may_stand() const {
-    if (!voting_ || leaving_ || now_ < stand_not_before_ || quorum_reached_ < Time{0}) return false;
+    if (!can_vote() || leaving_ || now_ < stand_not_before_ || quorum_reached_ < Time{0}) return false;
     const Time turn = options_.timing.election_step * static_cast<int>(place_in_order());
     return now_ - primary_heard_ > election_delay() && now_ - quorum_reached_ >= turn;
 }
@@ -102,6 +124,7 @@
     if (peer.steady_since < Time{0} || now_ - peer.heard > options_.timing.member_silent)
         peer.steady_since = now_;
     peer.heard = now_;
+    if (role_ == Role::loading) return;
     std::visit([&](const auto& message) { on_message(received.from, message); }, received.message);
 }
 
@@ -110,6 +133,7 @@
     peer.connected = true;
     peer.connected_at = now_;
     peer.leaving = false;
+    peer.reply_sent_at = 0;
     if (role_ == Role::recovering) recovery_asked_ = Time{-1'000'000};
 }
 
@@ -125,44 +149,39 @@
 
 void Replica::on(const Leave&) {
     leaving_ = true;
-    if (role_ != Role::primary) return;
-    for (const MemberId& id : register_.decided.in_sync) {
-        if (id == options_.self || !alive(id) || peers_[id].leaving) continue;
-        return send(id, Yield{register_.decided.epoch});
-    }
+    if (role_ == Role::primary) hand_over();
 }
 
 // ---- Witness ---------------------------------------------------------------------------------------------
 
 void Replica::on_message(const MemberId& from, const PromiseRequest& request) {
     highest_seen_ = std::max(highest_seen_, request.epoch);
-    PromiseReply reply{request.epoch, request.tentative, false, register_, state_.position};
-    const bool possible = voting_ && role_ != Role::recovering && request.epoch > register_.promised;
-    if (request.tentative) {
+    const bool possible = can_vote() && request.epoch > register_.promised;
+    PromiseReply reply{request.epoch, request.tentative, false, leaving_, register_, state_.position};
+    if (request.tentative)
         reply.granted = possible && (!hears_primary() || from == register_.decided.primary);
-    } else if (possible) {
-        WitnessRegister next = register_;
-        next.promised = request.epoch;
-        reply.granted = save_register(next);
-        reply.witness_register = register_;
-        if (reply.granted && role_ != Role::backup) step_down(request.epoch);
-        // The candidate has its chance before this one stands itself.
-        stand_not_before_ = std::max(stand_not_before_, now_ + options_.timing.phase);
-    }
-    send(from, reply);
+    if (request.tentative || !possible) return send(from, reply);
+    WitnessRegister next = register_;
+    next.promised = request.epoch;
+    save(next);
+    reply.granted = true;
+    reply.witness_register = register_;
+    if (role_ != Role::backup) step_down(request.epoch, "promised-another");
+    // The candidate has its chance before this one stands itself.
+    stand_not_before_ = std::max(stand_not_before_, now_ + options_.timing.phase);
+    after_saves(Send{from, reply});
 }
 
 void Replica::on_message(const MemberId& from, const AcceptRequest& request) {
     const Epoch epoch = request.record.epoch;
-    bool stored = false;
-    if (voting_ && role_ != Role::recovering && epoch >= register_.promised &&
-        epoch >= register_.accepted.epoch) {
-        WitnessRegister next = register_;
-        next.promised = epoch;
-        next.accepted = request.record;
-        stored = save_register(next);
-    }
-    send(from, AcceptReply{epoch, stored, register_.promised});
+    if (!can_vote() || epoch < register_.promised || epoch < register_.accepted.epoch)
+        return send(from, AcceptReply{epoch, false, register_.promised});
+    WitnessRegister next = register_;
+    next.promised = epoch;
+    next.accepted = request.record;
+    save(next);
+    if (role_ != Role::backup && epoch > candidate_epoch_) step_down(epoch, "accepted-another");
+    after_saves(Send{from, AcceptReply{epoch, true, register_.promised}});
 }
 
 // Whether the primary, here or elsewhere, was heard a moment ago: no reason for an election.
@@ -179,37 +198,50 @@
 }
 
 void Replica::on_message(const MemberId& from, const InstallRequest& request) {
-    bool stored = voting_ && request.epoch == register_.promised;
-    if (stored && state_.position != request.state.position) stored = save_state(request.state);
-    if (stored && !register_.intact) {
-        WitnessRegister next = register_;
-        next.intact = true;
-        stored = save_register(next);
-    }
-    send(from, InstallReply{request.epoch, stored, register_.promised});
+    if (!can_vote() || request.epoch != register_.promised)
+        return send(from, InstallReply{request.epoch, false, register_.promised});
+    if (state_.position != request.state.position) save(request.state);
+    WitnessRegister next = register_;
+    next.intact = true;
+    save(next);
+    after_saves(Send{from, InstallReply{request.epoch, true, register_.promised}});
 }
 
+// An older state than the one held may come late, on a connection that was replaced meanwhile.
 void Replica::on_message(const MemberId& from, const ReplicateRequest& request) {
-    bool stored = voting_ && register_.intact && request.epoch >= register_.promised;
-    if (stored && state_.position != request.state.position) stored = save_state(request.state);
-    send(from, ReplicateReply{request.epoch, request.state.position, stored, register_.promised});
+    const Position& position = request.state.position;
+    const bool possible = can_vote() && register_.intact && request.epoch >= register_.promised;
+    if (!possible || position < state_.position)
+        return send(from, ReplicateReply{request.epoch, position, false, register_.promised});
+    if (state_.position != position) save(request.state);
+    after_saves(Send{from, ReplicateReply{request.epoch, position, true, register_.promised}});
 }
 
 void Replica::on_message(const MemberId& from, const Heartbeat& beat) {
     const Epoch epoch = beat.record.epoch;
     highest_seen_ = std::max(highest_seen_, epoch);
-    const bool follows = epoch >= register_.promised && from == beat.record.primary;
-    if (follows && role_ != Role::recovering) {
-        if (role_ != Role::backup && epoch >= candidate_epoch_) step_down(epoch);
+    const bool follows = has_register_ && epoch >= register_.promised && from == beat.record.primary;
+    if (follows) {
+        const bool candidate = role_ != Role::backup && role_ != Role::storage_failed;
+        if (candidate && epoch >= candidate_epoch_) step_down(epoch, "another-is-primary");
         learn_decided(beat.record);
-        if (role_ == Role::backup) {
+        if (role_ == Role::backup || role_ == Role::storage_failed) {
             primary_heard_ = now_;
             heard_in_this_life_ = true;
         }
         if (beat.committed == state_.position) commit(state_);
+        note_contact(beat);
     }
-    send(from, HeartbeatReply{beat.number, epoch, register_.promised, committed_.position,
-                              voting_ && role_ != Role::recovering, register_.intact, leaving_});
+    send(from, HeartbeatReply{beat.number, epoch, register_.promised, committed_.position, can_vote(),
+                              register_.intact, leaving_, now_.count()});
+}
+
+// A message may have lain in a buffer while this process or the sender stood still. Only the echo of a reply
+// of our own says how old it can be, by our own clock.
+void Replica::note_contact(const Heartbeat& beat) {
+    const Time at{beat.echo};
+    if (!beat.in_contact || beat.echo <= 0 || at > now_ || committed_.position < beat.committed) return;
+    contact_at_ = std::max(contact_at_, at);
 }
 
 void Replica::on_message(const MemberId& from, const Learn& learn) {
@@ -223,20 +255,23 @@
     actions_->emplace_back(StateChanged{});
 }
 
-// A record that enough witnesses have stored may be stored anywhere, whatever was promised.
+// A record that enough witnesses have stored may be stored anywhere, whatever was promised. Nothing rests on
+// its being durable here, so a disk that fails or stalls is not asked.
 void Replica::learn_decided(const EpochRecord& record) {
     if (record.epoch <= register_.decided.epoch) return;
     WitnessRegister next = register_;
     next.decided = record;
     if (record.epoch > next.accepted.epoch) next.accepted = record;
     next.promised = std::max(next.promised, record.epoch);
-    save_register(next);
+    if (can_vote()) return save(next);
+    register_ = next;
+    register_unsaved_ = true;
 }
 
 // ---- Recovery of a member whose disk was lost ------------------------------------------------------------
 
 void Replica::on_message(const MemberId& from, const RecoveryRequest& request) {
-    send(from, RecoveryReply{request.nonce, voting_ && role_ != Role::recovering, register_});
+    send(from, RecoveryReply{request.nonce, has_register_, register_});
 }
 
 void Replica::on_message(const MemberId& from, const RecoveryReply& reply) {
@@ -260,11 +295,11 @@
         group, [&](const MemberId& id) { return id != options_.self && recovery_.contains(id); }));
     if (group.empty() || answered < group.size() - majority + 1) return;
     found.intact = false;
-    if (!save_register(found)) return;
-    voting_ = true;
+    save(found);
+    has_register_ = true;
     highest_seen_ = std::max(highest_seen_, found.promised);
     recovery_.clear();
-    change_role(Role::backup);
+    change_role(Role::backup, "recovered");
 }
 
 void Replica::try_recovery() {
@@ -277,25 +312,6 @@
 
 // ---- Helpers ---------------------------------------------------------------------------------------------
 
-bool Replica::save_register(const WitnessRegister& next) {
-    if (next == register_) return true;
-    if (!storage_.save(next)) {
-        storage_broken_ = true;
-        return false;
-    }
-    register_ = next;
-    return true;
-}
-
-bool Replica::save_state(const ReplicatedState& next) {
-    if (!storage_.save(next)) {
-        storage_broken_ = true;
-        return false;
-    }
-    state_ = next;
-    return true;
-}
-
 void Replica::send(const MemberId& to, Message message) {
     if (to != options_.self) actions_->emplace_back(Send{to, std::move(message)});
 }
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -1,6 +1,6 @@
 // One member of the core: witness and replica in one state machine. Deterministic: time, messages and the
-// disk come from outside, so that the same code runs in the control plane and in the simulated cluster of the
-// tests.
+// disk come from outside as events, so that the same code runs in the control plane and in the simulated
+// cluster of the tests.
 //
 // Safety rests on epochs and durable promises alone, never on clocks; timeouts only decide when to try.
 //   - A witness takes part in no epoch below its promise, and stores the promise before it answers.
@@ -9,12 +9,18 @@
 //     state of its members that promised holds everything acknowledged so far.
 //   - Every member of the new in-sync set holds that state before the new record is stored anywhere.
 //   - The primary acknowledges a state once every member of its in-sync set has stored it.
+//
+// Saves are asked for and answered later (`Save`, `Saved`, `SaveFailed`); meanwhile the member goes on, but
+// whatever vouches for a record waits until that record and all before it are durable. After a refused save
+// the fate of the record is unknown: the member drops all that waited, takes no part in votes, and returns
+// once both of its records have been written anew and read back.
 #pragma once
 
 #include "replication/types.h"
 
 #include <chrono>
 #include <cstddef>
+#include <deque>
 #include <map>
 #include <random>
 #include <set>
@@ -23,21 +29,32 @@
 
 namespace willowrill::replication {
 
+inline constexpr Epoch initial_epoch = 1;
+
 using Time = std::chrono::milliseconds; // steady, from any origin
 
 struct Timing {
     Time heartbeat{250};
-    Time election{1000};       // without a heartbeat for so long, a backup stands for primary
-    Time election_step{150};   // and so much later for each member before it in the order of succession
-    Time first_election{100};  // after a start, how long a primary that serves has to make itself heard
-    Time phase{700};           // an election phase that takes longer is given up
-    Time gather{100};          // how long a candidate waits for further promises beyond those it needs
-    Time gather_planned{300};  // the same where a primary changes the membership and nothing is urgent
-    Time member_silent{800};   // an in-sync member that says nothing for so long is dropped
-    Time member_steady{1000};  // a member must answer for so long before it is taken into the in-sync set
-    Time witness_silent{3500}; // a witness silent for so long is replaced, where a spare member stands by
-    Time primary_alone{1200};  // a primary that hears fewer than half of the witnesses steps down
-    Time current{800};         // a member that has not heard the primary for so long calls itself stale
+    Time election{1000};        // without a heartbeat for so long, a backup stands for primary
+    Time election_step{150};    // and so much later for each member before it in the order of succession
+    Time first_election{100};   // after a start, how long a primary that serves has to make itself heard
+    Time phase{700};            // an election phase that takes longer is given up
+    Time gather{100};           // how long a candidate waits for further promises beyond those it needs
+    Time gather_planned{300};   // the same where a primary changes the membership and nothing is urgent
+    Time member_silent{800};    // an in-sync member that says nothing for so long is dropped
+    Time member_steady{1000};   // a member must answer for so long before it is taken into the in-sync set
+    Time witness_silent{3500};  // a witness silent for so long is replaced, where a spare member stands by
+    Time primary_alone{1200};   // a primary that hears fewer than half of the witnesses steps down
+    Time current{900};          // without proof of contact for so long, a member calls itself stale
+    Time resend{300};           // a state that a member has not stored is sent to it again
+    Time confirm{700};          // a confirmation that finds no quorum for so long is given up
+    Time disk_silent{600};      // a disk that answers nothing for so long takes no part
+    Time restore_first{200};    // after a refused save, the pause before the records are written anew;
+    Time restore_longest{1000}; // it doubles up to this
+    Time turn_first{1000};      // a member that won and could not serve lets others stand for so long;
+    Time turn_longest{8000};    // it doubles up to this
+    Time served{3000};          // a primary has served once it has been one for so long
+    Time growth{5000};          // at the first start, orders wait so long for the core to reach its size
 };
 
 struct Options {
@@ -49,13 +66,40 @@
     std::uint64_t random_seed = 1;
 };
 
-// `recovering`: the disk was empty, and it is not known what was promised. `canvassing`: asking whether an
-// election would succeed. `collecting`, `fetching`, `installing`, `accepting`: phases of an election.
-enum class Role { recovering, backup, canvassing, collecting, fetching, installing, accepting, primary };
+// `loading`: the disk has not been read yet. `recovering`: its register was lost, and it is not known what
+// was promised. `storage_failed`: the disk refused a record. `canvassing`: asking whether an election would
+// succeed. `collecting`, `fetching`, `installing`, `accepting`: phases of an election.
+enum class Role {
+    loading,
+    recovering,
+    storage_failed,
+    backup,
+    canvassing,
+    collecting,
+    fetching,
+    installing,
+    accepting,
+    primary
+};
+
+const char* name_of(Role role);
 
 // ---- Events and actions ----------------------------------------------------------------------------------
 
 struct Tick {};
+// What the disk held at the start.
+struct Loaded {
+    std::optional<WitnessRegister> witness_register;
+    std::optional<ReplicatedState> state;
+};
+// The record of this ticket survives any loss of power.
+struct Saved {
+    Ticket ticket = 0;
+};
+// The disk refused it, or reported an error after taking it: it may be there or not.
+struct SaveFailed {
+    Ticket ticket = 0;
+};
 struct Received {
     MemberId from;
     Message message;
@@ -66,9 +110,11 @@
 struct PeerLost {
     MemberId peer;
 };
-// Asks for a new state to be acknowledged; one at a time. `id` is the caller's.
+// Asks for a new state to be acknowledged; one at a time. `id` is the caller's. Not taken where another state
+// than `based_on` is the newest.
 struct Propose {
     std::uint64_t id = 0;
+    Position based_on;
     std::string content;
 };
 // Asks whether this member is still the primary at a moment after the question.
@@ -77,12 +123,21 @@
 };
 // The process is about to end.
 struct Leave {};
-using Event = std::variant<Tick, Received, PeerConnected, PeerLost, Propose, Confirm, Leave>;
+using Event =
+    std::variant<Tick, Loaded, Saved, SaveFailed, Received, PeerConnected, PeerLost, Propose, Confirm, Leave>;
 
 struct Send {
     MemberId to;
     Message message;
 };
+// To be answered by `Saved` or `SaveFailed`, each ticket once and in their order. After a failure all are to
+// fail, unseen by the disk, up to the next one that `restores`: what was asked for before the failure was known
+// may only make sense behind the record that failed.
+struct Save {
+    Ticket ticket = 0;
+    DiskRecord record;
+    bool restores = false;
+};
 struct Committed {
     std::uint64_t id = 0;
 };
@@ -95,26 +150,32 @@
 };
 // `committed()` has a newer state.
 struct StateChanged {};
-using Action = std::variant<Send, Committed, Undecided, Confirmed, StateChanged>;
+using Action = std::variant<Send, Save, Committed, Undecided, Confirmed, StateChanged>;
 
 class Replica {
   public:
-    Replica(Options options, Storage& storage);
+    explicit Replica(Options options);
 
-    // Takes in one event and appends to the actions, which are carried out in their order.
+    // Takes in one event and appends to the actions, which are carried out in their order. `Loaded` comes
+    // first, once.
     void step(Time now, const Event& event, std::vector<Action>& actions);
 
     Role role() const { return role_; }
+    // Why the role changed last, for the operators' log.
+    const char* role_reason() const { return role_reason_; }
     bool is_primary() const { return role_ == Role::primary; }
     // The primary of the newest epoch known, or nothing while there is none.
     std::optional<MemberId> primary() const;
-    // Whether what `committed()` says was current a moment ago.
+    // Whether a quorum vouched a moment ago, by this member's clock, for what `committed()` says.
     bool current(Time now) const;
     const ReplicatedState& committed() const { return committed_; }
     const WitnessRegister& witness_register() const { return register_; }
-    // The state on disk, acknowledged or not.
+    // The newest state that was given to the disk, acknowledged or not.
     const ReplicatedState& state() const { return state_; }
     bool leaving() const { return leaving_; }
+    // Whether the others hold enough copies and a quorum without this member, as far as that can be had:
+    // witnesses can be replaced only where a member stands by.
+    bool may_end(Time now) const;
 
   private:
     struct Peer {
@@ -123,25 +184,58 @@
         Time heard{-1'000'000};        // last message of any kind
         Time steady_since{-1};         // answers without a gap since then; negative: does not
         std::uint64_t heartbeat = 0;   // highest number answered in this epoch
-        Time heartbeat_at{-1'000'000}; // when it was answered
+        Time heartbeat_at{-1'000'000}; // when that one was sent
         Position holds;
         bool voting = false;
+        Time voting_at{-1'000'000}; // when it last said that it can vote
         bool intact = false;
         bool leaving = false;
+        std::int64_t reply_sent_at = 0; // by its clock, of its newest reply
         Time learn_sent{-1'000'000};
     };
     struct Promise {
         WitnessRegister witness_register;
         Position position;
+        bool leaving = false;
     };
     struct Proposal {
         std::uint64_t id = 0;
         Position position;
-        Time since{0};
+        Time sent{0};
         std::set<MemberId> stored;
     };
+    struct Confirmation {
+        std::uint64_t heartbeat = 0; // that must be answered
+        Time since{0};
+    };
+    // What waits for saves: a message that vouches for them, or a step of this member's own.
+    struct OwnPromise {
+        Epoch epoch = 0;
+    };
+    struct OwnInstall {
+        Epoch epoch = 0;
+    };
+    struct OwnAccept {
+        Epoch epoch = 0;
+    };
+    struct OwnCopy {
+        Position position;
+    };
+    struct Restored {};
+    using Consequence = std::variant<Send, OwnPromise, OwnInstall, OwnAccept, OwnCopy, Restored>;
+    struct Outstanding {
+        Ticket ticket = 0;
+        std::optional<bool> intact; // as the register to be saved says; none for a state
+    };
+    struct Waiting {
+        Ticket after = 0;
+        Consequence consequence;
+    };
 
     void on(const Tick&);
+    void on(const Loaded& loaded);
+    void on(const Saved& saved);
+    void on(const SaveFailed& failed);
     void on(const Received& received);
     void on(const PeerConnected& event);
     void on(const PeerLost& event);
@@ -166,67 +260,107 @@
     void on_message(const MemberId& from, const RecoveryReply& reply);
     void on_message(const MemberId& from, const Yield& yield);
 
-    void change_role(Role next);
-    void format_or_load();
+    // Durability (durability.cpp).
+    void save(const WitnessRegister& next);
+    void save(const ReplicatedState& next);
+    void issue(DiskRecord record, bool restores = false);
+    void after_saves(Consequence consequence);
+    void carry_out(const Send& send);
+    void carry_out(const OwnPromise& promise);
+    void carry_out(const OwnInstall& install);
+    void carry_out(const OwnAccept& accept);
+    void carry_out(const OwnCopy& copy);
+    void carry_out(const Restored&);
+    bool finish_ticket(Ticket ticket, bool saved);
+    void restore();
+    bool disk_answers() const;
+    bool can_vote() const;
+
+    // Election (election.cpp).
     void stand(bool tentative);
     void start_collecting();
     void count_promises();
     void plan_record();
+    std::vector<MemberId> next_in_sync(const std::vector<MemberId>& witnesses) const;
     void install();
     void maybe_accept();
     void count_accepts();
+    void abandon_election(Epoch seen, const char* reason);
+    void lose_turn();
+    std::vector<MemberId> spares() const;
+    std::vector<MemberId> next_witnesses(const std::vector<MemberId>& present) const;
+    bool replaceable(const MemberId& witness) const;
+    std::vector<MemberId> electors() const;
+    const EpochRecord& highest_accepted() const;
+    const EpochRecord& highest_decided() const;
+    std::size_t place_in_order() const;
+    Time election_delay() const;
+
+    // The primary (primary.cpp).
     void become_primary();
-    void abandon_election(Epoch seen);
-    void step_down(Epoch seen);
+    void step_down(Epoch seen, const char* reason);
     void drop_orders();
+    void hand_over();
     void heartbeat();
+    void send_heartbeat(const MemberId& to);
     void check_confirmations();
+    void expire_confirmations();
     void check_commit();
+    void resend_proposal();
     void supervise_members();
+    bool membership_should_change() const;
+    bool has_grown() const;
+    Time sent_at(std::uint64_t number) const;
+
+    void change_role(Role next, const char* reason);
     void try_recovery();
     void commit(const ReplicatedState& state);
     void learn_decided(const EpochRecord& record);
-
-    bool save_register(const WitnessRegister& next);
-    bool save_state(const ReplicatedState& next);
+    void note_contact(const Heartbeat& beat);
     void send(const MemberId& to, Message message);
     bool alive(const MemberId& member) const;
     bool may_stand() const;
     bool reaches_quorum() const;
     bool has_quorum(const std::vector<MemberId>& group, const std::set<MemberId>& of) const;
     bool steady(const MemberId& member) const;
-    std::vector<MemberId> spares() const;
-    std::vector<MemberId> next_witnesses(const std::vector<MemberId>& present) const;
-    std::vector<MemberId> electors() const;
-    const EpochRecord& highest_accepted() const;
-    const EpochRecord& highest_decided() const;
-    std::size_t place_in_order() const;
-    Time election_delay() const;
     bool hears_primary() const;
     std::size_t fewest_in_sync() const { return options_.tolerated + 1; }
+    std::size_t full_size() const { return 2 * options_.tolerated + 1; }
 
     Options options_;
-    Storage& storage_;
     std::mt19937_64 random_;
     Time now_{0};
     std::vector<Action>* actions_ = nullptr;
 
-    Role role_ = Role::backup;
-    WitnessRegister register_;
-    ReplicatedState state_;
+    Role role_ = Role::loading;
+    const char* role_reason_ = "start";
+    WitnessRegister register_; // as last given to the disk
+    ReplicatedState state_;    // likewise
     ReplicatedState committed_;
-    bool voting_ = false;
-    bool storage_broken_ = false;
+    bool has_register_ = false;
+    bool register_unsaved_ = false; // `register_` holds news that was not given to the disk
     bool leaving_ = false;
+    bool first_start_ = false;
     std::map<MemberId, Peer> peers_; // bounded: members ever heard of that the carrier connects to
 
     Epoch highest_seen_ = 0; // of any epoch number, to stand above
     Time primary_heard_{-1'000'000};
+    Time contact_at_{-1'000'000}; // a primary in contact with a quorum had heard this member at that time
     bool heard_in_this_life_ = false;
     Time role_since_{0};
+    Time started_{0};
     Time stand_not_before_{0};
     Time quorum_reached_{-1}; // connected to enough witnesses since then; negative: is not
 
+    // Of the disk.
+    Ticket last_ticket_ = 0;
+    bool disk_intact_ = false;            // as the register that is surely on disk says
+    std::deque<Outstanding> outstanding_; // bounded: each message of a peer asks for two at the most
+    std::deque<Waiting> waiting_;
+    Time disk_progress_{0}; // when the disk last answered, or was first asked after it had answered all
+    Time restore_at_{0};
+    Time restore_pause_{0};
+
     // Of the election under way.
     Epoch candidate_epoch_ = 0;
     std::map<MemberId, Promise> promises_;
@@ -236,14 +370,18 @@
     MemberId fetch_from_;
     std::set<MemberId> installed_;
     std::set<MemberId> accepted_by_;
+    Time accept_sent_{0};
+    Time turn_pause_{0}; // of a member that won and could not serve
 
     // Of the primary.
     std::uint64_t beat_number_ = 0;
+    std::deque<std::pair<std::uint64_t, Time>> beats_; // the last ones sent, bounded
     Time beat_sent_{-1'000'000};
+    Time yield_sent_{-1'000'000};
     std::optional<Proposal> proposal_;
-    std::map<std::uint64_t, std::uint64_t>
-        confirmations_; // caller's id to the heartbeat that must be answered
+    std::map<std::uint64_t, Confirmation> confirmations_; // by the caller's id
     Time reconfigured_{-1'000'000};
+    Time primary_since_{0};
     bool planned_change_ = false; // this election changes the membership of a primary that serves
 
     // Of the recovery.
--- a/src/replication/types.h
+++ b/src/replication/types.h
@@ -60,6 +60,7 @@
     Epoch epoch = 0;
     bool tentative = false;
     bool granted = false;
+    bool leaving = false;
     WitnessRegister witness_register;
     Position position;
 };
@@ -114,6 +115,8 @@
     std::uint64_t number = 0;
     EpochRecord record;
     Position committed;
+    bool in_contact = false; // more than half of the witnesses have answered the sender a moment ago
+    std::int64_t echo = 0;   // `sent_at` of the receiver's newest reply; 0: none in this epoch
 };
 
 struct HeartbeatReply {
@@ -121,9 +124,10 @@
     Epoch epoch = 0;
     Epoch promised = 0;
     Position holds;      // newest committed state known to the sender
-    bool voting = false; // has a register it can vote with
+    bool voting = false; // has a register it can vote with, and a disk that takes records
     bool intact = false; // its state was complete when it was last installed
     bool leaving = false;
+    std::int64_t sent_at = 0; // ms of the sender's steady clock, for `Heartbeat::echo`
 };
 
 // Committed state for a member that lacks it; for reading only, not made durable there.
@@ -154,14 +158,10 @@
 
 // ---- Storage ---------------------------------------------------------------------------------------------
 
-// What a member keeps on its disk. A `save` that returned true survives any loss of power.
-class Storage {
-  public:
-    virtual ~Storage() = default;
-    virtual std::optional<WitnessRegister> load_register() = 0;
-    virtual std::optional<ReplicatedState> load_state() = 0;
-    virtual bool save(const WitnessRegister& value) = 0;
-    virtual bool save(const ReplicatedState& value) = 0;
-};
+// Names a save; saves are carried out and answered in the order of their tickets, which rise.
+using Ticket = std::uint64_t;
+
+// What is kept on disk. Each kind has a ring of records of its own, and the newest whole one counts.
+using DiskRecord = std::variant<WitnessRegister, ReplicatedState>;
 
 } // namespace willowrill::replication
--- a/src/simulation/cluster.cpp
+++ b/src/simulation/cluster.cpp
@@ -1,497 +1,449 @@
 #include "simulation/cluster.h"
 
+#include "simulation/scheduler.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <utility>
 
 namespace willowrill::simulation {
-
-using configuration::ControlState;
-using configuration::Version;
-using errors::ErrorKind;
-
-// ---- Disk ------------------------------------------------------------------------------------------------
-
-template <class T> bool Disk::store(std::optional<T>& place, const T& value, bool lost) {
-    if (chance_() < crash_chance) {
-        if (chance_() < 0.5 && !lost) place = value;
-        throw Crash{};
-    }
-    if (!lost) place = value;
-    return true;
-}
-
-bool Disk::save(const replication::WitnessRegister& value) {
-    return store(register_, value, forgets_registers && register_.has_value());
-}
-
-bool Disk::save(const replication::ReplicatedState& value) { return store(state_, value, false); }
-
-void Disk::wipe() {
-    register_.reset();
-    state_.reset();
-}
-
 namespace {
 
-constexpr Time tick_period{50};
-constexpr Time sync_time{4000};     // a member counts as lost for so long after it is back
-constexpr Time order_timeout{1000}; // an operator moves on after that
-constexpr Time settle_time{15000};  // after the last fault
+constexpr Time sync_time{4000};    // a core that was whole for so long has repaired itself
+constexpr Time contact_time{4000}; // machines are in touch so long after the last fault began or ended
+constexpr Time settle_time{15000}; // after the last fault
 constexpr Time longest_recovery{8000};
-
-struct Member {
-    MemberId id;
-    std::unique_ptr<Disk> disk;
-    std::unique_ptr<replication::Replica> replica;
-    std::unique_ptr<control::OrderQueue> orders;
-    std::deque<replication::Event> events;
-    bool feeding = false;
-    bool up = false;
-    bool first_start = true;
-    std::uint64_t life = 0;
-    Time frozen_until{0};
-    Time lost_until{0};
-    replication::Position newest; // committed in this life
-};
-
-// What an operator asked for and was told.
-struct Put {
-    Version based_on = 0;
-    Version version = 0;
-    std::string body;
-    bool acknowledged = false;
-};
-
-struct Scheduled {
-    Time at{0};
-    std::uint64_t serial = 0;
-    std::function<void()> act;
-    bool operator<(const Scheduled& other) const {
-        return std::tie(other.at, other.serial) < std::tie(at, serial);
-    }
-};
-
-std::string body_of(Version version, std::uint64_t author) {
-    return fmt::format(R"({{"configVersion":{},"author":{},"routes":[],"services":[]}})", version, author);
-}
+constexpr Time first_fault{3000}; // nothing fails while the core starts for the first time
+constexpr Time check_period{200};
+constexpr Time restart_delay{500};
+constexpr NodeId first_scheduler_node = 1000;
+constexpr std::size_t most_members = 24; // that ever run, replacements included
 
 class Cluster {
   public:
-    explicit Cluster(const Plan& plan) : plan_(plan), random_(plan.seed) {
+    explicit Cluster(const Plan& plan)
+        : plan_(plan), queue_(plan.seed), network_(queue_),
+          history_(queue_), world_{queue_,
+                                   network_,
+                                   history_,
+                                   plan.tolerated,
+                                   {},
+                                   [this](const MemberId& id) { return find(id); },
+                                   plan.break_answers_for_others,
+                                   plan.break_always_current,
+                                   plan.break_no_turns,
+                                   plan.trace},
+          operators_(world_, members_, habits(plan)) {
         for (std::size_t i = 0; i < plan.members; ++i) {
-            Member& member = members_.emplace_back();
-            member.id = fmt::format("10.{}.0.1:8000", i + 1);
-            member.disk = std::make_unique<Disk>([this] { return chance(); });
-            member.disk->forgets_registers = plan.break_forgets_registers;
-            if (i < plan.seeds) seeds_.push_back(member.id);
+            add_member(true);
+            if (i < plan.seeds) world_.seeds.push_back(members_.back().id());
         }
+        for (std::size_t i = 0; i < plan.schedulers; ++i)
+            schedulers_.emplace_back(world_, first_scheduler_node + i, fmt::format("scheduler-{}", i));
+        members_.front().fails_as_primary = plan.fails_as_primary;
     }
 
     Outcome play() {
-        for (std::size_t i = 0; i < members_.size(); ++i)
-            after(Time(uniform(300)), [this, i] { start(i); });
-        for (int author = 1; author <= 2; ++author)
-            operate(Time(uniform(1000)), static_cast<std::uint64_t>(author));
-        if (plan_.fault_gap.count() > 0) schedule_fault();
-        run_until(plan_.length);
+        for (Member& member : members_)
+            queue_.after(Time(queue_.uniform(300)), [&member] { member.start(); });
+        for (Scheduler& scheduler : schedulers_)
+            queue_.after(Time(queue_.uniform(300)), [&scheduler] { scheduler.start(); });
+        operators_.start();
+        watch();
+        if (plan_.fault_gap.count() > 0) queue_.after(first_fault, [this] { schedule_fault(); });
+        queue_.run_until(plan_.length);
         if (plan_.final_fault) final_fault();
         faults_over_ = true;
         heal();
-        const Time calm = now_;
-        run_until(now_ + settle_time);
-        if (last_ack_ > calm) outcome_.back_after = first_ack_after_ - calm;
-        if (first_ack_after_ <= calm || outcome_.back_after > longest_recovery)
-            violation("no order was acknowledged in time after the last fault");
+        const Time calm = queue_.now();
+        queue_.run_until(calm + settle_time);
+        const Time first = history_.first_acknowledgement_after(calm);
+        if (first < Time{0} || first - calm > longest_recovery)
+            history_.violation("no order was acknowledged in time after the last fault");
+        else
+            history_.outcome().back_after = first - calm;
         final_read();
-        outcome_.epochs = epochs_.size();
-        return outcome_;
+        return history_.close();
     }
 
   private:
-    // ---- Time and chance ---------------------------------------------------------------------------------
+    static Operators::Habits habits(const Plan& plan) {
+        Operators::Habits out = plan.operators;
+        out.unconfirmed_reads = plan.break_unconfirmed_reads;
+        return out;
+    }
 
-    double chance() { return std::uniform_real_distribution<double>(0, 1)(random_); }
-    std::int64_t uniform(std::int64_t below) {
-        return std::uniform_int_distribution<std::int64_t>(0, below - 1)(random_);
+    Member* find(const MemberId& id) {
+        const auto found = std::ranges::find(members_, id, &Member::id);
+        return found == members_.end() ? nullptr : &*found;
     }
 
-    void after(Time delay, std::function<void()> act) {
-        queue_.push({now_ + delay, ++serial_, std::move(act)});
+    Member& add_member(bool initial_start) {
+        const std::size_t number = members_.size();
+        Member& member =
+            members_.emplace_back(world_, number, fmt::format("10.{}.0.1:8000", number + 1), initial_start);
+        member.disk().forgets_registers = plan_.break_forgets_registers;
+        member.disk().hides_failures = plan_.break_hides_failures;
+        member.break_remembers = plan_.break_forgets_orders;
+        return member;
     }
 
-    void run_until(Time end) {
-        while (!queue_.empty() && queue_.top().at <= end) {
-            const Scheduled next = queue_.top();
-            queue_.pop();
-            now_ = next.at;
-            next.act();
-        }
-        now_ = end;
-    }
-
-    void violation(std::string what) {
-        outcome_.violations.push_back(fmt::format("{} ms: {}", now_.count(), std::move(what)));
-    }
-
-    // ---- Processes ---------------------------------------------------------------------------------------
-
-    void start(std::size_t i) {
-        Member& member = members_[i];
-        if (member.up) return;
-        member.up = true;
-        ++member.life;
-        member.newest = {};
-        replication::Options options;
-        options.self = member.id;
-        options.seeds = seeds_;
-        options.initial_start = std::exchange(member.first_start, false);
-        options.tolerated = plan_.tolerated;
-        options.random_seed = random_();
-        member.disk->crash_chance = 0; // a start that dies would only start again
-        member.replica = std::make_unique<replication::Replica>(options, *member.disk);
-        member.disk->crash_chance = faults_over_ ? 0 : plan_.crash_chance;
-        member.orders = std::make_unique<control::OrderQueue>(
-            [this, i](replication::Event event) { feed(i, std::move(event)); });
-        for (std::size_t j = 0; j < members_.size(); ++j) {
-            if (j == i || !members_[j].up) continue;
-            connect(i, j);
-            connect(j, i);
+    std::vector<Member*> present() {
+        std::vector<Member*> out;
+        for (Member& member : members_)
+            if (!member.removed) out.push_back(&member);
+        return out;
+    }
+
+    Member& some_member() {
+        const auto all = present();
+        return *all[queue_.index(all.size())];
+    }
+
+    // ---- What is watched ---------------------------------------------------------------------------------
+
+    bool disk_is_well(Member& member) const {
+        const Disk& disk = member.disk();
+        return queue_.now() >= disk.stalled_until && queue_.now() >= disk.refusing_until;
+    }
+
+    bool healthy(Member& member) const { return member.answers() && disk_is_well(member); }
+
+    // Healthy members that reach enough others to decide, whatever else is wrong.
+    std::vector<Member*> deciding() {
+        const auto all = present();
+        std::vector<Member*> out;
+        for (Member* member : all) {
+            if (!healthy(*member)) continue;
+            const auto reached = std::ranges::count_if(all, [&](Member* other) {
+                return other != member && healthy(*other) && network_.reaches(member->node(), other->node());
+            });
+            if (static_cast<std::size_t>(reached) + 1 >= all.size() - plan_.tolerated) out.push_back(member);
         }
-        tick(i, member.life);
-    }
-
-    void connect(std::size_t from, std::size_t to) {
-        deliver(from, Time(1 + uniform(60)), replication::PeerConnected{members_[to].id});
-    }
-
-    void stop(std::size_t i) {
-        Member& member = members_[i];
-        if (!member.up) return;
-        member.up = false;
-        ++member.life;
-        member.events.clear();
-        member.feeding = false;
-        member.frozen_until = Time(0);
-        // What it was asked and has not answered stays unanswered.
-        dead_.push_back(std::move(member.orders));
-        member.replica.reset();
-        for (std::size_t j = 0; j < members_.size(); ++j)
-            if (j != i && members_[j].up && !cut(i, j))
-                deliver(j, Time(1 + uniform(40)), replication::PeerLost{member.id});
-    }
-
-    void tick(std::size_t i, std::uint64_t life) {
-        Member& member = members_[i];
-        if (!member.up || member.life != life) return;
-        if (now_ >= member.frozen_until) feed(i, replication::Tick{});
-        after(tick_period, [this, i, life] { tick(i, life); });
-    }
-
-    // Hands an event to a member later, if it then still lives; a frozen one gets it when it wakes.
-    void deliver(std::size_t i, Time delay, replication::Event event) {
-        const std::uint64_t life = members_[i].life;
-        after(delay, [this, i, life, event = std::move(event)] {
-            Member& member = members_[i];
-            if (!member.up || member.life != life) return;
-            if (now_ < member.frozen_until) return deliver(i, member.frozen_until - now_ + Time(1), event);
-            feed(i, event);
+        return out;
+    }
+
+    bool whole() {
+        const auto all = present();
+        if (all.size() != plan_.members) return false;
+        return std::ranges::all_of(all, [&](Member* one) {
+            return healthy(*one) && std::ranges::all_of(all, [&](Member* other) {
+                       return other == one || network_.reaches(one->node(), other->node());
+                   });
         });
     }
 
-    void feed(std::size_t i, replication::Event event) {
-        Member& member = members_[i];
-        if (!member.up) return;
-        member.events.push_back(std::move(event));
-        if (std::exchange(member.feeding, true)) return;
-        const std::uint64_t life = member.life;
-        try {
-            while (member.up && member.life == life && !member.events.empty()) {
-                const replication::Event next = std::move(member.events.front());
-                member.events.pop_front();
-                std::vector<replication::Action> actions;
-                member.replica->step(now_, next, actions);
-                for (const replication::Action& action : actions)
-                    if (member.up && member.life == life) carry_out(i, action);
-            }
-        } catch (const Crash&) {
-            ++outcome_.faults;
-            stop(i);
-            lose(i, Time(500));
-            after(Time(500), [this, i] { start(i); });
-            return;
+    void watch() {
+        if (!whole()) whole_since_ = Time{-1};
+        if (whole() && whole_since_ < Time{0}) whole_since_ = queue_.now();
+        if (whole_since_ >= Time{0} && queue_.now() - whole_since_ >= sync_time) {
+            if (plan_.trace && disks_lost_ > 0)
+                fmt::print(stderr, "{} disks made good\n", queue_.now().count());
+            disks_lost_ = 0;
         }
-        if (member.life == life) member.feeding = false;
-    }
-
-    void carry_out(std::size_t i, const replication::Action& action) {
-        Member& member = members_[i];
-        if (const auto* send = std::get_if<replication::Send>(&action)) return transmit(i, *send);
-        if (const auto* done = std::get_if<replication::Committed>(&action)) return member.orders->on(*done);
-        if (const auto* undecided = std::get_if<replication::Undecided>(&action))
-            return member.orders->on(*undecided);
-        if (const auto* confirmed = std::get_if<replication::Confirmed>(&action))
-            return member.orders->on(*confirmed);
-        on_committed(i);
-    }
-
-    // Members agree on what stands at a position, and none goes back within its life.
-    void on_committed(std::size_t i) {
-        Member& member = members_[i];
-        const replication::ReplicatedState& state = member.replica->committed();
-        if (state.position < member.newest) violation(member.id + " went back");
-        member.newest = state.position;
-        const auto [known, fresh] = committed_.emplace(state.position, *state.content);
-        if (!fresh && known->second != *state.content) violation("two states at one position");
-        member.orders->on_state(configuration::decode(*state.content).value());
-        epochs_.insert(member.replica->witness_register().decided.epoch);
-    }
-
-    // ---- Links -------------------------------------------------------------------------------------------
-
-    bool cut(std::size_t from, std::size_t to) const { return cuts_.contains({from, to}); }
-
-    std::size_t index_of(const MemberId& id) const {
-        return static_cast<std::size_t>(std::ranges::find(members_, id, &Member::id) - members_.begin());
-    }
-
-    // In order for a pair, and lost where the link is cut.
-    void transmit(std::size_t from, const replication::Send& send) {
-        const std::size_t to = index_of(send.to);
-        if (to >= members_.size() || !members_[to].up || cut(from, to)) return;
-        if (const auto* request = std::get_if<replication::ReplicateRequest>(&send.message);
-            request != nullptr && plan_.break_answers_for_others) {
-            const replication::ReplicateReply forged{request->epoch, request->state.position, true,
-                                                     request->epoch};
-            deliver(from, Time(1), replication::Received{send.to, forged});
-            if (chance() < 0.5) return;
+        check_schedulers();
+        queue_.after(check_period, [this] { watch(); });
+    }
+
+    // What is in force at schedulers in touch while the core is stable.
+    void check_schedulers() {
+        if (queue_.now() - last_event_ < contact_time) return;
+        const auto core = deciding();
+        // A disk that was lost counts as a loss until it is made good.
+        if (core.size() + plan_.tolerated < present().size() + disks_lost_) return;
+        for (Scheduler& scheduler : schedulers_) {
+            if (!scheduler.up() || queue_.now() - scheduler.started() < contact_time) continue;
+            const bool in_touch = std::ranges::all_of(
+                core, [&](Member* member) { return network_.reaches(scheduler.node(), member->node()); });
+            if (in_touch) history_.in_force(scheduler.name(), scheduler.version(), scheduler.evacuated());
         }
-        Time& last = last_arrival_[{from, to}];
-        const Time arrival = std::max(last, now_ + Time(20 + uniform(10)));
-        last = arrival;
-        deliver(to, arrival - now_, replication::Received{members_[from].id, send.message});
     }
 
     // ---- Faults ------------------------------------------------------------------------------------------
 
-    void lose(std::size_t i, Time duration) { members_[i].lost_until = now_ + duration + sync_time; }
+    void note_event() { last_event_ = queue_.now(); }
 
-    std::size_t lost() const {
-        return static_cast<std::size_t>(
-            std::ranges::count_if(members_, [&](const Member& m) { return now_ < m.lost_until; }));
+    // Runs the end of a fault, which is an event of its own.
+    void end_after(Time duration, std::function<void()> end) {
+        queue_.after(duration, [this, end = std::move(end)] {
+            note_event();
+            end();
+        });
+    }
+
+    bool may_lose_disk() {
+        if (!plan_.wipes || disks_lost_ >= plan_.tolerated) return false;
+        ++disks_lost_;
+        whole_since_ = Time{-1};
+        return true;
     }
 
     void schedule_fault() {
         const auto mean = plan_.fault_gap.count();
-        after(Time(mean / 4 + uniform(mean * 3 / 2)), [this] {
+        // Now and then a second one comes during the repair of the first.
+        const Time gap = queue_.chance() < 0.25 ? Time(queue_.uniform(1500))
+                                                : Time(mean / 4 + queue_.uniform(mean * 3 / 2));
+        queue_.after(gap, [this] {
             if (faults_over_) return;
-            if (lost() < plan_.tolerated) fault();
+            ++history_.outcome().faults;
+            note_event();
+            fault();
             schedule_fault();
         });
     }
 
+    Time some_duration() {
+        const auto longest = plan_.longest_fault.count();
+        return Time(200 + queue_.uniform(queue_.chance() < 0.1 ? 4 * longest : longest));
+    }
+
     void fault() {
-        ++outcome_.faults;
-        const auto i = static_cast<std::size_t>(uniform(static_cast<std::int64_t>(members_.size())));
-        const Time duration(200 + uniform(5000));
-        switch (uniform(plan_.herds ? 6 : 5)) {
-        case 0: // killed or without power
-            stop(i);
-            after(duration, [this, i] { start(i); });
-            return lose(i, duration);
-        case 1: // back with an empty disk
-            stop(i);
-            if (plan_.wipes) members_[i].disk->wipe();
-            after(duration, [this, i] { start(i); });
-            return lose(i, duration);
-        case 2:
-            members_[i].frozen_until = now_ + duration;
-            // One that wakes may still take itself for the primary: somebody asks it at once.
-            after(duration + Time(1), [this] { read(0); });
-            return lose(i, duration);
-        case 3:
-            return cut_off(i, duration, true, true);
-        case 4:
-            return cut_off(i, duration, uniform(2) == 0, uniform(2) == 0);
-        default:
-            for (std::size_t j = 0; j < members_.size(); ++j) {
-                stop(j);
-                after(Time(uniform(900)), [this, j] { start(j); });
-                lose(j, Time(900));
-            }
+        using Fault = void (Cluster::*)(Time);
+        static constexpr Fault always[] = {
+            &Cluster::kill_one,     &Cluster::lose_power_of_one, &Cluster::freeze_one,
+            &Cluster::cut_off_one,  &Cluster::cut_off_one,       &Cluster::cut_one_way,
+            &Cluster::split_halves, &Cluster::reset_one,         &Cluster::restart_scheduler,
+            &Cluster::roll_one,     &Cluster::turn_over_seeds,   &Cluster::cut_scheduler,
+            &Cluster::wipe_one,     &Cluster::lose_one_ring};
+        static constexpr Fault of_disks[] = {&Cluster::refuse_saves, &Cluster::refuse_saves,
+                                             &Cluster::stall_disk, &Cluster::slow_disk};
+        static constexpr Fault of_herds[] = {&Cluster::kill_all, &Cluster::lose_all_power,
+                                             &Cluster::kill_some};
+        static constexpr Fault of_replacement[] = {&Cluster::replace_planned, &Cluster::replace_unplanned};
+        std::vector<Fault> all(std::begin(always), std::end(always));
+        if (plan_.disk_faults) all.insert(all.end(), std::begin(of_disks), std::end(of_disks));
+        if (plan_.herds) all.insert(all.end(), std::begin(of_herds), std::end(of_herds));
+        if (plan_.replacements) all.insert(all.end(), std::begin(of_replacement), std::end(of_replacement));
+        const std::size_t chosen = queue_.index(all.size());
+        const Time duration = some_duration();
+        if (plan_.trace)
+            fmt::print(stderr, "{} fault {} for {}\n", queue_.now().count(), chosen, duration.count());
+        (this->*all[chosen])(duration);
+    }
+
+    void stop_for(Member& member, Time duration, bool power_lost) {
+        whole_since_ = Time{-1};
+        member.stop(power_lost);
+        end_after(duration, [&member] { member.start(); });
+    }
+
+    void kill_one(Time duration) { stop_for(some_member(), std::min(duration, restart_delay), false); }
+    void lose_power_of_one(Time duration) { stop_for(some_member(), duration, true); }
+
+    void wipe_one(Time duration) {
+        Member& member = some_member();
+        stop_for(member, duration, true);
+        if (may_lose_disk()) member.disk().wipe();
+    }
+
+    void lose_one_ring(Time duration) {
+        Member& member = some_member();
+        stop_for(member, std::min(duration, restart_delay), true);
+        if (!may_lose_disk()) return;
+        if (queue_.chance() < 0.5)
+            member.disk().lose_registers();
+        else
+            member.disk().lose_states();
+    }
+
+    void freeze_one(Time duration) {
+        // One that wakes may still take itself for the primary: somebody asks it before it has read anything.
+        end_after(duration + Time{1}, [this] { operators_.read_at_some_primary(); });
+        some_member().freeze(duration);
+    }
+
+    void cut_pair(NodeId one, NodeId other, bool out, bool in) {
+        if (out) network_.cut(one, other);
+        if (in) network_.cut(other, one);
+    }
+
+    void cut_off(Member& member, Time duration, bool out, bool in, bool from_schedulers) {
+        for (Member* other : present())
+            if (other != &member) cut_pair(member.node(), other->node(), out, in);
+        if (from_schedulers)
+            for (const Scheduler& scheduler : schedulers_)
+                cut_pair(member.node(), scheduler.node(), out, in);
+        end_after(duration, [this, node = member.node()] { heal_node(node); });
+    }
+
+    void heal_node(NodeId node) {
+        for (const Member& other : members_) {
+            network_.heal(node, other.node());
+            network_.heal(other.node(), node);
+        }
+        for (const Scheduler& scheduler : schedulers_) {
+            network_.heal(node, scheduler.node());
+            network_.heal(scheduler.node(), node);
         }
     }
 
-    void cut_off(std::size_t i, Time duration, bool out, bool in) {
-        for (std::size_t j = 0; j < members_.size(); ++j) {
-            if (j == i) continue;
-            if (out) cuts_.insert({i, j});
-            if (in) cuts_.insert({j, i});
-        }
-        after(duration, [this, i] {
-            std::erase_if(cuts_, [&](const auto& link) { return link.first == i || link.second == i; });
-        });
-        lose(i, duration);
+    // With restarts inside the cut now and then, on both sides.
+    void cut_off_one(Time duration) {
+        Member& member = some_member();
+        cut_off(member, duration, true, true, queue_.chance() < 0.3);
+        if (queue_.chance() < 0.3)
+            queue_.after(duration / 2, [this, &member] { stop_for(member, restart_delay, false); });
+        if (queue_.chance() < 0.2) queue_.after(duration / 2, [this] { kill_one(restart_delay); });
+        if (queue_.chance() < 0.2)
+            end_after(duration + Time{50}, [this, &member] {
+                for (Member* other : present())
+                    if (other != &member) stop_for(*other, restart_delay, false);
+            });
     }
 
-    // Everyone loses power, and as many as are tolerated their disks.
-    void final_fault() {
-        ++outcome_.faults;
-        heal();
-        std::vector<std::size_t> all(members_.size());
+    void cut_one_way(Time duration) {
+        const bool out = queue_.chance() < 0.5;
+        cut_off(some_member(), duration, out, !out, false);
+    }
+
+    void split_halves(Time duration) {
+        auto all = present();
         for (std::size_t i = 0; i < all.size(); ++i)
-            all[i] = i;
-        std::ranges::shuffle(all, random_);
-        // A disk is lost only where no other loss still counts.
-        const std::size_t wiped = plan_.wipes && lost() == 0 ? plan_.tolerated : 0;
-        for (std::size_t n = 0; n < all.size(); ++n) {
-            const std::size_t i = all[n];
-            stop(i);
-            if (n < wiped) members_[i].disk->wipe();
-            after(Time(uniform(1400)), [this, i] { start(i); });
-        }
+            std::swap(all[i], all[queue_.index(all.size())]);
+        const std::size_t half = all.size() / 2;
+        for (std::size_t i = 0; i < half; ++i)
+            for (std::size_t j = half; j < all.size(); ++j)
+                cut_pair(all[i]->node(), all[j]->node(), true, true);
+        end_after(duration, [this] { network_.heal_all(); });
     }
 
-    void heal() {
-        cuts_.clear();
-        for (std::size_t i = 0; i < members_.size(); ++i) {
-            members_[i].frozen_until = std::min(members_[i].frozen_until, now_);
-            if (members_[i].up && members_[i].disk) members_[i].disk->crash_chance = 0;
-        }
+    void reset_one(Time) { network_.reset_connections(some_member().node()); }
+
+    void restart_scheduler(Time duration) {
+        Scheduler& scheduler = schedulers_[queue_.index(schedulers_.size())];
+        scheduler.stop();
+        end_after(std::min(duration, restart_delay), [&scheduler] { scheduler.start(); });
     }
 
-    // ---- Operators ---------------------------------------------------------------------------------------
+    void cut_scheduler(Time duration) {
+        const Scheduler& scheduler = schedulers_[queue_.index(schedulers_.size())];
+        for (Member* member : present())
+            if (queue_.chance() < 0.6) cut_pair(scheduler.node(), member->node(), true, true);
+        end_after(duration, [this, node = scheduler.node()] { heal_node(node); });
+    }
 
-    // One operator: puts a configuration on the newest version it knows of, or reads, again and again.
-    void operate(Time delay, std::uint64_t author) {
-        after(delay, [this, author] {
-            if (chance() < 0.3)
-                read(author);
-            else
-                put(author);
-            operate(Time(150 + uniform(500)), author);
-        });
+    void roll_one(Time) {
+        Member& member = some_member();
+        member.leave([this, &member] { end_after(restart_delay, [&member] { member.start(); }); });
     }
 
-    std::optional<std::size_t> some_primary() {
-        std::vector<std::size_t> found;
-        for (std::size_t i = 0; i < members_.size(); ++i)
-            if (members_[i].up && now_ >= members_[i].frozen_until && members_[i].replica->is_primary())
-                found.push_back(i);
-        if (found.empty()) return std::nullopt;
-        return found[static_cast<std::size_t>(uniform(static_cast<std::int64_t>(found.size())))];
-    }
-
-    void put(std::uint64_t author) {
-        const auto i = some_primary();
-        if (!i) return;
-        // Now and then an order that had no clear answer is sent again, unchanged.
-        std::shared_ptr<Put> pending = pending_[author];
-        const bool again = pending != nullptr;
-        if (!again) pending = std::make_shared<Put>();
-        if (!again) {
-            pending->based_on = newest_seen_;
-            pending->version = newest_seen_ + 1 + static_cast<Version>(uniform(4));
-            pending->body = body_of(pending->version, author * 1'000'000 + ++orders_);
-            pending_[author] = pending;
-            sent_[pending->version].insert(pending->body);
-        }
-        const Time asked = now_;
-        members_[*i].orders->submit(configuration::PutConfiguration{pending->based_on, pending->body},
-                                    [this, author, pending, asked](control::OrderResult result) {
-                                        if (now_ - asked > order_timeout) return; // the operator has moved on
-                                        if (result)
-                                            acknowledged(author, *pending);
-                                        else if (errors::answer_to(result.error().kind).status < 500)
-                                            refused(author, *pending, result.error().kind);
-                                    });
-    }
-
-    void acknowledged(std::uint64_t author, Put& order) {
-        pending_[author] = nullptr;
-        if (std::exchange(order.acknowledged, true)) return;
-        ++outcome_.acknowledged;
-        last_ack_ = now_;
-        if (faults_over_ && first_ack_after_ == Time(0)) first_ack_after_ = now_;
-        newest_seen_ = std::max(newest_seen_, order.version);
-        newest_acknowledged_ = std::max(newest_acknowledged_, order.version);
-        const auto [other, fresh] = acknowledged_on_.emplace(order.based_on, order.body);
-        if (!fresh && other->second != order.body)
-            violation(fmt::format("two changes on version {} were acknowledged", order.based_on));
-        acknowledged_body_[order.version] = order.body;
-    }
-
-    void refused(std::uint64_t author, Put& order, ErrorKind kind) {
-        ++outcome_.refused;
-        if (order.acknowledged) violation("an order that was taken was refused");
-        if (kind == ErrorKind::invalid_configuration) violation("a valid configuration was called invalid");
-        refused_.insert(order.body);
-        pending_[author] = nullptr;
-        read(author); // to learn the current version
-    }
-
-    void read(std::uint64_t /*author*/) {
-        const auto i = some_primary();
-        if (!i) return;
-        const Version at_least = newest_acknowledged_;
-        const Time asked = now_;
-        if (plan_.break_unconfirmed_reads) {
-            const auto state = configuration::decode(*members_[*i].replica->committed().content);
-            return check_read(state.value().configuration, at_least);
+    void turn_over_seeds(Time) {
+        auto all = present();
+        world_.seeds.clear();
+        while (!all.empty() && world_.seeds.size() < plan_.seeds) {
+            const std::size_t i = queue_.index(all.size());
+            world_.seeds.push_back(all[i]->id());
+            all.erase(all.begin() + static_cast<std::ptrdiff_t>(i));
         }
-        members_[*i].orders->read([this, at_least, asked](errors::Result<std::string> text) {
-            if (text && now_ - asked <= order_timeout) check_read(text.value(), at_least);
+    }
+
+    void replace_planned(Time) {
+        if (members_.size() >= most_members || present().size() > plan_.members || !may_lose_disk()) return;
+        Member& old = some_member();
+        add_member(false).start();
+        end_after(Time{1000}, [this, &old] {
+            if (!old.up()) return void(old.removed = true);
+            old.leave([this, &old] {
+                note_event();
+                whole_since_ = Time{-1};
+                old.removed = true;
+            });
         });
     }
 
-    void check_read(const std::string& text, Version at_least) {
-        ++outcome_.reads;
-        Version version = 0;
-        if (!text.empty()) {
-            version = configuration::parse(text).value().version;
-            if (!sent_[version].contains(text)) violation("a configuration that nobody sent was read");
-            if (refused_.contains(text)) violation("a refused configuration is in force");
-            const auto known = acknowledged_body_.find(version);
-            if (known != acknowledged_body_.end() && known->second != text)
-                violation(fmt::format("version {} is not what was acknowledged", version));
+    void replace_unplanned(Time) {
+        if (members_.size() >= most_members || present().size() > plan_.members || !may_lose_disk()) return;
+        Member& old = some_member();
+        old.stop(true);
+        old.removed = true;
+        end_after(Time{1000}, [this] { add_member(false).start(); });
+    }
+
+    void refuse_saves(Time duration) {
+        Disk& disk = some_member().disk();
+        disk.refusing_until = queue_.now() + duration;
+        end_after(duration, [] {});
+        if (queue_.chance() < 0.5) kill_one(duration);
+    }
+
+    void stall_disk(Time duration) {
+        some_member().disk().stalled_until = queue_.now() + duration;
+        end_after(duration, [] {});
+    }
+
+    void slow_disk(Time duration) {
+        Disk& disk = some_member().disk();
+        disk.sync_time = Time{150};
+        end_after(duration, [&disk] { disk.sync_time = Time{5}; });
+    }
+
+    void kill_all(Time) {
+        for (Member* member : present())
+            stop_for(*member, Time(1 + queue_.uniform(900)), false);
+    }
+
+    void kill_some(Time) {
+        for (Member* member : present())
+            if (queue_.chance() < 0.6) stop_for(*member, Time(1 + queue_.uniform(900)), false);
+    }
+
+    void lose_all_power(Time duration) {
+        for (Member* member : present())
+            stop_for(*member, duration, true);
+    }
+
+    // Everyone loses power, and as many as are tolerated their disks.
+    void final_fault() {
+        ++history_.outcome().faults;
+        note_event();
+        heal();
+        auto all = present();
+        for (std::size_t i = 0; i < all.size(); ++i)
+            std::swap(all[i], all[queue_.index(all.size())]);
+        for (Member* member : all) {
+            stop_for(*member, Time(1 + queue_.uniform(1400)), true);
+            if (may_lose_disk()) member->disk().wipe();
+        }
+    }
+
+    void heal() {
+        note_event();
+        network_.heal_all();
+        for (Member* member : present()) {
+            member->thaw();
+            Disk& disk = member->disk();
+            disk.refusing_until = disk.stalled_until = Time{0};
+            disk.sync_time = Time{5};
+            queue_.after(Time(1500), [member] { member->start(); });
         }
-        if (version < at_least)
-            violation(fmt::format("version {} was read after {} was acknowledged", version, at_least));
-        newest_seen_ = std::max(newest_seen_, version);
+        for (Scheduler& scheduler : schedulers_)
+            scheduler.start();
     }
 
     void final_read() {
-        const std::size_t before = outcome_.reads;
-        for (int tries = 0; tries < 20 && outcome_.reads == before; ++tries) {
-            read(0);
-            run_until(now_ + order_timeout);
+        const std::size_t before = history_.reads();
+        constexpr int tries = 20;
+        constexpr Time pause{1000};
+        for (int i = 0; i < tries && history_.reads() == before; ++i) {
+            operators_.read_anywhere();
+            queue_.run_until(queue_.now() + pause);
         }
-        if (outcome_.reads == before) violation("the configuration could not be read back");
+        if (history_.reads() == before) history_.violation("the configuration could not be read back");
     }
 
     Plan plan_;
-    std::mt19937_64 random_;
-    Time now_{0};
-    std::uint64_t serial_ = 0;
-    std::priority_queue<Scheduled> queue_;
+    EventQueue queue_;
+    Network network_;
+    History history_;
+    World world_;
     std::deque<Member> members_;
-    std::vector<MemberId> seeds_;
-    std::vector<std::unique_ptr<control::OrderQueue>> dead_;
-    std::set<std::pair<std::size_t, std::size_t>> cuts_;
-    std::map<std::pair<std::size_t, std::size_t>, Time> last_arrival_;
+    std::deque<Scheduler> schedulers_;
+    Operators operators_;
     bool faults_over_ = false;
-    Time last_ack_{0}, first_ack_after_{0};
-
-    std::uint64_t orders_ = 0;
-    Version newest_seen_ = 0, newest_acknowledged_ = 0;
-    std::map<std::uint64_t, std::shared_ptr<Put>> pending_; // by author
-    std::map<Version, std::set<std::string>> sent_;
-    std::map<Version, std::string> acknowledged_on_, acknowledged_body_;
-    std::set<std::string> refused_;
-    std::map<replication::Position, std::string> committed_;
-    std::set<replication::Epoch> epochs_;
-    Outcome outcome_;
+    Time last_event_{0};
+    Time whole_since_{-1};
+    std::size_t disks_lost_ = 0; // and not made good yet
 };
 
 } // namespace
--- /dev/null
+++ b/src/simulation/history.cpp
@@ -0,0 +1,110 @@
+#include "simulation/history.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace willowrill::simulation {
+namespace {
+
+constexpr Time apply_within{2500}; // an acknowledged change is in force at schedulers in touch
+
+} // namespace
+
+void History::violation(const std::string& what) {
+    outcome_.violations.push_back(fmt::format("{} ms: {}", queue_.now().count(), what));
+}
+
+void History::sent(const ChangeOrder& order) {
+    if (order.valid)
+        sent_[order.version].insert(order.body);
+    else
+        invalid_.insert(order.body);
+}
+
+void History::acknowledged(ChangeOrder& order) {
+    if (!order.valid) violation("an invalid configuration was acknowledged");
+    if (refused_.contains(order.body)) violation("a refused order was acknowledged");
+    if (std::exchange(order.acknowledged, true)) return;
+    ++outcome_.acknowledged;
+    newest_seen_ = std::max(newest_seen_, order.version);
+    newest_acknowledged_ = std::max(newest_acknowledged_, order.version);
+    acknowledged_at_.emplace(order.version, queue_.now());
+    const auto [other, fresh] = acknowledged_on_.emplace(order.based_on, order.body);
+    if (!fresh && other->second != order.body)
+        violation(fmt::format("two changes on version {} were acknowledged", order.based_on));
+    const auto [same, first] = acknowledged_body_.emplace(order.version, order.body);
+    if (!first && same->second != order.body)
+        violation(fmt::format("two changes with the number {} were acknowledged", order.version));
+}
+
+void History::refused(ChangeOrder& order, bool called_invalid) {
+    ++outcome_.refused;
+    if (order.acknowledged) violation("an order that was taken was refused");
+    if (called_invalid && order.valid) violation("a valid configuration was called invalid");
+    refused_.insert(order.body);
+}
+
+void History::read(const std::string& text, Version at_least) {
+    ++outcome_.reads;
+    Version version = 0;
+    if (!text.empty()) {
+        version = configuration::parse(text).value().version;
+        if (invalid_.contains(text)) violation("an invalid configuration is in force");
+        if (!sent_[version].contains(text)) violation("a configuration that nobody sent was read");
+        if (refused_.contains(text)) violation("a refused configuration is in force");
+        const auto known = acknowledged_body_.find(version);
+        if (known != acknowledged_body_.end() && known->second != text)
+            violation(fmt::format("version {} is not what was acknowledged", version));
+    }
+    if (version < at_least)
+        violation(fmt::format("version {} was read after {} was acknowledged", version, at_least));
+    newest_seen_ = std::max(newest_seen_, version);
+}
+
+void History::evacuation_sent(const std::string& zone, bool evacuated) {
+    Evacuation& known = evacuations_[zone];
+    known.unclear = known.unclear || known.acknowledged_as != evacuated;
+}
+
+void History::evacuation_acknowledged(const std::string& zone, bool evacuated) {
+    ++outcome_.evacuations;
+    evacuations_[zone] = {evacuated, queue_.now(), false};
+}
+
+void History::committed(const replication::Position& position, const std::string& content) {
+    const auto [known, fresh] = committed_.emplace(position, content);
+    if (!fresh && known->second != content) violation("two states at one position");
+}
+
+void History::in_force(const std::string& scheduler, Version version,
+                       const std::set<std::string>& evacuated) {
+    Version due = 0;
+    for (const auto& [acknowledged, at] : acknowledged_at_)
+        if (queue_.now() - at > apply_within) due = std::max(due, acknowledged);
+    if (version < due)
+        violation(fmt::format("{} has version {} in force, {} was acknowledged", scheduler, version, due));
+    for (const auto& [zone, known] : evacuations_) {
+        if (known.unclear || known.acknowledged_at < Time{0}) continue;
+        if (queue_.now() - known.acknowledged_at <= apply_within) continue;
+        if (evacuated.contains(zone) != known.acknowledged_as)
+            violation(fmt::format("{} does not know that {} is {}", scheduler, zone,
+                                  known.acknowledged_as ? "evacuated" : "taken back"));
+    }
+}
+
+Time History::first_acknowledgement_after(Time since) const {
+    Time first{-1};
+    for (const auto& [version, at] : acknowledged_at_)
+        if (at > since && (first < Time{0} || at < first)) first = at;
+    return first;
+}
+
+Outcome History::close() {
+    outcome_.epochs = epochs_.size();
+    outcome_.states = committed_.size();
+    return outcome_;
+}
+
+} // namespace willowrill::simulation
--- /dev/null
+++ b/src/simulation/member.h
@@ -0,0 +1,117 @@
+// A core member in virtual time: the real replica, queue of orders and hub of schedulers, with a model disk
+// and model connections.
+#pragma once
+
+#include "control/order_queue.h"
+#include "distribution/scheduler_hub.h"
+#include "replication/replica.h"
+#include "simulation/disk.h"
+#include "simulation/history.h"
+#include "simulation/network.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace willowrill::simulation {
+
+using replication::MemberId;
+
+class Member;
+
+// What all members of a run have in common.
+struct World {
+    EventQueue& queue;
+    Network& network;
+    History& history;
+    std::size_t tolerated = 1;
+    std::vector<MemberId> seeds;                  // as the settings name them now
+    std::function<Member*(const MemberId&)> find; // null where nobody ever had the id
+    // Deliberate breaks.
+    bool break_answers_for_others = false;
+    bool break_always_current = false;
+    bool break_no_turns = false;
+    bool trace = false;
+};
+
+class Member {
+  public:
+    Member(World& world, NodeId node, MemberId id, bool initial_start);
+
+    const MemberId& id() const { return id_; }
+    NodeId node() const { return node_; }
+    bool up() const { return up_; }
+    bool frozen() const { return world_.queue.now() <= frozen_until_; }
+    bool answers() const { return up_ && !frozen(); }
+    replication::Replica& replica() { return *replica_; }
+    control::OrderQueue& orders() { return *orders_; }
+    Disk& disk() { return disk_; }
+
+    void start();
+    void stop(bool power_lost);
+    void freeze(Time duration);
+    void thaw();
+    // Begins to leave; `ended` comes once the process has ended.
+    void leave(std::function<void()> ended);
+    void feed(replication::Event event);
+    // Runs this now, or once the process wakes; never in another life of it.
+    void when_running(std::function<void()> act) { when_awake(life_, std::move(act)); }
+
+    // A scheduler's connection, accepted here, and what comes on it.
+    using ToScheduler = std::function<void(const nlohmann::json&)>;
+    distribution::SessionId accept_scheduler(ToScheduler send, std::function<void()> close);
+    void on_scheduler_message(distribution::SessionId id, const nlohmann::json& message);
+    void on_scheduler_closed(distribution::SessionId id);
+
+    bool removed = false;          // it has ended for good
+    bool fails_as_primary = false; // its disk refuses all saves while it is the primary
+    bool break_remembers = false;  // deliberate: orders taken are not remembered
+
+  private:
+    struct SchedulerEnd {
+        ToScheduler send;
+        std::function<void()> close;
+    };
+    void tick(std::uint64_t life);
+    void dial_others();
+    void gossip();
+    void know(const MemberId& id);
+    // Runs this later in this life of the process; while it is frozen, once it wakes.
+    void later(Time delay, std::function<void()> act);
+    void when_awake(std::uint64_t life, std::function<void()> act);
+    void carry_out(const replication::Action& action);
+    void send_to(const MemberId& to, std::function<void(Member&)> deliver);
+    void on_committed();
+    void check_leave();
+    void trace_role(replication::Role before) const;
+
+    World& world_;
+    NodeId node_;
+    MemberId id_;
+    Disk disk_;
+    bool initial_start_;
+    std::unique_ptr<replication::Replica> replica_;
+    std::unique_ptr<control::OrderQueue> orders_;
+    std::unique_ptr<distribution::SchedulerHub> hub_;
+    std::vector<std::unique_ptr<control::OrderQueue>> past_orders_; // may still be inside a call
+    std::deque<replication::Event> events_;
+    bool feeding_ = false;
+    bool up_ = false;
+    std::uint64_t life_ = 0;
+    std::uint64_t ticks_ = 0;
+    Time frozen_until_{-1};
+    std::deque<std::function<void()>> when_awake_; // what came while it was frozen, in its order
+    std::map<MemberId, ConnectionPtr> links_;      // those that are up
+    std::set<MemberId> known_, dialling_;
+    std::map<distribution::SessionId, SchedulerEnd> schedulers_;
+    distribution::SessionId last_session_ = 0;
+    replication::Position newest_; // committed in this life
+    Time left_at_{0};
+    std::function<void()> ended_;
+};
+
+} // namespace willowrill::simulation
--- /dev/null
+++ b/src/simulation/scheduler.cpp
@@ -0,0 +1,128 @@
+#include "simulation/scheduler.h"
+
+#include "membership/codec.h"
+
+#include <utility>
+
+namespace willowrill::simulation {
+namespace {
+
+constexpr Time tick_period{100};
+
+} // namespace
+
+Scheduler::Scheduler(World& world, NodeId node, std::string name)
+    : world_(world), node_(node), name_(std::move(name)) {}
+
+void Scheduler::start() {
+    if (up_) return;
+    up_ = true;
+    ++life_;
+    started_ = world_.queue.now();
+    position_ = {};
+    version_ = 0;
+    evacuated_.clear();
+    world_.network.start(node_);
+    // A host is the part of an id before the port.
+    session_.emplace([this] {
+        std::vector<std::string> hosts;
+        for (const MemberId& seed : world_.seeds)
+            hosts.push_back(seed.substr(0, seed.find(':')));
+        return hosts;
+    });
+    tick(life_);
+}
+
+void Scheduler::stop() {
+    if (!up_) return;
+    up_ = false;
+    ++life_;
+    connection_ = nullptr;
+    world_.network.stop(node_, false);
+}
+
+void Scheduler::tick(std::uint64_t life) {
+    if (!up_ || life != life_) return;
+    feed(distribution::SessionTick{});
+    world_.queue.after(tick_period, [this, life] { tick(life); });
+}
+
+void Scheduler::feed(const distribution::SessionEvent& event) {
+    std::vector<distribution::SessionAction> actions;
+    session_->step(world_.queue.now(), event, actions);
+    for (const distribution::SessionAction& action : actions)
+        std::visit([this](const auto& one) { carry_out(one); }, action);
+}
+
+void Scheduler::carry_out(const distribution::Dial& dial) {
+    Member* member = world_.find(dial.host + ":8000");
+    const auto done = [this, member, life = life_](const ConnectionPtr& connection) {
+        if (!up_ || life != life_) return;
+        if (!connection || !connection->open) return feed(distribution::DialFailed{});
+        on_connected(connection, *member);
+    };
+    if (member == nullptr) return world_.queue.after(tick_period, [done] { done(nullptr); });
+    world_.network.dial(node_, member->node(), done);
+}
+
+void Scheduler::on_connected(const ConnectionPtr& connection, Member& member) {
+    connection_ = connection;
+    member_ = &member;
+    session_id_ = 0;
+    connection->closed_at_dialler = [this, raw = connection.get()] {
+        if (connection_.get() != raw) return;
+        connection_ = nullptr;
+        feed(distribution::ConnectionLost{});
+    };
+    // The member takes it in with the first message, as it does with the greeting on a socket.
+    feed(distribution::DialSucceeded{});
+}
+
+void Scheduler::carry_out(const distribution::Disconnect&) {
+    if (const auto connection = std::exchange(connection_, nullptr)) world_.network.close(connection, node_);
+}
+
+void Scheduler::carry_out(const distribution::RenewLease& renewal) {
+    if (!connection_) return;
+    membership::Lease lease;
+    lease.node = name_;
+    lease.incarnation = life_;
+    lease.renewal = renewal.renewal;
+    const nlohmann::json message{{"type", "lease"}, {"lease", lease}};
+    world_.network.send(connection_, node_, [this, connection = connection_, member = member_, message] {
+        if (!member->up()) return;
+        member->when_running([this, connection, member, message] {
+            if (!connection->open) return;
+            if (!connection->acceptor_session) {
+                const auto send = [this, connection, member](const nlohmann::json& pushed) {
+                    world_.network.send(connection, member->node(), [this, connection, pushed] {
+                        if (connection_ == connection) feed(distribution::MessageReceived{pushed});
+                    });
+                };
+                const auto close = [this, connection, member] {
+                    world_.network.close(connection, member->node());
+                };
+                const auto id = member->accept_scheduler(send, close);
+                connection->acceptor_session = id;
+                connection->closed_at_acceptor = [member, id] { member->on_scheduler_closed(id); };
+            }
+            member->on_scheduler_message(*connection->acceptor_session, message);
+        });
+    });
+}
+
+void Scheduler::carry_out(const distribution::Pushed& pushed) {
+    const nlohmann::json& message = pushed.message;
+    if (message.at("type") != "state") return;
+    const replication::Position position{message.at("epoch").get<std::uint64_t>(),
+                                         message.at("sequence").get<std::uint64_t>()};
+    if (version_ > 0 && position <= position_) return;
+    const auto version = message.at("version").get<Version>();
+    if (version < version_) world_.history.violation(name_ + " went back");
+    position_ = position;
+    version_ = version;
+    evacuated_ = message.at("evacuated").get<std::set<std::string>>();
+    world_.history.pushed();
+}
+
+} // namespace willowrill::simulation
--- /dev/null
+++ b/src/simulation/scheduler.h
@@ -0,0 +1,52 @@
+// A scheduler in virtual time: the real session with the core, over model connections. Takes in states as the
+// data plane does: never an older one than it holds.
+#pragma once
+
+#include "distribution/core_session.h"
+#include "simulation/member.h"
+
+#include <optional>
+#include <set>
+#include <string>
+
+namespace willowrill::simulation {
+
+class Scheduler {
+  public:
+    Scheduler(World& world, NodeId node, std::string name);
+
+    NodeId node() const { return node_; }
+    const std::string& name() const { return name_; }
+    bool up() const { return up_; }
+    Time started() const { return started_; }
+    Version version() const { return version_; }
+    const std::set<std::string>& evacuated() const { return evacuated_; }
+
+    void start();
+    void stop();
+
+  private:
+    void tick(std::uint64_t life);
+    void feed(const distribution::SessionEvent& event);
+    void carry_out(const distribution::Dial& dial);
+    void carry_out(const distribution::Disconnect&);
+    void carry_out(const distribution::RenewLease& renewal);
+    void carry_out(const distribution::Pushed& pushed);
+    void on_connected(const ConnectionPtr& connection, Member& member);
+
+    World& world_;
+    NodeId node_;
+    std::string name_;
+    std::optional<distribution::CoreSession> session_;
+    ConnectionPtr connection_;
+    Member* member_ = nullptr; // at the other end
+    distribution::SessionId session_id_ = 0;
+    bool up_ = false;
+    std::uint64_t life_ = 0;
+    Time started_{0};
+    replication::Position position_;
+    Version version_ = 0;
+    std::set<std::string> evacuated_;
+};
+
+} // namespace willowrill::simulation
--- a/src/transport/frame_connection.cpp
+++ b/src/transport/frame_connection.cpp
@@ -24,22 +24,11 @@
     read_length();
 }
 
-std::shared_ptr<const std::string> FrameConnection::frame_of(const nlohmann::json& message) {
-    const std::string body = message.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-    const auto size = static_cast<std::uint32_t>(body.size());
-    auto frame = std::make_shared<std::string>();
-    frame->reserve(body.size() + 4);
-    for (const int shift : {24, 16, 8, 0})
-        frame->push_back(static_cast<char>((size >> static_cast<unsigned>(shift)) & 0xffU));
-    frame->append(body);
-    return frame;
-}
-
 void FrameConnection::send(const nlohmann::json& message) {
     if (open_) send_frame(frame_of(message));
 }
 
-void FrameConnection::send_frame(std::shared_ptr<const std::string> frame) {
+void FrameConnection::send_frame(Frame frame) {
     if (!open_) return;
     waiting_bytes_ += frame->size();
     if (waiting_bytes_ > most_waiting_bytes) return close(); // a peer that does not read
--- a/src/transport/frame_connection.h
+++ b/src/transport/frame_connection.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "transport/asio.h"
+#include "transport/frame.h"
 
 #include <nlohmann/json.hpp>
 
@@ -14,7 +15,6 @@
 
 namespace willowrill::transport {
 
-inline constexpr int protocol_version = 1;
 inline constexpr std::size_t longest_frame = 16U << 20U;
 inline constexpr std::size_t most_waiting_bytes = 24U << 20U;
 
@@ -29,8 +29,7 @@
     void start(OnMessage on_message, OnClosed on_closed);
     void send(const nlohmann::json& message);
     // The same frame to many connections, made once.
-    void send_frame(std::shared_ptr<const std::string> frame);
-    static std::shared_ptr<const std::string> frame_of(const nlohmann::json& message);
+    void send_frame(Frame frame);
     void close();
     bool is_open() const { return open_; }
 
@@ -44,9 +43,9 @@
     OnClosed on_closed_;
     bool open_ = true;
     bool writing_ = false;
-    std::array<unsigned char, 4> length_{};
+    std::array<unsigned char, frame_length_bytes> length_{};
     std::string body_;
-    std::deque<std::shared_ptr<const std::string>> queue_;
+    std::deque<Frame> queue_;
     std::size_t waiting_bytes_ = 0;
 };
 
--- a/tests/system/configuration_test.cpp
+++ b/tests/system/configuration_test.cpp
@@ -177,6 +177,99 @@
     cr_assert_gt(taken.size(), 100U);
 }
 
+namespace {
+
+ControlState applied(const ControlState& state, const Order& order) {
+    const auto result = willowrill::configuration::apply(state, order);
+    cr_assert(static_cast<bool>(result), "%s", result.error().detail.c_str());
+    return std::get<ControlState>(result.value());
+}
+
+PutConfiguration change(Version based_on, int version) {
+    return {based_on, document(route(fmt::format("/{}/", version)), version)};
+}
+
+} // namespace
+
+// A thousand orders and more: the newest are acknowledged again, of the oldest nothing is claimed either way.
+Test(orders, one_sent_again_is_acknowledged_or_unclear_and_never_refused) {
+    ControlState state;
+    const int orders = static_cast<int>(most_taken) + 200;
+    for (int version = 1; version <= orders; ++version)
+        state = applied(state, change(static_cast<Version>(version - 1), version));
+    state = decode(encode(state)).value();
+    cr_assert_eq(state.taken.size(), most_taken);
+    int acknowledged = 0, unclear = 0;
+    for (int version = 1; version <= orders; ++version) {
+        const auto again =
+            willowrill::configuration::apply(state, change(static_cast<Version>(version - 1), version));
+        if (again) {
+            cr_assert(std::holds_alternative<Unchanged>(again.value()));
+            ++acknowledged;
+        } else {
+            cr_assert(again.error().kind == ErrorKind::outcome_forgotten, "version %d", version);
+            cr_assert_geq(willowrill::errors::answer_to(again.error().kind).status, 500U);
+            ++unclear;
+        }
+    }
+    cr_assert_eq(acknowledged, static_cast<int>(most_taken));
+    cr_assert_eq(unclear, 200);
+    // One that was surely not taken is refused.
+    const auto late =
+        willowrill::configuration::apply(state, change(static_cast<Version>(orders - 1), orders + 5));
+    cr_assert(late.error().kind == ErrorKind::version_conflict);
+}
+
+Test(orders, two_bodies_under_one_number_are_two_orders) {
+    const ControlState state = applied({}, change(0, 5));
+    const PutConfiguration other{0, document(route("/other/"), 5)};
+    cr_assert(willowrill::configuration::apply(state, other).error().kind == ErrorKind::version_conflict);
+    PutConfiguration elsewhere = change(0, 5);
+    elsewhere.based_on = 3;
+    cr_assert_not(static_cast<bool>(willowrill::configuration::apply(state, elsewhere)));
+}
+
+// The version and the body are told apart: "1" before "2:..." is not "12" before ":...".
+Test(orders, the_identity_of_an_order_has_no_ambiguous_join) {
+    const ControlState state = applied({}, change(0, 5));
+    cr_assert_neq(state.taken.at(0).digest.size(), 0U);
+    const ControlState other = applied({}, PutConfiguration{0, " " + change(0, 5).body});
+    cr_assert(!(state.taken.at(0).digest == other.taken.at(0).digest));
+}
+
+// SHA-256 by its published test vector: "0:" and the body are what is hashed.
+Test(orders, the_identity_is_a_sha_256_that_survives_encoding) {
+    const ControlState state = applied({}, change(0, 5));
+    const ControlState again = decode(encode(state)).value();
+    cr_assert(again.taken == state.taken);
+    cr_assert_not(static_cast<bool>(decode(
+        R"({"version":1,"configuration":"","evacuated":[],"taken":[["00",1]],"forgotten_through":0})")));
+    cr_assert_not(static_cast<bool>(
+        decode(R"({"version":1,"configuration":"","evacuated":[],"taken":[[7,1]],"forgotten_through":0})")));
+}
+
+Test(orders, an_evacuation_sent_again_after_it_was_turned_round_is_the_last_word) {
+    ControlState state = applied({}, Evacuate{"a"});
+    state = applied(state, EndEvacuation{"a"});
+    state = applied(state, Evacuate{"a"});
+    cr_assert(state.evacuated_zones.contains("a"));
+}
+
+// 830 tenants' routes fit; what cannot be kept is refused before it is proposed.
+Test(orders, a_state_too_large_to_be_kept_is_refused_by_name) {
+    const auto with_routes = [](int routes) {
+        std::string text;
+        for (int i = 0; i < routes; ++i)
+            text += (i > 0 ? "," : "") + route(fmt::format("/r{}/", i));
+        return document(text, 5);
+    };
+    const ControlState state = applied({}, PutConfiguration{0, with_routes(4 * 830)});
+    cr_assert_leq(encode(state).size(), most_state_bytes);
+    const auto too_large = willowrill::configuration::apply({}, PutConfiguration{0, with_routes(12000)});
+    cr_assert(too_large.error().kind == ErrorKind::state_too_large);
+    cr_assert_eq(willowrill::errors::answer_to(too_large.error().kind).status, 413U);
+}
+
 Test(orders, a_state_that_cannot_be_read_is_an_error) {
     cr_assert_not(static_cast<bool>(decode("{")));
     cr_assert_not(static_cast<bool>(decode(R"({"version":1})")));
--- a/tests/system/membership_test.cpp
+++ b/tests/system/membership_test.cpp
@@ -216,7 +216,7 @@
     FakeReplica fake;
     configuration::ControlState state;
     state.configuration = body;
-    fake.queue.on_state(state);
+    fake.queue.on_state(state, {});
     std::string read;
     fake.queue.read([&](errors::Result<std::string> text) { read = text ? text.value() : "error"; });
     cr_assert(read.empty());
--- a/tests/system/storage_test.cpp
+++ b/tests/system/storage_test.cpp
@@ -1,4 +1,5 @@
 // The ring of records: what is read after a tear at any byte, and what is told apart.
+#include "configuration/control_state.h"
 #include "control/disk.h"
 #include "storage/record_ring.h"
 
@@ -76,6 +77,19 @@
     cr_assert_eq(std::distance(fs::directory_iterator(folder.path()), fs::directory_iterator()), 3);
 }
 
+namespace {
+
+constexpr std::size_t room = 4096;
+
+// A slot's bytes with a record in both copies.
+std::string slot_bytes(std::uint64_t serial, const std::string& record) {
+    std::string out = encode_copy(serial, record);
+    out.resize(second_copy_at(room), '\0');
+    return out + encode_copy(serial, record);
+}
+
+} // namespace
+
 // The write of a record may stop at any byte: what was there before is read, or the whole new one.
 Test(ring, a_tear_at_any_byte_leaves_the_record_before) {
     const Folder folder;
@@ -85,45 +99,90 @@
         ring.write("second");
     }
     const fs::path third = folder.path() / "r-2.ring";
-    const std::string old = read(third), fresh = encode_slot(3, "the third record");
-    for (std::size_t cut = 0; cut <= fresh.size(); ++cut) {
+    const std::string old = read(third), fresh = slot_bytes(3, "the third record");
+    const std::size_t first_copy = encode_copy(3, "the third record").size();
+    for (std::size_t cut = 0; cut <= fresh.size(); cut += cut < 2 * first_copy ? 1 : 7) {
+        const Folder copy;
+        fs::copy(folder.path(), copy.path(), fs::copy_options::recursive);
         std::string torn = old;
         torn.replace(0, cut, fresh.substr(0, cut));
-        write(third, torn);
-        const RecordRing ring = open(folder);
-        const bool whole = cut == fresh.size();
+        write(copy.path() / "r-2.ring", torn);
+        const RecordRing ring = open(copy);
+        const bool whole = cut >= first_copy;
         expect_text(ring.newest()->c_str(), whole ? "the third record" : "second",
                     "cut at " + std::to_string(cut));
         if (cut > 0 && !whole) cr_assert(ring.found()[2] != SlotContent::valid);
     }
 }
 
+// A bit that rots in the newest record must not make the one before it the newest.
+Test(ring, a_flipped_bit_in_the_newest_record_loses_nothing) {
+    const Folder folder;
+    {
+        RecordRing ring = open(folder);
+        ring.write("first");
+        ring.write("second");
+    }
+    const fs::path newest = folder.path() / "r-1.ring";
+    const std::string good = read(newest);
+    const std::size_t length = encode_copy(2, "second").size();
+    for (const std::size_t start : {std::size_t{0}, second_copy_at(room)}) {
+        for (std::size_t at = start; at < start + length; ++at) {
+            const Folder copy;
+            fs::copy(folder.path(), copy.path(), fs::copy_options::recursive);
+            std::string bad = good;
+            bad[at] = static_cast<char>(bad[at] ^ 0x10);
+            write(copy.path() / "r-1.ring", bad);
+            expect_text(open(copy).newest()->c_str(), "second", "byte " + std::to_string(at));
+        }
+    }
+}
+
 Test(ring, a_flipped_bit_anywhere_is_noticed) {
-    const std::string good = encode_slot(5, "payload");
+    const std::string good = encode_copy(5, "payload");
     for (std::size_t at = 0; at < good.size(); ++at) {
         std::string bad = good;
         bad[at] = static_cast<char>(bad[at] ^ 0x10);
         std::uint64_t serial = 0;
         std::string record;
-        cr_assert(decode_slot(bad, serial, record) != SlotContent::valid, "byte %zu", at);
+        cr_assert(decode_copy(bad, serial, record) != SlotContent::valid, "byte %zu", at);
+    }
+}
+
+// What a killed process wrote may stand in the system's cache alone: a reader makes it durable before it
+// counts.
+Test(ring, what_is_read_is_written_anew) {
+    const Folder folder;
+    {
+        RecordRing ring = open(folder);
+        ring.write("first");
     }
+    const std::string before = read(folder.path() / "r-1.ring");
+    open(folder);
+    cr_assert(read(folder.path() / "r-1.ring") != before);
+    fs::remove(folder.path() / "r-0.ring");
+    expect_text(open(folder).newest()->c_str(), "first");
 }
 
 Test(ring, foreign_and_newer_are_told_apart) {
     std::uint64_t serial = 0;
-    std::string record, newer = encode_slot(1, "x");
+    std::string record, newer = encode_copy(1, "x");
     newer[8] = 9; // the version
-    cr_assert(decode_slot("something else that is long enough for a head", serial, record) ==
+    cr_assert(decode_copy("something else that is long enough for a head", serial, record) ==
               SlotContent::foreign);
-    cr_assert(decode_slot(newer, serial, record) == SlotContent::newer);
-    cr_assert(decode_slot("willow", serial, record) == SlotContent::torn);
+    cr_assert(decode_copy(newer, serial, record) == SlotContent::newer);
+    cr_assert(decode_copy("willow", serial, record) == SlotContent::torn);
 }
 
-Test(ring, a_record_longer_than_the_room_made_is_kept_whole) {
+Test(ring, a_record_longer_than_the_room_is_refused_whole) {
     const Folder folder;
-    const std::string large(100000, 'y');
-    { open(folder).write(large); }
-    cr_assert_eq(open(folder).newest()->size(), large.size());
+    {
+        RecordRing ring = open(folder);
+        cr_assert(ring.write(std::string(room, 'x')));
+        cr_assert_not(ring.write(std::string(room + 1, 'y')));
+        cr_assert_eq(ring.newest()->size(), room);
+    }
+    expect_text(*open(folder).newest(), std::string(room, 'x'));
 }
 
 Test(ring, a_folder_that_is_not_there_is_an_error) {
@@ -132,19 +191,46 @@
     cr_assert(ring.error().kind == willowrill::errors::ErrorKind::storage_failed);
 }
 
+namespace {
+
+std::unique_ptr<willowrill::control::Disk> open_disk(const Folder& folder) {
+    auto disk = willowrill::control::Disk::open(folder.path());
+    cr_assert(static_cast<bool>(disk));
+    return std::move(disk.value());
+}
+
+} // namespace
+
 Test(disk, register_and_state_come_back) {
     using namespace willowrill::replication;
     const Folder folder;
     const EpochRecord record{4, "a:1", {"a:1", "b:1"}, {"a:1", "b:1", "c:1"}};
     const WitnessRegister stored{5, record, record, true};
     {
-        auto disk = std::move(willowrill::control::Disk::open(folder.path()).value());
-        cr_assert_not(disk->load_register().has_value());
-        cr_assert(disk->save(stored));
-        cr_assert(disk->save(ReplicatedState{{4, 2}, std::make_shared<const std::string>("content")}));
+        const auto disk = open_disk(folder);
+        cr_assert_not(disk->load().witness_register.has_value());
+        cr_assert(disk->save({1, stored}));
+        cr_assert(
+            disk->save({2, ReplicatedState{{4, 2}, std::make_shared<const std::string>("content\nmore")}}));
     }
-    auto disk = std::move(willowrill::control::Disk::open(folder.path()).value());
-    cr_assert(disk->load_register() == stored);
-    cr_assert(disk->load_state()->position == (Position{4, 2}));
-    expect_text(disk->load_state()->content->c_str(), "content");
+    const Loaded found = open_disk(folder)->load();
+    cr_assert(found.witness_register == stored);
+    cr_assert(found.state->position == (Position{4, 2}));
+    expect_text(found.state->content->c_str(), "content\nmore");
+}
+
+// The largest state that an order may ask for is kept whole; one beyond the room is refused, and so is what
+// comes behind it, until the member starts to restore its records.
+Test(disk, after_a_refused_record_all_are_refused_until_it_restores) {
+    using namespace willowrill::replication;
+    const Folder folder;
+    const auto disk = open_disk(folder);
+    const auto large = std::make_shared<const std::string>(willowrill::configuration::most_state_bytes, 'x');
+    const auto too_large = std::make_shared<const std::string>(2 * large->size(), 'x');
+    cr_assert(disk->save({1, ReplicatedState{{4, 1}, large}}));
+    cr_assert_not(disk->save({2, ReplicatedState{{4, 2}, too_large}}));
+    cr_assert_not(disk->save({3, WitnessRegister{}}));
+    cr_assert(disk->save({4, WitnessRegister{}, true}));
+    cr_assert(disk->save({5, WitnessRegister{}}));
+    cr_assert_eq(open_disk(folder)->load().state->content->size(), large->size());
 }
--- a/tests/system/transport_test.cpp
+++ b/tests/system/transport_test.cpp
@@ -1,8 +1,6 @@
-// Connections between processes over real sockets on loopback: frames, their bounds, sessions of schedulers.
-#include "control/scheduler_hub.h"
+// Connections between processes over real sockets on loopback: frames and their bounds.
 #include "http/client.h"
 #include "http/server.h"
-#include "membership/codec.h"
 #include "transport/frame_connection.h"
 #include "transport/socket_options.h"
 
@@ -39,13 +37,6 @@
     std::optional<Tcp::socket> right; // raw, so that a test may write anything
 };
 
-membership::Lease lease(membership::Phase phase) {
-    membership::Lease out;
-    out.node = "n";
-    out.phase = phase;
-    return out;
-}
-
 } // namespace
 
 Test(frames, arrive_whole_and_in_order) {
@@ -99,7 +90,7 @@
     bool closed = false;
     pair.left->start([](const nlohmann::json& message) { (void)message.at("missing"); },
                      [&] { closed = true; });
-    asio::write(*pair.right, asio::buffer(*FrameConnection::frame_of({{"n", 1}})));
+    asio::write(*pair.right, asio::buffer(*transport::frame_of({{"n", 1}})));
     cr_assert(pair.until([&] { return closed; }));
 }
 
@@ -107,7 +98,7 @@
     Pair pair;
     bool closed = false;
     pair.left->start([](const nlohmann::json&) {}, [&] { closed = true; });
-    const auto frame = FrameConnection::frame_of({{"x", std::string(4U << 20U, 'x')}});
+    const auto frame = transport::frame_of({{"x", std::string(4U << 20U, 'x')}});
     for (int i = 0; i < 10; ++i)
         pair.left->send_frame(frame);
     cr_assert(pair.until([&] { return closed; }));
@@ -130,41 +121,6 @@
     cr_assert(transport::pending(near) == transport::Pending::ended);
 }
 
-// A scheduler may come while its core member is between two primaries, and be ready already (found in a hunt:
-// it kept an old configuration).
-Test(hub, a_session_that_began_while_the_member_was_behind_gets_the_state) {
-    Pair pair;
-    bool current = false;
-    control::SchedulerHub hub({[&] { return current; }, [] { return std::vector<std::string>{"core:1"}; },
-                               [](const membership::Lease&) {}, [](const membership::Lease&) {}});
-    const auto right = std::make_shared<FrameConnection>(std::move(*pair.right));
-    int states = 0, beats = 0;
-    right->start(
-        [&](const nlohmann::json& message) {
-            states += message.at("type") == "state" ? 1 : 0;
-            beats += message.at("type") == "beat" ? 1 : 0;
-        },
-        [] {});
-    pair.left->start([](const nlohmann::json&) {}, [] {});
-    configuration::ControlState state;
-    state.version = 6;
-    hub.publish_state({3, 1}, state);
-    hub.adopt(pair.left);
-    const nlohmann::json renewal{{"type", "lease"}, {"lease", lease(membership::Phase::ready)}};
-    hub.on_message(pair.left, renewal);
-    cr_assert(pair.until([&] { return beats == 1; }));
-    cr_assert_eq(states, 0);
-    current = true;
-    hub.on_message(pair.left, renewal);
-    hub.on_message(pair.left, renewal);
-    cr_assert(pair.until([&] { return beats == 3; }));
-    cr_assert_eq(states, 1, "once");
-    hub.publish_state({3, 2}, state);
-    hub.on_message(pair.left, renewal);
-    cr_assert(pair.until([&] { return beats == 4; }));
-    cr_assert_eq(states, 2);
-}
-
 Test(http, a_client_and_a_server_talk_on_one_connection) {
     asio::io_context loop;
     std::uint16_t port = 0;
