--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -131,8 +131,8 @@
     Message message;
 };
 // To be answered by `Saved` or `SaveFailed`, each ticket once and in their order. After a failure all are to
-// fail, unseen by the disk, up to the next one that `restores`: what was asked for before the failure was known
-// may only make sense behind the record that failed.
+// fail, unseen by the disk, up to the next one that `restores`: what was asked for before the failure was
+// known may only make sense behind the record that failed.
 struct Save {
     Ticket ticket = 0;
     DiskRecord record;
