--- a/src/data/answer_head.cpp
+++ b/src/data/answer_head.cpp
@@ -5,6 +5,7 @@
 
 constexpr const char* attempt_id = "Attempt-Id";
 constexpr const char* not_executed = "Not-Executed";
+constexpr const char* seal = "Server-Seal"; // the worker's mark on what it has run
 
 // Clients take these statuses for a promise that nothing has run.
 bool promises_to_clients(http::status status) {
@@ -32,6 +33,8 @@
     if (is_promise(head)) return AnswerMeaning::not_executed;
     // Without the worker's promise the request may have run, so that the client must not read one out of it.
     if (promises_to_clients(head.result())) return AnswerMeaning::unusable;
+    const bool success = http::to_status_class(head.result()) == http::status_class::successful;
+    if (success && head.find(seal) == head.end()) return AnswerMeaning::unusable;
     if (attempt.streaming && head.result() == http::status::ok) return AnswerMeaning::stream;
     return attempt.part_of_stream_sent ? AnswerMeaning::unusable : AnswerMeaning::whole;
 }
--- a/src/data/exchange_relay.cpp
+++ b/src/data/exchange_relay.cpp
@@ -127,10 +127,6 @@
     }
     const auto& head = parser.get();
     const bool ok = head.result_int() / 100 == 2;
-    if (ok && head.find("Server-Seal") == head.end()) {
-        context_.pool.drop(address, connection);
-        co_return AttemptEnd::broken;
-    }
     settle(address, connection, head, parser.keep_alive());
     disarm();
     current_ = nullptr;
