--- a/src/data/front.cpp
+++ b/src/data/front.cpp
@@ -184,7 +184,7 @@
             transport::prepare(socket, unacknowledged);
             auto session = std::make_shared<ClientSession<Shared>>(shared, std::move(socket));
             asio::co_spawn(shared->context.loop, ClientSession<Shared>::run(session),
-                           [](std::exception_ptr failure) {
+                           [](const std::exception_ptr& failure) {
                                if (failure) fmt::print(stderr, "level=error event=client-session-failed\n");
                            });
         }
--- a/src/data/reading_exchange.cpp
+++ b/src/data/reading_exchange.cpp
@@ -1,5 +1,7 @@
 #include "data/reading_exchange.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -100,7 +102,7 @@
     for (const auto& [zone, region] : context_.settings.regions) {
         if (zone == own_zone) continue;
         const auto others = distribution::homes(members_, service, zone, shunned);
-        if (!others.empty()) follow(service + "@" + zone, others.front(), service, Scope::own);
+        if (!others.empty()) follow(fmt::format("{}@{}", service, zone), others.front(), service, Scope::own);
     }
 }
 
--- a/src/data/worker_pool.cpp
+++ b/src/data/worker_pool.cpp
@@ -17,7 +17,7 @@
     const auto found = idle_.find(address);
     if (found == idle_.end()) return nullptr;
     while (!found->second.empty()) {
-        const WorkerConnectionPtr connection = found->second.back();
+        WorkerConnectionPtr connection = found->second.back();
         found->second.pop_back();
         ++connection->rest;
         ErrorCode ignored;
--- a/src/simulation/member.cpp
+++ b/src/simulation/member.cpp
@@ -138,7 +138,7 @@
     for (const MemberId& id : known_) {
         Member* other = world_.find(id);
         if (other == nullptr || links_.contains(id) || !dialling_.insert(id).second) continue;
-        world_.network.dial(node_, other->node(), [this, id, life = life_](ConnectionPtr connection) {
+        world_.network.dial(node_, other->node(), [this, id, life = life_](const ConnectionPtr& connection) {
             when_awake(life, [this, id, connection] {
                 dialling_.erase(id);
                 if (!connection || !connection->open) return;
