--- a/src/replication/replica.cpp
+++ b/src/replication/replica.cpp
@@ -199,7 +199,9 @@
 }
 
 void Replica::on_message(const MemberId& from, const InstallRequest& request) {
-    if (!can_vote() || request.epoch != register_.promised)
+    // Once states of this very epoch have come, its install is over: this one is a late copy.
+    const bool late = state_.position.epoch >= request.epoch;
+    if (!can_vote() || late || request.epoch != register_.promised)
         return send(from, InstallReply{request.epoch, false, register_.promised});
     if (state_.position != request.state.position) save(request.state);
     WitnessRegister next = register_;
--- a/src/simulation/cluster.cpp
+++ b/src/simulation/cluster.cpp
@@ -30,6 +30,7 @@
                                    plan.tolerated,
                                    {},
                                    [this](const MemberId& id) { return find(id); },
+                                   plan.replays,
                                    plan.break_answers_for_others,
                                    plan.break_always_current,
                                    plan.break_no_turns,
--- a/src/simulation/cluster.h
+++ b/src/simulation/cluster.h
@@ -25,6 +25,7 @@
     bool herds = true;        // all processes are killed, or all lose power, now and then
     bool disk_faults = true;  // disks refuse, stall and are slow
     bool replacements = true; // members leave for good, and others come
+    double replays = 0.01;    // share of messages between members that come once more, up to 5 s later
     bool final_fault = true;  // at the end all lose power, and as many as are tolerated their disks
     Operators::Habits operators{};
     bool trace = false; // tells of faults and roles on standard error
--- a/src/simulation/member.cpp
+++ b/src/simulation/member.cpp
@@ -16,6 +16,7 @@
 constexpr std::uint64_t ticks_between_gossip = 14;
 constexpr Time shortest_leave{900};
 constexpr Time grace{7000};
+constexpr std::int64_t longest_replay = 5000; // ms
 
 } // namespace
 
@@ -194,6 +195,14 @@
     if (life_ == life) feeding_ = false;
 }
 
+// A copy of a message, long after it: whoever sent it may have ended meanwhile.
+void Member::replay_later(const MemberId& to, const std::function<void(Member&)>& deliver) {
+    Member* other = world_.find(to);
+    if (other == nullptr) return;
+    world_.queue.after(Time(world_.queue.uniform(longest_replay)),
+                       [other, deliver] { other->when_running([other, deliver] { deliver(*other); }); });
+}
+
 void Member::trace_role(Role before) const {
     if (replica_->role() == before) return;
     const WitnessRegister& known = replica_->witness_register();
@@ -215,9 +224,11 @@
             later(Time{1}, [this, from = send->to, forged] { feed(Received{from, forged}); });
             if (world_.queue.chance() < 0.5) return;
         }
-        return send_to(send->to, [from = id_, message = send->message](Member& to) {
+        const auto deliver = [from = id_, message = send->message](Member& to) {
             to.feed(Received{from, message});
-        });
+        };
+        if (world_.queue.chance() < world_.replays) replay_later(send->to, deliver);
+        return send_to(send->to, deliver);
     }
     if (const auto* save = std::get_if<Save>(&action)) {
         if (fails_as_primary && replica_->is_primary())
--- a/src/simulation/member.h
+++ b/src/simulation/member.h
@@ -31,6 +31,7 @@
     std::size_t tolerated = 1;
     std::vector<MemberId> seeds;                  // as the settings name them now
     std::function<Member*(const MemberId&)> find; // null where nobody ever had the id
+    double replays = 0;                           // share of messages between members that come once more
     // Deliberate breaks.
     bool break_answers_for_others = false;
     bool break_always_current = false;
@@ -85,6 +86,7 @@
     void when_awake(std::uint64_t life, std::function<void()> act);
     void carry_out(const replication::Action& action);
     void send_to(const MemberId& to, std::function<void(Member&)> deliver);
+    void replay_later(const MemberId& to, const std::function<void(Member&)>& deliver);
     void on_committed();
     void check_leave();
     void trace_role(replication::Role before) const;
--- a/tests/system/replication_test.cpp
+++ b/tests/system/replication_test.cpp
@@ -431,6 +431,17 @@
     cr_assert(member.state()->position == Position({1, 5}));
 }
 
+Test(backup, a_late_copy_of_an_install_does_not_replace_a_newer_state) {
+    ReplicaDriver member(options("b:1", true));
+    const auto content = std::make_shared<const std::string>("x");
+    member.receive(0, "a:1", PromiseRequest{7, false});
+    const InstallRequest install{7, {{1, 5}, content}};
+    cr_assert(sent<InstallReply>(member.receive(1, "a:1", install)).at(0).stored);
+    member.receive(2, "a:1", ReplicateRequest{7, {{7, 1}, content}});
+    cr_assert_not(sent<InstallReply>(member.receive(3, "a:1", install)).at(0).stored);
+    cr_assert(member.state()->position == Position({7, 1}));
+}
+
 // What lay in a buffer while this process stood still says nothing of now.
 Test(backup, an_old_heartbeat_makes_nothing_current) {
     ReplicaDriver member(options("b:1", true));
