See in the exchange's tests that no worker gets the rest of another request's body

Cause: with the check taken out that keeps a connection from being reused while some of a request is still due, no test failed. Each request that a scripted worker reads must now begin as one; with the check taken out one test fails.

--- a/tests/system/exchange_test.cpp
+++ b/tests/system/exchange_test.cpp
@@ -245,6 +245,11 @@
     const std::string next = stage.serve("0c");
     cr_assert_eq(status_of(next), 200, "%s: next %d", where.c_str(), status_of(next));
     cr_assert(contains(next, "0c") && !contains(next, "0b"), "%s: next", where.c_str());
+    // No worker finds the rest of another request's body where a request begins.
+    for (const ScriptedWorker* worker : {&stage.first, &stage.second})
+        for (const std::string& request : worker->requests)
+            cr_assert(request.starts_with("POST /a/x?y=1 HTTP/1.1\r\n"), "%s: %s", where.c_str(),
+                      request.substr(0, 40).c_str());
 }
 
 } // namespace
