--- a/src/simulation/network.cpp
+++ b/src/simulation/network.cpp
@@ -1,6 +1,7 @@
 #include "simulation/network.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace willowrill::simulation {
@@ -80,9 +81,21 @@
     }
 }
 
+// What waits on a connection may hold that connection.
+void Network::forget_messages(Connection& connection) {
+    const Stream out = std::exchange(connection.out, {});
+    const Stream in = std::exchange(connection.in, {});
+}
+
+Network::~Network() {
+    for (const auto& [serial, connection] : connections_)
+        forget_messages(*connection);
+}
+
 void Network::break_up(const ConnectionPtr& connection) {
     if (!std::exchange(connection->open, false)) return;
     connections_.erase(connection->serial);
+    forget_messages(*connection);
     const auto tell = [&](NodeId node, std::uint64_t life, const std::function<void()>& closed) {
         const auto found = running_.find(node);
         if (found != running_.end() && found->second == life && closed) closed();
--- a/src/simulation/network.h
+++ b/src/simulation/network.h
@@ -41,6 +41,9 @@
 class Network {
   public:
     explicit Network(EventQueue& queue) : queue_(queue) {}
+    ~Network();
+    Network(const Network&) = delete;
+    Network& operator=(const Network&) = delete;
 
     void start(NodeId node);
     // A killed process's peers hear of it; those of a machine without power do not.
@@ -66,6 +69,7 @@
   private:
     void pump(const ConnectionPtr& connection, NodeId sender);
     void break_up(const ConnectionPtr& connection);
+    static void forget_messages(Connection& connection);
     bool alive(const Connection& connection) const;
 
     EventQueue& queue_;
