Join what the whole system wrote twice: signals, the steady clock, two counts of a quorum

Cause: a second reading. The two main files held the same signal loop; the steady clock in milliseconds stood four times; "more than half answered within" and "who promised" twice each. A connection to a worker kept the bytes of its last request while it rested, up to a whole body, and each request was copied once more before it went out.

Ruled out: joining deliver-an-answer of the two ways to answer a client, and LeaseTable::end, which only tests call now: its tests stay. No bound, check or expectation is touched.

Change: src/transport/process.h holds the loop and the clock; Replica::quorum_answered and promised serve both places; a field that was only written is gone; the bytes of a request go once they are sent, and are not copied.

--- a/src/control/control_plane.cpp
+++ b/src/control/control_plane.cpp
@@ -98,7 +98,7 @@
             },
             [this] { return node_.current(); },
             [this] { return reached(); },
-            [this](const membership::Lease& lease) { leases_.on_renewed(CoreNode::steady_now(), lease); },
+            [this](const membership::Lease& lease) { leases_.on_renewed(steady_now(), lease); },
             [this](const membership::Lease& lease) { leases_.on_disconnected(lease); }};
 }
 
@@ -134,7 +134,7 @@
     ++ticks_;
     node_.tick();
     lists_.tick();
-    leases_.expire(CoreNode::steady_now());
+    leases_.expire(steady_now());
     if (ticks_ % ticks_between_dials == 0) {
         know_members();
         mesh_.maintain();
@@ -228,7 +228,7 @@
     if (type != "gossip") return;
     for (const json& id : message.at("core"))
         mesh_.know(id.get<MemberId>());
-    leases_.on_gossip(CoreNode::steady_now(), message);
+    leases_.on_gossip(steady_now(), message);
 }
 
 // ---- The directory ---------------------------------------------------------------------------------------
--- a/src/control/core_node.cpp
+++ b/src/control/core_node.cpp
@@ -32,10 +32,6 @@
       replica_(options_of(settings)), orders_([this](replication::Event event) { feed(std::move(event)); }),
       disk_(loop, settings.data_path, [this](replication::Event event) { feed(std::move(event)); }) {}
 
-replication::Time CoreNode::steady_now() {
-    return std::chrono::duration_cast<replication::Time>(std::chrono::steady_clock::now().time_since_epoch());
-}
-
 // Events that actions give rise to wait for their turn: the replica is never entered twice.
 void CoreNode::feed(replication::Event event) {
     events_.push_back(std::move(event));
--- a/src/control/core_node.h
+++ b/src/control/core_node.h
@@ -6,6 +6,7 @@
 #include "control/order_queue.h"
 #include "replication/replica.h"
 #include "settings/settings.h"
+#include "transport/process.h"
 
 #include <deque>
 #include <functional>
@@ -34,8 +35,6 @@
     bool may_end() const { return replica_.may_end(steady_now()); }
     const replication::WitnessRegister& witness_register() const { return replica_.witness_register(); }
 
-    static replication::Time steady_now();
-
   private:
     void carry_out(const replication::Action& action);
     void on_state_changed();
--- a/src/control/list_owners.cpp
+++ b/src/control/list_owners.cpp
@@ -1,6 +1,7 @@
 #include "control/list_owners.h"
 
 #include "discovery/codec.h"
+#include "transport/process.h"
 
 #include <utility>
 
@@ -12,10 +13,6 @@
 constexpr std::chrono::milliseconds owner_patience{1600};
 constexpr std::chrono::milliseconds retell_period{800};
 
-ownership::Time steady_now() {
-    return std::chrono::duration_cast<ownership::Time>(std::chrono::steady_clock::now().time_since_epoch());
-}
-
 } // namespace
 
 ListOwners::ListOwners(asio::io_context& loop, const settings::Settings& settings, Callbacks callbacks)
--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -1,5 +1,6 @@
 // willowrill-control: one process of the control plane.
 #include "control/control_plane.h"
+#include "transport/process.h"
 
 #include <CLI/CLI.hpp>
 #include <fmt/format.h>
@@ -7,7 +8,6 @@
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
-#include <functional>
 #include <sstream>
 
 namespace {
@@ -35,19 +35,7 @@
 int serve(const settings::Settings& settings, const std::string& path) {
     asio::io_context loop(1);
     control::ControlPlane plane(loop, settings, path);
-    asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
-    std::function<void()> wait = [&] {
-        signals.async_wait([&](ErrorCode error, int signal) {
-            if (error) return;
-            if (signal == SIGHUP)
-                plane.reload_settings();
-            else
-                plane.leave();
-            wait();
-        });
-    };
-    wait();
-    loop.run();
+    transport::run_until_it_leaves(loop, plane);
     return 0;
 }
 
--- a/src/data/context.h
+++ b/src/data/context.h
@@ -8,6 +8,7 @@
 #include "data/worker_pool.h"
 #include "routing/selector.h"
 #include "settings/settings.h"
+#include "transport/process.h"
 
 #include <map>
 #include <set>
@@ -48,8 +49,4 @@
     Counters counters;
 };
 
-inline routing::Time steady_now() {
-    return std::chrono::duration_cast<routing::Time>(std::chrono::steady_clock::now().time_since_epoch());
-}
-
 } // namespace willowrill::data
--- a/src/data/core_connection.cpp
+++ b/src/data/core_connection.cpp
@@ -1,21 +1,16 @@
 #include "data/core_connection.h"
 
 #include "distribution/scheduler_hub.h"
+#include "transport/process.h"
 
 #include <utility>
 
 namespace willowrill::data {
 namespace {
 
-using distribution::SteadyTime;
-
 constexpr std::chrono::milliseconds tick_period{100};
 constexpr std::chrono::milliseconds dial_timeout{500};
 
-SteadyTime steady_now() {
-    return std::chrono::duration_cast<SteadyTime>(std::chrono::steady_clock::now().time_since_epoch());
-}
-
 } // namespace
 
 CoreConnection::CoreConnection(asio::io_context& loop, std::uint16_t core_port, Callbacks callbacks)
--- a/src/data/exchange.cpp
+++ b/src/data/exchange.cpp
@@ -3,11 +3,7 @@
 #include "http/server.h"
 #include "ownership/ownership.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
-#include <charconv>
-#include <limits>
 #include <utility>
 
 namespace willowrill::data {
@@ -148,7 +144,8 @@
     chosen.note_dispatch(steady_now(), step);
     ++chosen.in_flight;
     if (steady_now() < chosen.cold_until) context_.cold.note_send(steady_now(), id);
-    const std::string bytes = request_for(chosen);
+    const auto outgoing = std::make_shared<OutgoingRequest>();
+    outgoing->bytes = request_for(chosen);
 
     change_state(ExchangeState::connecting);
     current_ = context_.pool.take_idle(address);
@@ -165,7 +162,7 @@
         arm(can_move ? std::min(deadline_ - answer_margin,
                                 steady_now() + std::max(first_event_wait, route_.target))
                      : deadline_ - answer_margin);
-        end = co_await send_and_converse(connection, address, bytes);
+        end = co_await send_and_converse(connection, address, outgoing);
     } else if (current_) {
         context_.pool.drop(address, current_);
     }
--- a/src/data/exchange.h
+++ b/src/data/exchange.h
@@ -69,7 +69,8 @@
     void change_state(ExchangeState next);
     asio::awaitable<AttemptEnd> attempt(routing::Worker& worker, double step);
     asio::awaitable<AttemptEnd> send_and_converse(const WorkerConnectionPtr& connection,
-                                                  const std::string& address, const std::string& bytes);
+                                                  const std::string& address,
+                                                  const std::shared_ptr<OutgoingRequest>& outgoing);
     asio::awaitable<AttemptEnd> converse(const WorkerConnectionPtr& connection, const std::string& address);
     asio::awaitable<AttemptEnd> relay_stream(const WorkerConnectionPtr& connection, Parser& parser,
                                              const std::string& address);
--- a/src/data/exchange_relay.cpp
+++ b/src/data/exchange_relay.cpp
@@ -21,17 +21,16 @@
 
 // The request goes out while the answer is read: a worker may answer before it has read a long body. Then the
 // rest of the body is still due on this connection, and nothing else may follow on it.
-asio::awaitable<Exchange::AttemptEnd> Exchange::send_and_converse(const WorkerConnectionPtr& connection,
-                                                                  const std::string& address,
-                                                                  const std::string& bytes) {
-    connection->sending = std::make_shared<OutgoingRequest>();
-    const std::shared_ptr<OutgoingRequest> outgoing = connection->sending;
-    outgoing->bytes = bytes;
+asio::awaitable<Exchange::AttemptEnd>
+Exchange::send_and_converse(const WorkerConnectionPtr& connection, const std::string& address,
+                            const std::shared_ptr<OutgoingRequest>& outgoing) {
+    connection->sending = outgoing;
     asio::async_write(connection->socket, asio::buffer(outgoing->bytes),
                       [connection, outgoing](ErrorCode error, std::size_t written) {
                           outgoing->written = written;
                           outgoing->done = true;
                           outgoing->failed = static_cast<bool>(error);
+                          std::string().swap(outgoing->bytes); // the connection may rest for long
                           ErrorCode ignored;
                           // Nothing was taken, so no answer will come; otherwise one may be on its way.
                           if (error && written == 0) connection->socket.cancel(ignored);
--- a/src/data/main.cpp
+++ b/src/data/main.cpp
@@ -1,11 +1,11 @@
 // willowrill-data: one process of the data plane.
 #include "data/data_plane.h"
+#include "transport/process.h"
 
 #include <CLI/CLI.hpp>
 #include <fmt/format.h>
 
 #include <csignal>
-#include <functional>
 
 namespace {
 
@@ -14,19 +14,7 @@
 int serve(const settings::Settings& settings, const std::string& path) {
     asio::io_context loop(1);
     data::DataPlane plane(loop, settings, path);
-    asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
-    std::function<void()> wait = [&] {
-        signals.async_wait([&](ErrorCode error, int signal) {
-            if (error) return;
-            if (signal == SIGHUP)
-                plane.reload_settings();
-            else
-                plane.leave();
-            wait();
-        });
-    };
-    wait();
-    loop.run();
+    transport::run_until_it_leaves(loop, plane);
     return 0;
 }
 
--- a/src/replication/election.cpp
+++ b/src/replication/election.cpp
@@ -100,11 +100,16 @@
     count_promises();
 }
 
+std::set<MemberId> Replica::promised() const {
+    std::set<MemberId> out;
+    for (const auto& [id, promise] : promises_)
+        out.insert(id);
+    return out;
+}
+
 void Replica::count_promises() {
     if (role_ == Role::collecting) return plan_record();
-    std::set<MemberId> present;
-    for (const auto& [id, promise] : promises_)
-        present.insert(id);
+    const std::set<MemberId> present = promised();
     const bool enough =
         has_quorum(highest_decided().witnesses, present) && has_quorum(highest_accepted().witnesses, present);
     if (enough) start_collecting();
@@ -178,9 +183,7 @@
 }
 
 void Replica::plan_record() {
-    std::set<MemberId> present;
-    for (const auto& [id, promise] : promises_)
-        present.insert(id);
+    const std::set<MemberId> present = promised();
     const EpochRecord accepted = highest_accepted(), decided = highest_decided();
     if (!has_quorum(decided.witnesses, present) || !has_quorum(accepted.witnesses, present)) return;
 
--- a/src/replication/primary.cpp
+++ b/src/replication/primary.cpp
@@ -205,14 +205,9 @@
         lose_turn();
         return step_down(0, "disk-silent");
     }
-    if (now_ - reconfigured_ > timing.primary_alone && !current(now_)) {
-        std::set<MemberId> answered{options_.self};
-        for (const auto& [id, peer] : peers_)
-            if (now_ - peer.heartbeat_at <= timing.primary_alone) answered.insert(id);
-        if (!has_quorum(register_.decided.witnesses, answered)) {
-            if (now_ - primary_since_ < timing.served) lose_turn();
-            return step_down(0, "no-quorum");
-        }
+    if (now_ - reconfigured_ > timing.primary_alone && !quorum_answered(now_, timing.primary_alone)) {
+        if (now_ - primary_since_ < timing.served) lose_turn();
+        return step_down(0, "no-quorum");
     }
     if (now_ - primary_since_ >= timing.served) turn_pause_ = Time{0};
     expire_confirmations();
--- a/src/replication/replica.cpp
+++ b/src/replication/replica.cpp
@@ -52,9 +52,14 @@
 
 bool Replica::current(Time now) const {
     if (role_ != Role::primary) return now - contact_at_ <= options_.timing.current;
+    return quorum_answered(now, options_.timing.current);
+}
+
+// Whether more than half of the witnesses have answered a heartbeat that was sent within this time.
+bool Replica::quorum_answered(Time now, Time within) const {
     std::set<MemberId> answered{options_.self};
     for (const auto& [id, peer] : peers_)
-        if (now - peer.heartbeat_at <= options_.timing.current) answered.insert(id);
+        if (now - peer.heartbeat_at <= within) answered.insert(id);
     return has_quorum(register_.decided.witnesses, answered);
 }
 
@@ -131,7 +136,6 @@
 void Replica::on(const PeerConnected& event) {
     Peer& peer = peers_[event.peer];
     peer.connected = true;
-    peer.connected_at = now_;
     peer.leaving = false;
     peer.reply_sent_at = 0;
     if (role_ == Role::recovering) recovery_asked_ = Time{-1'000'000};
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -181,7 +181,6 @@
   private:
     struct Peer {
         bool connected = false;
-        Time connected_at{0};
         Time heard{-1'000'000};        // last message of any kind
         Time steady_since{-1};         // answers without a gap since then; negative: does not
         std::uint64_t heartbeat = 0;   // highest number answered in this epoch
@@ -281,6 +280,7 @@
     void stand(bool tentative);
     void start_collecting();
     void count_promises();
+    std::set<MemberId> promised() const;
     void plan_record();
     std::vector<MemberId> next_in_sync(const std::vector<MemberId>& witnesses) const;
     void install();
@@ -326,6 +326,7 @@
     bool has_quorum(const std::vector<MemberId>& group, const std::set<MemberId>& of) const;
     bool steady(const MemberId& member) const;
     bool lacks_members() const;
+    bool quorum_answered(Time now, Time within) const;
     bool hears_primary() const;
     std::size_t fewest_in_sync() const { return options_.tolerated + 1; }
     std::size_t full_size() const { return 2 * options_.tolerated + 1; }
