Tell schedulers and core members changes; sessions with the nearest core member

Cause: three quarters of the bytes between regions were control traffic of a system at rest.

Change: sessions move to the core member of the own zone or region, as the core's beats say where its members stand; one that failed is kept away from for 5 s, doubling to 40 s. Members, leases, states and readings travel as changes with a number or a base; who lacks it asks for the whole and changes nothing. A proof of life with the list's number renews all leases in it but those that it names as silent. Long messages are packed.

Ruled out: a compressing stream for each connection (memory of its windows times the connections).

Tests: the simulated schedulers put states together of changes and are checked against what operators sent; cases by name in session, membership, reading and patch. The test of a peer that does not read sends bytes that cannot be packed, as its frames would be too short otherwise.

--- a/src/configuration/configuration.cpp
+++ b/src/configuration/configuration.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <map>
 #include <optional>
 #include <set>
 #include <utility>
@@ -159,6 +160,47 @@
     return out;
 }
 
+namespace {
+
+// Replaces, appends and removes items of a list by name.
+template <class Item, class Read>
+void alter_list(std::vector<Item>& items, const Value& patch, const char* key, Read read) {
+    std::map<std::string, Item> upserts;
+    std::set<std::string> removals;
+    if (const auto list = patch["upsert"].FindMember(key); list != patch["upsert"].MemberEnd())
+        for (const Value& item : list->value.GetArray())
+            upserts.emplace(text_of(item["name"]), read(item));
+    if (const auto list = patch["remove"].FindMember(key); list != patch["remove"].MemberEnd())
+        for (const Value& name : list->value.GetArray())
+            removals.insert(text_of(name));
+    std::erase_if(items, [&](const Item& item) { return removals.contains(item.name); });
+    for (Item& item : items) {
+        const auto upsert = upserts.find(item.name);
+        if (upsert == upserts.end()) continue;
+        item = std::move(upsert->second);
+        upserts.erase(upsert);
+    }
+    for (auto& [name, item] : upserts)
+        items.push_back(std::move(item));
+}
+
+const rapidjson::SchemaDocument& difference_schema() {
+    static const rapidjson::SchemaDocument compiled = compile_schema(difference_schema_text);
+    return compiled;
+}
+
+} // namespace
+
+Result<Configuration> altered(const Configuration& base, std::string_view patch) {
+    rapidjson::Document document;
+    if (const auto error = read_json(patch, difference_schema(), document)) return *error;
+    Configuration out = base;
+    out.version = document["configVersion"].GetUint64();
+    alter_list(out.routes, document, "routes", read_route);
+    alter_list(out.services, document, "services", read_service);
+    return out;
+}
+
 RouteTable::RouteTable(const Configuration& configuration) {
     for (const Route& route : configuration.routes)
         by_host_[route.host].push_back(&route);
--- a/src/configuration/configuration.h
+++ b/src/configuration/configuration.h
@@ -22,6 +22,7 @@
 struct WeightedService {
     std::string service;
     double weight = 0;
+    bool operator==(const WeightedService&) const = default;
 };
 
 struct Route {
@@ -39,6 +40,8 @@
     Milliseconds longest_gap{0}; // between events of a stream that is in time; 0 where none is stated
     std::vector<std::string> home_regions; // empty: anywhere
 
+    bool operator==(const Route&) const = default;
+
     // A second run harms nobody.
     bool repeatable() const {
         return route_class == RouteClass::safe || (route_class == RouteClass::streaming && resumable);
@@ -54,6 +57,7 @@
     bool has_engine = false;
     std::size_t engine_capacity = 0;
     std::uint64_t cache_tokens = 0;
+    bool operator==(const Service&) const = default;
 };
 
 struct Limits {
@@ -74,6 +78,9 @@
 
 errors::Result<Configuration> parse(std::string_view text);
 
+// The configuration after a patch that `difference` (patch.h) made. Not checked as a whole again.
+errors::Result<Configuration> altered(const Configuration& base, std::string_view patch);
+
 // A `Host` header's value as routes hold it.
 std::string normal_host(std::string_view host);
 
--- a/src/configuration/patch.cpp
+++ b/src/configuration/patch.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <optional>
 #include <set>
@@ -22,6 +23,7 @@
 
 constexpr const char* version_key = "configVersion";
 constexpr const char* name_key = "name";
+constexpr std::array<const char*, 2> list_keys{"routes", "services"};
 
 const rapidjson::SchemaDocument& patch_schema() {
     static const rapidjson::SchemaDocument compiled = compile_schema(patch_schema_text);
@@ -97,8 +99,65 @@
     return std::nullopt;
 }
 
+// The items of a list by name. Nothing where a name is missing or stands twice.
+std::optional<std::map<std::string_view, const Value*>> by_name(const Value& list) {
+    std::map<std::string_view, const Value*> out;
+    for (const Value& item : list.GetArray()) {
+        const std::string_view name = name_of(item);
+        if (name.empty() || !out.emplace(name, &item).second) return std::nullopt;
+    }
+    return out;
+}
+
+// Adds to the patch what makes the one list of the other. False where that cannot be said.
+bool add_difference(const char* key, const Value& before, const Value& after, Document& patch) {
+    const auto old_items = by_name(before), new_items = by_name(after);
+    if (!old_items || !new_items) return false;
+    auto& allocator = patch.GetAllocator();
+    Value upserts(rapidjson::kArrayType), removals(rapidjson::kArrayType);
+    for (const auto& [name, item] : *new_items) {
+        const auto old_item = old_items->find(name);
+        if (old_item == old_items->end() || *old_item->second != *item)
+            upserts.PushBack(Value(*item, allocator), allocator);
+    }
+    for (const auto& [name, item] : *old_items)
+        if (!new_items->contains(name))
+            removals.PushBack(Value(name.data(), static_cast<unsigned>(name.size()), allocator), allocator);
+    if (!upserts.Empty()) patch["upsert"].AddMember(rapidjson::StringRef(key), upserts, allocator);
+    if (!removals.Empty()) patch["remove"].AddMember(rapidjson::StringRef(key), removals, allocator);
+    return true;
+}
+
+// Whether all members but those that a patch can alter are the same.
+bool rest_is_same(const Document& before, const Document& after) {
+    const auto is_altered = [](const Value& key) {
+        return view_of(key) == version_key || std::ranges::count(list_keys, view_of(key)) > 0;
+    };
+    for (const auto& [key, value] : before.GetObject()) {
+        if (is_altered(key)) continue;
+        const auto other = after.FindMember(key);
+        if (other == after.MemberEnd() || other->value != value) return false;
+    }
+    return before.MemberCount() == after.MemberCount();
+}
+
 } // namespace
 
+std::optional<std::string> difference(std::string_view before, std::string_view after) {
+    Document old_document, new_document, patch(rapidjson::kObjectType);
+    if (read_json(before, any_object_schema(), old_document)) return std::nullopt;
+    if (read_json(after, any_object_schema(), new_document)) return std::nullopt;
+    if (!rest_is_same(old_document, new_document)) return std::nullopt;
+    auto& allocator = patch.GetAllocator();
+    patch.AddMember(rapidjson::StringRef(version_key), Value(new_document[version_key], allocator),
+                    allocator);
+    patch.AddMember("upsert", Value(rapidjson::kObjectType), allocator);
+    patch.AddMember("remove", Value(rapidjson::kObjectType), allocator);
+    for (const char* key : list_keys)
+        if (!add_difference(key, old_document[key], new_document[key], patch)) return std::nullopt;
+    return json_of(patch);
+}
+
 Result<std::string> apply_patch(std::string_view base, std::string_view patch) {
     Document whole, changes_text;
     if (const auto error = read_json(base, any_object_schema(), whole)) return *error;
--- a/src/configuration/patch.h
+++ b/src/configuration/patch.h
@@ -1,9 +1,10 @@
-// Alters named items of a configuration: an operator's PATCH. The result is a whole configuration, which is
-// checked as one that was sent whole. Pure.
+// Changes of named items of a configuration: an operator's PATCH, and what the core tells schedulers. The
+// result is a whole configuration, which is checked as one that was sent whole. Pure.
 #pragma once
 
 #include "errors/error.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -19,4 +20,9 @@
 // for a `base` in which a name that the patch alters stands twice. The result itself is not checked here.
 errors::Result<std::string> apply_patch(std::string_view base, std::string_view patch);
 
+// A patch that makes `after` of `before`, both checked configurations, as far as the order of items does not
+// matter. Nothing where there is none: an item has no name, a name stands twice, or something else than
+// routes, services and the version differs.
+std::optional<std::string> difference(std::string_view before, std::string_view after);
+
 } // namespace willowrill::configuration
--- a/src/configuration/schema.h
+++ b/src/configuration/schema.h
@@ -76,4 +76,22 @@
   }
 })json";
 
+// Of a patch between processes of the system: both parts are there, and the lists are the known ones.
+inline constexpr const char* difference_schema_text = R"json({
+  "type": "object",
+  "required": ["configVersion", "upsert", "remove"],
+  "properties": {
+    "configVersion": {"type": "integer", "minimum": 1},
+    "upsert": {"type": "object", "properties": {
+      "routes": {"$ref": "#/definitions/items"}, "services": {"$ref": "#/definitions/items"}}},
+    "remove": {"type": "object", "properties": {
+      "routes": {"$ref": "#/definitions/names"}, "services": {"$ref": "#/definitions/names"}}}
+  },
+  "definitions": {
+    "items": {"type": "array", "items": {
+      "type": "object", "required": ["name"], "properties": {"name": {"type": "string"}}}},
+    "names": {"type": "array", "items": {"type": "string"}}
+  }
+})json";
+
 } // namespace willowrill::configuration
--- a/src/control/control_plane.cpp
+++ b/src/control/control_plane.cpp
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include <random>
 #include <utility>
 
 namespace willowrill::control {
@@ -16,6 +17,7 @@
 constexpr std::chrono::milliseconds tick_period{50};
 constexpr std::uint64_t ticks_between_dials = 2;
 constexpr std::uint64_t ticks_between_gossip = 14;
+constexpr std::uint64_t gossips_between_cores = 8;
 constexpr std::uint64_t ticks_between_assignments = 5;
 constexpr std::chrono::milliseconds shortest_leave{900}; // so that schedulers hear of it
 constexpr std::chrono::milliseconds grace_margin{
@@ -37,6 +39,11 @@
     return {};
 }
 
+std::uint64_t draw_life() {
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) ^ device();
+}
+
 std::set<std::string> zones_of(const settings::Settings& settings) {
     std::set<std::string> out;
     for (const auto& [zone, region] : settings.regions)
@@ -57,8 +64,11 @@
                  on_state(position, state);
              },
              [this] { assign_lists(); }}), // schedulers that start wait for the list
-      mesh_(loop, self_, settings_.first_internal_port, mesh_callbacks()), hub_(hub_callbacks()),
-      leases_({[this](const json& message) { mesh_.broadcast(message); },
+      mesh_(loop, {self_, settings_.zone, settings_.region}, settings_.first_internal_port, mesh_callbacks()),
+      hub_(hub_callbacks()),
+      leases_(draw_life(),
+              {[this](const json& message) { mesh_.broadcast(message); },
+               [this](const MemberId& to, const json& message) { mesh_.send(to, message); },
                [this](const std::vector<membership::Lease>& leases) { hub_.publish_members(leases); }}),
       lists_(loop, settings_,
              {[this](const json& message) { mesh_.broadcast(message); },
@@ -77,6 +87,7 @@
             [this](const http_server::Request& request, const http_server::Respond& respond) {
                 on_directory(request, respond);
             });
+    places_[self_] = {self_, settings_.zone, settings_.region};
     know_members();
     tick();
 }
@@ -97,7 +108,7 @@
                     found->second->close();
             },
             [this] { return node_.current(); },
-            [this] { return reached(); },
+            [this] { return reached_places(); },
             [this](const membership::Lease& lease) { leases_.on_renewed(steady_now(), lease); },
             [this](const membership::Lease& lease) { leases_.on_disconnected(lease); }};
 }
@@ -108,6 +119,15 @@
     return out;
 }
 
+std::vector<distribution::CoreMember> ControlPlane::reached_places() const {
+    std::vector<distribution::CoreMember> out;
+    for (const MemberId& id : reached()) {
+        const auto place = places_.find(id);
+        out.push_back(place == places_.end() ? distribution::CoreMember{id, "", ""} : place->second);
+    }
+    return out;
+}
+
 void ControlPlane::know_members() {
     for (const settings::Endpoint& seed : settings_.seeds)
         mesh_.know(settings::to_text(seed));
@@ -135,11 +155,15 @@
     node_.tick();
     lists_.tick();
     leases_.expire(steady_now());
+    hub_.flush();
     if (ticks_ % ticks_between_dials == 0) {
         know_members();
         mesh_.maintain();
     }
-    if (ticks_ % ticks_between_gossip == 0) leases_.tell(mesh_.connected());
+    if (ticks_ % ticks_between_gossip == 0) {
+        leases_.tell();
+        tell_core();
+    }
     if (ticks_ % ticks_between_assignments == 0) assign_lists();
     end_if_possible();
     timer_.expires_after(tick_period);
@@ -148,6 +172,15 @@
     });
 }
 
+// Whom this member reaches: at a change, and now and then for those that missed it.
+void ControlPlane::tell_core() {
+    auto connected = mesh_.connected();
+    const bool due = ticks_ % (ticks_between_gossip * gossips_between_cores) == 0;
+    if (connected == told_core_ && !due) return;
+    mesh_.broadcast({{"type", "core"}, {"members", connected}});
+    told_core_ = std::move(connected);
+}
+
 void ControlPlane::assign_lists() {
     if (!node_.is_primary()) return lists_.stop_assigning();
     lists_.assign(node_.witness_register().decided.epoch, reached());
@@ -191,9 +224,10 @@
         if (message.at("type") != "hello" || message.at("version") != transport::protocol_version)
             return self->close();
         if (message.at("kind") == "core") {
-            auto id = message.at("id").get<MemberId>();
-            if (!mesh_.know(id)) return self->close();
-            *member = std::move(id);
+            const auto who = message.at("member").get<distribution::CoreMember>();
+            if (!mesh_.know(who.id)) return self->close();
+            places_[who.id] = who; // bounded, as the mesh is
+            *member = who.id;
         } else {
             *session = ++last_session_;
             adopt_scheduler(self, **session);
@@ -215,6 +249,7 @@
 
 void ControlPlane::on_peer_connected(const MemberId& member) {
     node_.feed(replication::PeerConnected{member});
+    leases_.on_connected(member);
     for (const json& message : lists_.messages())
         mesh_.send(member, message);
 }
@@ -225,10 +260,10 @@
         return node_.feed(replication::Received{from, replication::decode_message(message.at("message"))});
     if (type == "zone" || type == "zone-unchanged" || type == "assign")
         return lists_.on_message(type, message);
-    if (type != "gossip") return;
-    for (const json& id : message.at("core"))
+    if (type.starts_with("leases")) return leases_.on_message(steady_now(), from, message);
+    if (type != "core") return;
+    for (const json& id : message.at("members"))
         mesh_.know(id.get<MemberId>());
-    leases_.on_gossip(steady_now(), message);
 }
 
 // ---- The directory ---------------------------------------------------------------------------------------
--- a/src/control/control_plane.h
+++ b/src/control/control_plane.h
@@ -34,9 +34,11 @@
 
     void tick();
     void assign_lists();
+    void tell_core();
     void end_if_possible();
     void know_members();
     std::vector<MemberId> reached() const;
+    std::vector<distribution::CoreMember> reached_places() const;
     void accept(const transport::FrameConnectionPtr& connection);
     void adopt_scheduler(const transport::FrameConnectionPtr& connection, distribution::SessionId id);
     void on_core_message(const MemberId& from, const nlohmann::json& message);
@@ -53,9 +55,11 @@
     CoreNode node_;
     CoreMesh mesh_;
     distribution::SchedulerHub hub_;
+    std::map<MemberId, distribution::CoreMember> places_; // as members said of themselves
     std::map<distribution::SessionId, transport::FrameConnectionPtr> schedulers_;
     distribution::SessionId last_session_ = 0;
     LeaseGossip leases_;
+    std::vector<MemberId> told_core_;
     ListOwners lists_;
     std::set<transport::FrameConnectionPtr> unnamed_; // accepted, and have not said who they are
     SteadyTimer timer_;
--- a/src/control/core_mesh.cpp
+++ b/src/control/core_mesh.cpp
@@ -12,11 +12,12 @@
 
 } // namespace
 
-CoreMesh::CoreMesh(asio::io_context& loop, MemberId self, std::uint16_t internal_port, Callbacks callbacks)
+CoreMesh::CoreMesh(asio::io_context& loop, distribution::CoreMember self, std::uint16_t internal_port,
+                   Callbacks callbacks)
     : loop_(loop), self_(std::move(self)), internal_port_(internal_port), callbacks_(std::move(callbacks)) {}
 
 bool CoreMesh::know(const MemberId& member) {
-    if (member == self_) return false;
+    if (member == self_.id) return false;
     if (links_.contains(member)) return true;
     if (links_.size() >= most_core_members || !settings::parse_endpoint(member)) return false;
     links_[member] = {};
@@ -46,7 +47,7 @@
                         connection->send({{"type", "hello"},
                                           {"version", transport::protocol_version},
                                           {"kind", "core"},
-                                          {"id", self_}});
+                                          {"member", self_}});
                         callbacks_.connected(member);
                     });
 }
--- a/src/control/core_mesh.h
+++ b/src/control/core_mesh.h
@@ -2,6 +2,7 @@
 // connection that it dialled; what it accepted it only reads. One thread.
 #pragma once
 
+#include "distribution/push_messages.h"
 #include "transport/frame_connection.h"
 
 #include <functional>
@@ -24,7 +25,9 @@
     };
 
     // `internal_port`: where core members listen for each other, alike on all machines.
-    CoreMesh(asio::io_context& loop, MemberId self, std::uint16_t internal_port, Callbacks callbacks);
+    // `self`: told to the members that it dials.
+    CoreMesh(asio::io_context& loop, distribution::CoreMember self, std::uint16_t internal_port,
+             Callbacks callbacks);
 
     // Keeps trying to reach this member from now on. False where it is no member's id, or there are too many.
     bool know(const MemberId& member);
@@ -42,7 +45,7 @@
     void dial(const MemberId& member);
 
     asio::io_context& loop_;
-    MemberId self_;
+    distribution::CoreMember self_;
     std::uint16_t internal_port_;
     Callbacks callbacks_;
     std::map<MemberId, Link> links_;
--- a/src/data/core_connection.cpp
+++ b/src/data/core_connection.cpp
@@ -1,6 +1,6 @@
 #include "data/core_connection.h"
 
-#include "distribution/scheduler_hub.h"
+#include "distribution/push_messages.h"
 #include "transport/process.h"
 
 #include <utility>
@@ -13,13 +13,17 @@
 
 } // namespace
 
-CoreConnection::CoreConnection(asio::io_context& loop, std::uint16_t core_port, Callbacks callbacks)
-    : loop_(loop), core_port_(core_port), callbacks_(std::move(callbacks)), session_([this] {
-          std::vector<std::string> hosts;
-          for (const settings::Endpoint& seed : callbacks_.seeds())
-              hosts.push_back(seed.host);
-          return hosts;
-      }),
+CoreConnection::CoreConnection(asio::io_context& loop, const settings::Settings& settings,
+                               Callbacks callbacks)
+    : loop_(loop), core_port_(settings.first_internal_port), callbacks_(std::move(callbacks)),
+      session_(
+          [this] {
+              std::vector<std::string> hosts;
+              for (const settings::Endpoint& seed : callbacks_.seeds())
+                  hosts.push_back(seed.host);
+              return hosts;
+          },
+          {settings.zone, settings.region}),
       timer_(loop) {}
 
 void CoreConnection::tick() {
@@ -47,6 +51,7 @@
 
 void CoreConnection::on_connected(const transport::FrameConnectionPtr& connection) {
     connection_ = connection;
+    callbacks_.session_began();
     connection->start([this](const nlohmann::json& message) { feed(distribution::MessageReceived{message}); },
                       [this, raw = connection.get()] {
                           if (connection_.get() != raw) return; // it was left before
@@ -65,7 +70,7 @@
     if (!connection_) return;
     membership::Lease lease = callbacks_.lease();
     lease.renewal = renewal.renewal;
-    connection_->send(distribution::lease_message(lease, callbacks_.holds()));
+    connection_->send(distribution::lease_message(lease, callbacks_.holds(), callbacks_.lacks()));
 }
 
 void CoreConnection::carry_out(const distribution::Pushed& pushed) { callbacks_.on_push(pushed.message); }
--- a/src/data/core_connection.h
+++ b/src/data/core_connection.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,13 +21,15 @@
     struct Callbacks {
         std::function<membership::Lease()> lease;                    // as of now
         std::function<std::optional<replication::Position>()> holds; // the state in force, if any
+        std::function<std::set<std::string>()> lacks;                // what is to be sent whole
+        std::function<void()> session_began;                         // with another member, or the same anew
         std::function<void(const nlohmann::json&)> on_push;          // state, members, zone
         std::function<std::vector<settings::Endpoint>()> seeds;      // as the settings file names them now
     };
-    CoreConnection(asio::io_context& loop, std::uint16_t core_port, Callbacks callbacks);
+    CoreConnection(asio::io_context& loop, const settings::Settings& settings, Callbacks callbacks);
 
     void start() { tick(); }
-    // Renews at once: the lease has changed.
+    // Renews at once: the lease has changed, or something is lacking.
     void renew_now() { feed(distribution::LeaseChanged{}); }
 
   private:
--- a/src/data/data_plane.cpp
+++ b/src/data/data_plane.cpp
@@ -1,6 +1,8 @@
 #include "data/data_plane.h"
 
 #include "discovery/codec.h"
+#include "distribution/held_state.h"
+#include "distribution/push_messages.h"
 #include "membership/codec.h"
 
 #include <fmt/format.h>
@@ -33,9 +35,10 @@
 DataPlane::DataPlane(asio::io_context& loop, settings::Settings settings, std::string settings_path)
     : loop_(loop), settings_(std::move(settings)), settings_path_(std::move(settings_path)),
       context_(loop, settings_, draw()), incarnation_(draw()),
-      core_(loop, settings_.first_internal_port,
+      core_(loop, settings_,
             {[this] { return lease(); },
              [this] { return context_.in_force ? std::optional(context_.in_force->position) : std::nullopt; },
+             [this] { return std::exchange(lacks_, {}); }, [this] { members_.begin_session(); },
              [this](const json& message) { on_push(message); },
              [this] {
                  // The file may have changed without a signal; read only when a core member is looked for.
@@ -122,28 +125,35 @@
 
 void DataPlane::on_push(const json& message) {
     const auto type = message.at("type").get<std::string>();
-    if (type == "state") return on_state(message);
-    if (type == "members") return on_members(message);
+    if (type == "state" || type == "state-change") return on_state(message);
+    if (type == "members" || type == "members-change") return on_members(message);
     if (type == "zone") return on_zone(message.at("list").get<discovery::ZoneList>());
 }
 
+void DataPlane::ask_whole(const char* what) {
+    lacks_.insert(what);
+    core_.renew_now();
+}
+
 void DataPlane::on_state(const json& message) {
-    const replication::Position position{message.at("epoch").get<std::uint64_t>(),
-                                         message.at("sequence").get<std::uint64_t>()};
-    if (context_.in_force && position <= context_.in_force->position) return;
-    auto parsed = configuration::parse(message.at("configuration").get<std::string>());
-    if (!parsed) {
-        fmt::print(stderr, "level=error event=configuration-unreadable detail=\"{}\"\n",
-                   parsed.error().detail);
+    const Snapshot* held = context_.in_force.get();
+    auto push = distribution::read_state_push(message, held == nullptr ? nullptr : &held->position,
+                                              held == nullptr ? nullptr : &held->configuration);
+    if (!push) {
+        fmt::print(stderr, "level=error event=configuration-unreadable detail=\"{}\"\n", push.error().detail);
+        if (message.at("type") == "state-change") ask_whole(distribution::lacks_state);
         return;
     }
-    auto zones = message.at("evacuated").get<std::set<std::string>>();
-    if (context_.in_force) assume_cold(context_.in_force->evacuated, zones);
-    context_.in_force =
-        std::make_shared<const Snapshot>(position, std::move(parsed.value()), std::move(zones));
-    fmt::print(stderr, "level=info event=configuration node={} version={} evacuated={}\n",
+    if (std::holds_alternative<distribution::LacksBase>(push.value()))
+        return ask_whole(distribution::lacks_state);
+    auto* next = std::get_if<distribution::HeldState>(&push.value());
+    if (next == nullptr) return;
+    if (context_.in_force) assume_cold(context_.in_force->evacuated, next->evacuated);
+    context_.in_force = std::make_shared<const Snapshot>(next->position, std::move(next->configuration),
+                                                         std::move(next->evacuated));
+    fmt::print(stderr, "level=info event=configuration node={} version={} evacuated={} change={}\n",
                settings_.node_name, context_.in_force->configuration.version,
-               context_.in_force->evacuated.size());
+               context_.in_force->evacuated.size(), message.at("type") == "state-change");
 }
 
 // Workers of a zone that is taken back may have turned cold a moment ago, before the platform's list says so.
@@ -159,7 +169,8 @@
 }
 
 void DataPlane::on_members(const json& message) {
-    const auto members = message.at("members").get<std::vector<membership::Lease>>();
+    if (!members_.take(message)) return ask_whole(distribution::lacks_members);
+    const auto members = members_.members();
     const Clock::time_point now = Clock::now();
     context_.scheduler_names.clear();
     for (const membership::Lease& member : members)
--- a/src/data/data_plane.h
+++ b/src/data/data_plane.h
@@ -7,6 +7,7 @@
 #include "data/front.h"
 #include "data/reading_exchange.h"
 #include "discovery/instances.h"
+#include "distribution/held_members.h"
 #include "http/server.h"
 #include "membership/lease_table.h"
 #include "settings/settings.h"
@@ -30,6 +31,7 @@
     void tick();
     void on_push(const nlohmann::json& message);
     void on_state(const nlohmann::json& message);
+    void ask_whole(const char* what);
     void on_members(const nlohmann::json& message);
     void on_zone(const discovery::ZoneList& list);
     void assume_cold(const std::set<std::string>& before, const std::set<std::string>& after);
@@ -46,6 +48,8 @@
     membership::Phase phase_ = membership::Phase::starting;
     std::uint64_t incarnation_;
     discovery::Catalogue catalogue_;
+    distribution::HeldMembers members_;
+    std::set<std::string> lacks_; // to be sent whole; told to the core member with the next renewal
     std::size_t most_schedulers_ = 0;
     Clock::time_point most_since_;
     std::optional<Clock::time_point> workers_known_since_;
--- a/src/data/reading_exchange.cpp
+++ b/src/data/reading_exchange.cpp
@@ -13,7 +13,8 @@
 
 constexpr auto tick_period = 50ms;
 constexpr std::uint64_t ticks_between_arrangements = 4;
-constexpr std::uint64_t ticks_between_publications = 4;
+constexpr std::uint64_t ticks_between_publications = 4;     // within the zone
+constexpr std::uint64_t ticks_between_far_publications = 8; // between homes
 constexpr routing::Time probe_period{400};
 constexpr routing::Time health_period{1000};
 constexpr std::chrono::milliseconds probe_timeout{450};
@@ -62,7 +63,8 @@
             for (const configuration::Service& service : context_.in_force->configuration.services)
                 arrange(service.name);
         probe_due();
-        if (ticks_ % ticks_between_publications == 0) publish();
+        if (ticks_ % ticks_between_publications == 0) publish(Scope::all);
+        if (ticks_ % ticks_between_far_publications == 0) publish(Scope::own);
     }
     timer_.expires_after(tick_period);
     timer_.async_wait([this](ErrorCode error) {
@@ -133,11 +135,13 @@
         }
         found->second.connection = connection;
         found->second.heard = Clock::now();
+        found->second.listener = {};
         connection->start(
             [this, key](const json& message) {
-                if (const auto from = sources_.find(key); from != sources_.end())
-                    from->second.heard = Clock::now();
-                on_readings(message);
+                const auto from = sources_.find(key);
+                if (from == sources_.end()) return;
+                from->second.heard = Clock::now();
+                on_readings(from->second, message);
             },
             [this, key, raw = connection.get()] {
                 const auto closed = sources_.find(key);
@@ -208,43 +212,38 @@
     worker->second.take(reading);
 }
 
-void ReadingExchange::publish() {
-    if (subscribers_.empty()) return;
-    const routing::Time now = steady_now();
-    std::map<std::pair<std::string, Scope>, std::shared_ptr<const std::string>> frames;
-    for (const auto& [connection, subscriber] : subscribers_) {
-        auto& frame = frames[{subscriber.service, subscriber.scope}];
-        if (!frame) {
-            json list = json::array();
-            for (const auto& [id, worker] : context_.workers) {
-                if (worker.instance.service != subscriber.service || !worker.reading) continue;
-                if (subscriber.scope == Scope::own && !probes_here(worker)) continue;
-                const routing::Reading& reading = *worker.reading;
-                list.push_back({id, (now - reading.as_of).count(), reading.active, reading.queued,
-                                reading.cache_used, reading.cache_total, reading.answered});
-            }
-            frame = transport::frame_of(
-                {{"type", "readings"}, {"service", subscriber.service}, {"list", std::move(list)}});
-        }
+nlohmann::json ReadingExchange::next_message(const Group& group) {
+    const auto& [service, scope] = group;
+    std::map<std::string, const routing::Worker*> workers;
+    for (const auto& [id, worker] : context_.workers)
+        if (worker.instance.service == service && (scope == Scope::all || probes_here(worker)))
+            workers[id] = &worker;
+    return tellers_[group].change(steady_now(), service, workers);
+}
+
+void ReadingExchange::publish(Scope scope) {
+    std::map<Group, transport::Frame> frames;
+    for (const auto& [connection, group] : subscribers_) {
+        if (group.second != scope) continue;
+        transport::Frame& frame = frames[group];
+        if (!frame) frame = transport::frame_of(next_message(group));
         connection->send_frame(frame);
     }
+    std::erase_if(tellers_, [&](const auto& item) {
+        return item.first.second == scope && !frames.contains(item.first);
+    });
 }
 
-void ReadingExchange::on_readings(const json& message) {
-    if (message.at("type") != "readings") return;
-    const routing::Time now = steady_now();
-    for (const json& one : message.at("list")) {
-        const auto worker = context_.workers.find(one.at(0).get<std::string>());
-        if (worker == context_.workers.end()) continue;
-        routing::Reading reading;
-        reading.as_of = now - routing::Time(one.at(1).get<std::int64_t>());
-        reading.active = one.at(2).get<std::size_t>();
-        reading.queued = one.at(3).get<std::size_t>();
-        reading.cache_used = one.at(4).get<std::uint64_t>();
-        reading.cache_total = one.at(5).get<std::uint64_t>();
-        reading.answered = one.at(6).get<bool>();
-        worker->second.take(reading);
-    }
+void ReadingExchange::on_readings(Source& source, const json& message) {
+    if (message.at("type") == "readings") source.listener.take(steady_now(), message, context_.workers);
+}
+
+// The new one is told what all others of its group were told, and hears of changes with them from then on.
+void ReadingExchange::subscribe(const transport::FrameConnectionPtr& connection, const json& message) {
+    const Scope scope = message.at("scope") == scope_name(true) ? Scope::own : Scope::all;
+    const Group group{message.at("service").get<std::string>(), scope};
+    subscribers_[connection] = group;
+    connection->send(tellers_[group].whole(steady_now(), group.first));
 }
 
 void ReadingExchange::accept(const transport::FrameConnectionPtr& connection) {
@@ -254,8 +253,7 @@
             const auto self = weak.lock();
             if (!self || message.at("type") != "subscribe") return;
             if (message.at("version") != transport::protocol_version) return self->close();
-            const bool own = message.at("scope") == "own";
-            subscribers_[self] = {message.at("service").get<std::string>(), own ? Scope::own : Scope::all};
+            subscribe(self, message);
         },
         [this, weak = std::weak_ptr(connection)] {
             if (const auto self = weak.lock()) subscribers_.erase(self);
--- a/src/data/reading_exchange.h
+++ b/src/data/reading_exchange.h
@@ -6,6 +6,7 @@
 
 #include "data/context.h"
 #include "distribution/homes.h"
+#include "distribution/reading_delta.h"
 #include "http/client.h"
 #include "transport/frame_connection.h"
 
@@ -30,16 +31,14 @@
 
     // Who gets what: `own` are readings made here, `all` those of every zone.
     enum class Scope { own, all };
-    struct Subscriber {
-        std::string service;
-        Scope scope = Scope::all;
-    };
+    using Group = std::pair<std::string, Scope>; // by service
     // One that this scheduler subscribes to.
     struct Source {
         std::string node;
         transport::FrameConnectionPtr connection;
         bool dialling = false;
         Clock::time_point heard;
+        distribution::ReadingListener listener; // of what came on the connection
     };
     struct Prober {
         std::shared_ptr<http_client::Client> client;
@@ -54,9 +53,11 @@
                 Scope scope);
     void probe_due();
     void on_report(const std::string& id, const http_client::Response* response);
-    void publish();
+    void publish(Scope scope);
+    nlohmann::json next_message(const Group& group);
+    void subscribe(const transport::FrameConnectionPtr& connection, const nlohmann::json& message);
     void accept(const transport::FrameConnectionPtr& connection);
-    void on_readings(const nlohmann::json& message);
+    void on_readings(Source& source, const nlohmann::json& message);
     bool probes_here(const routing::Worker& worker) const;
     std::set<std::string> avoided();
 
@@ -64,11 +65,12 @@
     SteadyTimer timer_;
     transport::FrameListener listener_;
     std::vector<membership::Lease> members_;
-    std::map<transport::FrameConnectionPtr, Subscriber> subscribers_;
-    std::map<std::string, Source> sources_;           // by "service", or "service@zone" between homes
-    std::set<std::string> home_of_;                   // services this scheduler is home to
-    std::map<std::string, Clock::time_point> silent_; // schedulers that were silent, and when
-    std::map<std::string, Prober> probers_;           // by instance id
+    std::map<transport::FrameConnectionPtr, Group> subscribers_;
+    std::map<Group, distribution::ReadingTeller> tellers_; // of groups that have subscribers
+    std::map<std::string, Source> sources_;                // by "service", or "service@zone" between homes
+    std::set<std::string> home_of_;                        // services this scheduler is home to
+    std::map<std::string, Clock::time_point> silent_;      // schedulers that were silent, and when
+    std::map<std::string, Prober> probers_;                // by instance id
     std::size_t probes_ = 0;
     std::uint64_t ticks_ = 0;
 };
--- a/src/distribution/core_session.cpp
+++ b/src/distribution/core_session.cpp
@@ -9,6 +9,9 @@
 constexpr SteadyTime renewal_period{400};
 constexpr SteadyTime silence{1000}; // a member that answers nothing for so long is left
 constexpr SteadyTime behind{900};   // one that is not current for so long, too
+// A near member that was left is not moved to again for so long; only to be near is worth no risk.
+constexpr SteadyTime shortest_avoidance{5000};
+constexpr SteadyTime longest_avoidance{40000};
 
 } // namespace
 
@@ -24,6 +27,7 @@
 void CoreSession::on(const SessionTick&) {
     if (phase_ == Phase::connected && (now_ - answered_ > silence || now_ - current_ > behind)) {
         if (preferred_ == host_) preferred_.clear();
+        avoid(host_);
         actions_->emplace_back(Disconnect{});
         change_phase(Phase::idle);
     }
@@ -31,7 +35,8 @@
     if (phase_ == Phase::connected && now_ - renewed_ >= renewal_period) renew();
 }
 
-// First the member that was current last, then the seeds of the settings, then what a member has named.
+// First the member that was current last, or a nearer one, then the seeds of the settings, then what a member
+// has named.
 std::vector<std::string> CoreSession::candidates() const {
     std::vector<std::string> out;
     const auto add = [&](const std::string& host) {
@@ -40,7 +45,7 @@
     if (!preferred_.empty()) add(preferred_);
     for (const std::string& host : seeds_())
         add(host);
-    for (const std::string& host : known_)
+    for (const auto& [host, member] : known_)
         add(host);
     return out;
 }
@@ -62,7 +67,40 @@
 }
 
 void CoreSession::on(const DialFailed&) {
-    if (phase_ == Phase::dialling) change_phase(Phase::idle);
+    if (phase_ != Phase::dialling) return;
+    avoid(host_);
+    change_phase(Phase::idle);
+}
+
+int CoreSession::distance(const CoreMember& member) const {
+    if (!place_.zone.empty() && member.zone == place_.zone) return 0;
+    return !place_.region.empty() && member.region == place_.region ? 1 : 2;
+}
+
+void CoreSession::avoid(const std::string& host) {
+    if (!avoided_.contains(host) && avoided_.size() >= most_core_members) avoided_.clear();
+    Avoided& entry = avoided_[host];
+    entry.pause = std::clamp(2 * entry.pause, shortest_avoidance, longest_avoidance);
+    entry.until = now_ + entry.pause;
+}
+
+// What the core pushes crosses zones and regions once, between core members, if sessions are near.
+void CoreSession::move_nearer() {
+    const auto here = known_.find(host_);
+    int best_distance = here == known_.end() ? 2 : distance(here->second);
+    std::string best;
+    for (const auto& [host, member] : known_) {
+        const auto entry = avoided_.find(host);
+        if (entry != avoided_.end() && now_ < entry->second.until) continue;
+        if (distance(member) >= best_distance) continue;
+        best_distance = distance(member);
+        best = host;
+    }
+    if (best.empty()) return;
+    preferred_ = best;
+    actions_->emplace_back(Disconnect{});
+    change_phase(Phase::idle);
+    dial_next();
 }
 
 void CoreSession::on(const ConnectionLost&) {
@@ -88,18 +126,18 @@
 // A current member's list replaces what is known, so that members that are gone are forgotten; one that is
 // behind may still name others that are not.
 void CoreSession::on_beat(const nlohmann::json& beat) {
-    auto hosts = beat.at("core").get<std::vector<std::string>>();
+    const auto members = beat.at("core").get<std::vector<CoreMember>>();
     const bool is_current = beat.at("current").get<bool>();
     if (is_current) known_.clear();
-    for (const std::string& endpoint : hosts) {
-        const std::string host = endpoint.substr(0, endpoint.find(':'));
-        if (known_.size() < most_core_members && std::ranges::count(known_, host) == 0)
-            known_.push_back(host);
+    for (const CoreMember& member : members) {
+        const std::string host = member.id.substr(0, member.id.find(':'));
+        if (known_.size() < most_core_members) known_.try_emplace(host, member);
     }
     if (!is_current) return;
     current_ = now_;
     preferred_ = host_;
     next_candidate_ = 0;
+    move_nearer();
 }
 
 } // namespace willowrill::distribution
--- a/src/distribution/core_session.h
+++ b/src/distribution/core_session.h
@@ -1,12 +1,16 @@
 // A scheduler's session with the core: renews its lease at one core member and takes in what that pushes.
-// Goes to another where the member falls silent or behind. Pure: connections and time come from outside.
+// Goes to another where the member falls silent or behind, and to a nearer one where there is one. Pure:
+// connections and time come from outside.
 #pragma once
 
+#include "distribution/push_messages.h"
+
 #include <nlohmann/json.hpp>
 
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <variant>
 #include <vector>
@@ -49,8 +53,14 @@
 
 class CoreSession {
   public:
+    // Where this scheduler stands.
+    struct Place {
+        std::string zone;
+        std::string region;
+    };
     // `seeds`: hosts of core members as the settings name them now; asked only when one is looked for.
-    explicit CoreSession(std::function<std::vector<std::string>()> seeds) : seeds_(std::move(seeds)) {}
+    explicit CoreSession(std::function<std::vector<std::string>()> seeds, Place place = {})
+        : seeds_(std::move(seeds)), place_(std::move(place)) {}
 
     // Throws nlohmann::json::exception on a message of the wrong shape.
     void step(SteadyTime now, const SessionEvent& event, std::vector<SessionAction>& actions);
@@ -69,16 +79,29 @@
     void dial_next();
     void renew();
     void on_beat(const nlohmann::json& beat);
+    void avoid(const std::string& host);
+    void move_nearer();
+    // Of a member from here: 0 in this zone, 1 in this region, 2 elsewhere or not known.
+    int distance(const CoreMember& member) const;
     std::vector<std::string> candidates() const;
 
+    // A member that was left or could not be reached, and is not moved to for a while.
+    struct Avoided {
+        SteadyTime until{0};
+        SteadyTime pause{0}; // doubles with each time
+    };
+
     std::function<std::vector<std::string>()> seeds_;
+    Place place_;
     SteadyTime now_{0};
     std::vector<SessionAction>* actions_ = nullptr;
 
     Phase phase_ = Phase::idle;
-    std::string host_;               // dialled last
-    std::string preferred_;          // the one that was current last
-    std::vector<std::string> known_; // as the last current one named them, at most `most_core_members`
+    std::string host_;                        // dialled last
+    std::string preferred_;                   // the one that was current last
+    std::map<std::string, CoreMember> known_; // by host, as the last current one named them; at most
+                                              // `most_core_members`
+    std::map<std::string, Avoided> avoided_;  // by host; at most `most_core_members`
     std::size_t next_candidate_ = 0;
     SteadyTime renewed_{0}, answered_{0}, current_{0};
     std::uint64_t renewal_ = 0;
--- a/src/distribution/scheduler_hub.h
+++ b/src/distribution/scheduler_hub.h
@@ -1,11 +1,13 @@
 // The schedulers' sessions at a core member: takes their leases in and pushes what they need to know
-// (configuration, evacuations, members, workers) whenever it changes. To one that knows nothing the state is
-// handed only while a quorum vouches for it, so that a member which is cut off gives an old one to nobody;
-// one that holds an older state gets a newer one from any member. Pure; one thread.
+// (configuration, evacuations, members, workers) whenever it changes: the change alone to those that hold
+// what it is based on, the whole to the others. To one that knows nothing the state is handed only while a
+// quorum vouches for it, so that a member which is cut off gives an old one to nobody; one that holds an
+// older state gets a newer one from any member. Pure; one thread.
 #pragma once
 
 #include "configuration/control_state.h"
 #include "discovery/instances.h"
+#include "distribution/push_messages.h"
 #include "membership/lease_table.h"
 #include "replication/types.h"
 #include "transport/frame.h"
@@ -22,17 +24,13 @@
 using SessionId = std::uint64_t; // of one connection; not used again
 using transport::Frame;
 
-// A scheduler's renewal of its lease, as a message. `holds`: the state that it has in force, if any.
-nlohmann::json lease_message(const membership::Lease& lease,
-                             const std::optional<replication::Position>& holds);
-
 class SchedulerHub {
   public:
     struct Callbacks {
         std::function<void(SessionId, const Frame&)> send;
         std::function<void(SessionId)> close;                  // there are too many
         std::function<bool()> is_current;                      // whether this member's state is current
-        std::function<std::vector<std::string>()> core;        // ids of the core members known
+        std::function<std::vector<CoreMember>()> core;         // the core members reached
         std::function<void(const membership::Lease&)> renewed; // by its holder, here
         std::function<void(const membership::Lease&)> ended;   // the holder's connection broke
     };
@@ -44,7 +42,9 @@
     void on_closed(SessionId id);
 
     void publish_state(const replication::Position& position, const configuration::ControlState& state);
+    // Told to the sessions by the next `flush`, so that changes of one moment go out as one.
     void publish_members(const std::vector<membership::Lease>& leases);
+    void flush();
     void publish_zone(const discovery::ZoneList& list);
 
     std::size_t sessions() const { return sessions_.size(); }
@@ -53,15 +53,23 @@
     struct Session {
         std::optional<membership::Lease> lease;
         std::optional<replication::Position> holds; // as its last renewal said
-        Frame state;                                // the newest that this scheduler was sent
+        std::optional<replication::Position> sent;  // the newest state that went out on this session
+        bool lacks_base = false;                    // wants the state whole
     };
     void push(const Frame& frame) const;
     void send_state(SessionId id, Session& session) const;
+    const Frame& state_frame_for(const Session& session) const;
+    void answer_lacks(SessionId id, Session& session, const nlohmann::json& message) const;
 
     Callbacks callbacks_;
     std::map<SessionId, Session> sessions_; // at most `most_leases`
-    Frame state_, members_;
-    replication::Position position_; // of the state
+    configuration::ControlState state_;     // the newest
+    replication::Position position_;        // its own, and that of the one before
+    replication::Position base_;
+    Frame whole_state_, state_change_;                                       // null: there is none
+    std::map<std::string, membership::Lease> wanted_members_, told_members_; // by node
+    std::uint64_t members_number_ = 0;                                       // of the list last told
+    Frame members_;                                                          // that list whole
     std::map<std::string, Frame> zones_;
 };
 
--- a/src/membership/lease_table.cpp
+++ b/src/membership/lease_table.cpp
@@ -22,6 +22,13 @@
     return !(before == lease);
 }
 
+bool LeaseTable::extend(Time now, const std::string& node, std::uint64_t incarnation) {
+    const auto found = entries_.find(node);
+    if (found == entries_.end()) return false;
+    if (found->second.lease.incarnation == incarnation) found->second.renewed = now;
+    return true;
+}
+
 bool LeaseTable::end(const std::string& node, std::uint64_t incarnation) {
     const auto found = entries_.find(node);
     if (found == entries_.end() || found->second.lease.incarnation != incarnation) return false;
--- a/src/membership/lease_table.h
+++ b/src/membership/lease_table.h
@@ -42,6 +42,9 @@
 
     // Takes in a renewal. Says whether the view changed beyond the renewal's number.
     bool renew(Time now, const Lease& lease, Source source);
+    // Another core member says that this life of the holder goes on renewing there. False where no lease of
+    // the node is known; of another life nothing is changed.
+    bool extend(Time now, const std::string& node, std::uint64_t incarnation);
     // Ends a lease at once: its holder's connection has broken.
     bool end(const std::string& node, std::uint64_t incarnation);
     // Removes what has lapsed. Says whether anything did.
--- a/src/simulation/history.cpp
+++ b/src/simulation/history.cpp
@@ -83,6 +83,18 @@
     if (!fresh && known->second != content) violation("two states at one position");
 }
 
+void History::pushed(const std::string& scheduler, const configuration::Configuration& configuration) {
+    ++outcome_.pushes;
+    const auto is_it = [&](const std::string& text) {
+        auto services = configuration::parse(text).value().services, held = configuration.services;
+        std::ranges::sort(services, {}, &configuration::Service::name);
+        std::ranges::sort(held, {}, &configuration::Service::name);
+        return services == held;
+    };
+    if (std::ranges::none_of(sent_[configuration.version], is_it))
+        violation(fmt::format("{} has a version {} that nobody sent", scheduler, configuration.version));
+}
+
 void History::in_force(const std::string& scheduler, Version version,
                        const std::set<std::string>& evacuated) {
     Version due = 0;
--- a/src/simulation/member.cpp
+++ b/src/simulation/member.cpp
@@ -53,9 +53,12 @@
         },
         [this] { return world_.break_always_current || replica_->current(world_.queue.now()); },
         [this] {
-            std::vector<std::string> out{id_};
+            const auto place = [](const MemberId& member) {
+                return distribution::CoreMember{member, member.substr(0, member.find(':')), "region"};
+            };
+            std::vector<distribution::CoreMember> out{place(id_)};
             for (const auto& [member, link] : links_)
-                out.push_back(member);
+                out.push_back(place(member));
             return out;
         },
         [](const membership::Lease&) {}, [](const membership::Lease&) {}});
--- a/src/simulation/scheduler.h
+++ b/src/simulation/scheduler.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "distribution/core_session.h"
+#include "distribution/held_state.h"
 #include "simulation/member.h"
 
 #include <optional>
@@ -19,8 +20,11 @@
     const std::string& name() const { return name_; }
     bool up() const { return up_; }
     Time started() const { return started_; }
-    Version version() const { return version_; }
-    const std::set<std::string>& evacuated() const { return evacuated_; }
+    Version version() const { return held_ ? held_->configuration.version : 0; }
+    const std::set<std::string>& evacuated() const { return held_ ? held_->evacuated : nothing_; }
+    const configuration::Configuration* configuration() const {
+        return held_ ? &held_->configuration : nullptr;
+    }
 
     void start();
     void stop();
@@ -44,9 +48,9 @@
     bool up_ = false;
     std::uint64_t life_ = 0;
     Time started_{0};
-    replication::Position position_;
-    Version version_ = 0;
-    std::set<std::string> evacuated_;
+    std::optional<distribution::HeldState> held_;
+    std::set<std::string> lacks_;
+    const std::set<std::string> nothing_;
 };
 
 } // namespace willowrill::simulation
--- a/src/transport/frame_connection.cpp
+++ b/src/transport/frame_connection.cpp
@@ -67,7 +67,7 @@
     asio::async_read(socket_, asio::buffer(body_), [self = shared_from_this()](ErrorCode error, std::size_t) {
         if (error || !self->open_) return self->close();
         try {
-            self->on_message_(nlohmann::json::parse(self->body_));
+            self->on_message_(message_in(std::string_view(self->body_)));
         } catch (const nlohmann::json::exception& problem) {
             fmt::print(stderr, "level=warning event=peer-message-malformed detail=\"{}\"\n", problem.what());
             return self->close();
--- a/tests/system/membership_test.cpp
+++ b/tests/system/membership_test.cpp
@@ -1,5 +1,6 @@
 // Leases, owners under tokens, lists of workers, the directory, and the queue of orders.
 #include "control/directory.h"
+#include "control/lease_gossip.h"
 #include "control/order_queue.h"
 #include "discovery/codec.h"
 #include "membership/codec.h"
@@ -11,7 +12,10 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <map>
+#include <memory>
 #include <random>
+#include <set>
 
 using namespace willowrill;
 using membership::Lease;
@@ -72,6 +76,150 @@
     cr_assert(nlohmann::json(before).get<Lease>() == before);
 }
 
+namespace {
+
+// Core members whose messages arrive in their order, unless they are lost.
+struct GossipingMembers {
+    std::map<std::string, std::unique_ptr<control::LeaseGossip>> members;
+    std::set<std::string> cut; // nothing reaches these, nor comes from them
+    Time now{0};
+    std::size_t bytes = 0;
+
+    void deliver(const std::string& from, const std::string& to, const nlohmann::json& message) {
+        if (cut.contains(to) || cut.contains(from)) return;
+        bytes += message.dump().size();
+        members.at(to)->on_message(now, from, message);
+    }
+    void add(const std::string& name, std::uint64_t life) {
+        control::LeaseGossip::Callbacks callbacks;
+        callbacks.broadcast = [this, name](const nlohmann::json& message) {
+            for (const auto& [other, member] : members)
+                if (other != name) deliver(name, other, message);
+        };
+        callbacks.send = [this, name](const std::string& to, const nlohmann::json& message) {
+            deliver(name, to, message);
+        };
+        callbacks.changed = [](const std::vector<Lease>&) {};
+        members[name] = std::make_unique<control::LeaseGossip>(life, callbacks);
+    }
+    void at(int ms) {
+        now = Time(ms);
+        for (const auto& [name, member] : members)
+            member->expire(now);
+    }
+    std::vector<std::string> nodes(const std::string& member) const {
+        std::vector<std::string> out;
+        for (const Lease& lease : members.at(member)->leases())
+            out.push_back(lease.node);
+        return out;
+    }
+};
+
+using Nodes = std::vector<std::string>;
+
+} // namespace
+
+Test(gossip, a_proof_of_life_stands_for_the_renewals_of_all_that_renewed) {
+    GossipingMembers core;
+    core.add("x", 1);
+    core.add("y", 2);
+    std::uint64_t renewal = 0;
+    for (int at = 0; at < 20'000; at += 700) {
+        core.at(at);
+        ++renewal;
+        core.members["x"]->on_renewed(core.now, lease("a1", 1, renewal));
+        if (at < 5000) core.members["x"]->on_renewed(core.now, lease("a2", 1, renewal));
+        core.members["x"]->tell();
+        if (at < 5000) cr_assert(core.nodes("y") == (Nodes{"a1", "a2"}), "at %d", at);
+        if (at > 8000) cr_assert(core.nodes("y") == (Nodes{"a1"}), "at %d", at);
+    }
+    cr_assert_lt(core.bytes, 20'000 / 700 * 120U, "%zu bytes", core.bytes);
+}
+
+Test(gossip, a_member_that_missed_changes_asks_for_the_whole_list) {
+    GossipingMembers core;
+    core.add("x", 1);
+    core.add("y", 2);
+    core.members["x"]->on_renewed(core.now, lease("a1", 1, 1));
+    core.cut = {"y"};
+    core.members["x"]->on_renewed(core.now, lease("a2", 1, 1));
+    core.members["x"]->on_renewed(core.now, lease("a1", 1, 2, Phase::leaving));
+    core.cut = {};
+    core.at(100);
+    core.members["x"]->tell();
+    cr_assert(core.nodes("y") == (Nodes{"a1", "a2"}));
+    cr_assert(core.members["y"]->leases()[0].phase == Phase::leaving);
+    // A member that started anew, with its first list's number.
+    core.add("x", 9);
+    core.members["x"]->on_renewed(core.now, lease("a3", 1, 1));
+    core.members["x"]->tell();
+    cr_assert(core.nodes("y") == (Nodes{"a1", "a2", "a3"}));
+}
+
+// Word that was held up for longer than a lease lasts: what has lapsed meanwhile comes back.
+Test(gossip, a_lease_that_lapsed_while_nothing_came_is_known_again) {
+    GossipingMembers core;
+    core.add("x", 1);
+    core.add("y", 2);
+    std::uint64_t renewal = 1;
+    core.members["x"]->on_renewed(core.now, lease("a1", 1, renewal));
+    core.members["x"]->tell();
+    core.cut = {"y"};
+    for (int at = 700; at < 7000; at += 700) {
+        core.at(at);
+        core.members["x"]->on_renewed(core.now, lease("a1", 1, ++renewal));
+        core.members["x"]->tell();
+    }
+    cr_assert(core.nodes("y").empty());
+    core.cut = {};
+    core.members["x"]->on_renewed(core.now, lease("a1", 1, ++renewal));
+    core.members["x"]->tell();
+    cr_assert(core.nodes("y") == (Nodes{"a1"}));
+}
+
+Test(gossip, a_holder_that_moved_on_is_kept_by_where_it_renews_now) {
+    GossipingMembers core;
+    for (const auto& [name, life] : std::map<std::string, std::uint64_t>{{"x", 1}, {"y", 2}, {"z", 3}})
+        core.add(name, life);
+    std::uint64_t renewal = 1;
+    core.members["x"]->on_renewed(core.now, lease("a1", 1, renewal));
+    core.members["x"]->tell();
+    core.members["x"]->on_disconnected(lease("a1", 1, renewal));
+    for (int at = 400; at < 8000; at += 400) {
+        core.at(at);
+        core.members["y"]->on_renewed(core.now, lease("a1", 1, ++renewal));
+        core.members["x"]->tell();
+        core.members["y"]->tell();
+        cr_assert_eq(core.nodes("z").size(), 1U, "at %d", at);
+    }
+    core.members["y"]->on_disconnected(lease("a1", 1, renewal));
+    for (int at = 8000; at < 11'000; at += 700) {
+        core.at(at);
+        core.members["x"]->tell();
+        core.members["y"]->tell();
+    }
+    for (const char* member : {"x", "y", "z"})
+        cr_assert(core.nodes(member).empty(), "%s", member);
+}
+
+Test(gossip, one_of_the_wrong_shape_changes_nothing) {
+    GossipingMembers core;
+    core.add("x", 1);
+    core.members["x"]->on_renewed(core.now, lease("a1", 1, 1));
+    for (const char* bad : {R"({})", R"({"type":"leases"})", R"({"type":"leases","life":1,"number":"n"})",
+                            R"({"type":"leases","life":1,"number":1,"leases":[{}]})",
+                            R"({"type":"leases-change","life":0,"number":1,"gone":7,"leases":[]})"}) {
+        bool thrown = false;
+        try {
+            core.members["x"]->on_message(core.now, "y", nlohmann::json::parse(bad));
+        } catch (const nlohmann::json::exception&) {
+            thrown = true;
+        }
+        cr_assert(thrown, "%s", bad);
+    }
+    cr_assert_eq(core.nodes("x").size(), 1U);
+}
+
 Test(ownership, few_keys_move_when_a_candidate_goes) {
     std::vector<std::string> all;
     for (int i = 0; i < 10; ++i)
