Tell what each process does in figures: /metrics for both roles

A port that cannot be had is logged and costs no start. The selector says which tier it chose and whom it passed over; its choices are the same.

--- a/src/control/control_plane.cpp
+++ b/src/control/control_plane.cpp
@@ -53,7 +53,8 @@
 
 } // namespace
 
-ControlPlane::ControlPlane(asio::io_context& loop, settings::Settings settings, std::string settings_path)
+ControlPlane::ControlPlane(asio::io_context& loop, settings::Settings settings, std::string settings_path,
+                           std::uint16_t metrics_port)
     : loop_(loop), settings_(std::move(settings)), settings_path_(std::move(settings_path)),
       self_(settings::to_text(settings_.control)),
       node_(loop, settings_,
@@ -70,17 +71,18 @@
               {[this](const json& message) { mesh_.broadcast(message); },
                [this](const MemberId& to, const json& message) { mesh_.send(to, message); },
                [this](const std::vector<membership::Lease>& leases) { hub_.publish_members(leases); }}),
-      lists_(loop, settings_,
+      lists_(loop, settings_, metrics_,
              {[this](const json& message) { mesh_.broadcast(message); },
               [this](const discovery::ZoneList& list) { hub_.publish_zone(list); }}),
       timer_(loop),
       listener_(loop, settings_.address, settings_.first_internal_port,
                 [this](const transport::FrameConnectionPtr& connection) { accept(connection); }),
-      operator_api_(node_, self_, zones_of(settings_)),
+      operator_api_(node_, self_, zones_of(settings_), metrics_),
       control_server_(loop, settings_.control.host, settings_.control.port, {},
                       [this](const http_server::Request& request, const http_server::Respond& respond) {
                           operator_api_.on_request(request, respond);
-                      }) {
+                      }),
+      metrics_server_(loop, settings_.address, metrics_port, metrics_, [this] { refresh_levels(); }) {
     if (settings_.directory.port != 0)
         directory_server_.emplace(
             loop, settings_.directory.host, settings_.directory.port, http_server::Options{},
@@ -92,9 +94,31 @@
     tick();
 }
 
+std::function<void(std::size_t)> ControlPlane::counter(const char* kind, metrics::Crossing crossing) {
+    return [this, kind, crossing](std::size_t bytes) {
+        metrics_.add(metrics::Total::internal_bytes, kind, metrics::name_of(crossing),
+                     static_cast<double>(bytes));
+        metrics_.add(metrics::Total::internal_messages, kind, metrics::name_of(crossing));
+    };
+}
+
+void ControlPlane::refresh_levels() {
+    metrics_.set(metrics::Level::sessions, static_cast<double>(hub_.sessions()));
+    metrics_.set(metrics::Level::is_primary, node_.is_primary() ? 1 : 0);
+    metrics_.set(metrics::Level::epoch, static_cast<double>(node_.witness_register().decided.epoch));
+    metrics_.set(metrics::Level::members, static_cast<double>(leases_.leases().size()));
+}
+
 CoreMesh::Callbacks ControlPlane::mesh_callbacks() {
     return {[this](const MemberId& member) { on_peer_connected(member); },
-            [this](const MemberId& member) { node_.feed(replication::PeerLost{member}); }};
+            [this](const MemberId& member) { node_.feed(replication::PeerLost{member}); },
+            [this](const MemberId& member) {
+                const auto place = places_.find(member);
+                const bool known = place != places_.end();
+                return counter("core", metrics::crossing(settings_.zone, settings_.region,
+                                                         known ? place->second.zone : "",
+                                                         known ? place->second.region : ""));
+            }};
 }
 
 distribution::SchedulerHub::Callbacks ControlPlane::hub_callbacks() {
@@ -244,6 +268,7 @@
 void ControlPlane::adopt_scheduler(const transport::FrameConnectionPtr& connection,
                                    distribution::SessionId id) {
     schedulers_[id] = connection;
+    connection->count_into(counter("scheduler", metrics::Crossing::unknown));
     hub_.adopt(id);
 }
 
--- a/src/control/control_plane.h
+++ b/src/control/control_plane.h
@@ -9,6 +9,7 @@
 #include "control/operator_api.h"
 #include "distribution/scheduler_hub.h"
 #include "http/server.h"
+#include "metrics/metrics_server.h"
 #include "settings/settings.h"
 #include "transport/frame_connection.h"
 
@@ -22,7 +23,9 @@
 class ControlPlane {
   public:
     // `settings_path` is read again whenever seeds are needed, as they may change without a signal.
-    ControlPlane(asio::io_context& loop, settings::Settings settings, std::string settings_path);
+    // `metrics_port`: 0 where figures are not served.
+    ControlPlane(asio::io_context& loop, settings::Settings settings, std::string settings_path,
+                 std::uint16_t metrics_port = 0);
 
     // Hands the primary's role on, and ends the loop once the others do without this member, or when the
     // platform's grace runs out.
@@ -48,7 +51,11 @@
     CoreMesh::Callbacks mesh_callbacks();
     distribution::SchedulerHub::Callbacks hub_callbacks();
 
+    std::function<void(std::size_t)> counter(const char* kind, metrics::Crossing crossing);
+    void refresh_levels();
+
     asio::io_context& loop_;
+    metrics::Metrics metrics_;
     settings::Settings settings_;
     std::string settings_path_;
     MemberId self_;
@@ -69,6 +76,7 @@
     OperatorApi operator_api_;
     http_server::Server control_server_;
     std::optional<http_server::Server> directory_server_;
+    metrics::MetricsServer metrics_server_;
 };
 
 } // namespace willowrill::control
--- a/src/control/core_mesh.cpp
+++ b/src/control/core_mesh.cpp
@@ -39,6 +39,7 @@
                         link.dialling = false;
                         if (!connection) return;
                         link.connection = connection;
+                        connection->count_into(callbacks_.counter(member));
                         connection->start([](const nlohmann::json&) {},
                                           [this, member] {
                                               links_[member].connection = nullptr;
--- a/src/control/core_mesh.h
+++ b/src/control/core_mesh.h
@@ -22,6 +22,8 @@
     struct Callbacks {
         std::function<void(const MemberId&)> connected;
         std::function<void(const MemberId&)> lost;
+        // What counts the bytes that go to a member.
+        std::function<std::function<void(std::size_t)>(const MemberId&)> counter;
     };
 
     // `internal_port`: where core members listen for each other, alike on all machines.
--- a/src/control/list_owners.cpp
+++ b/src/control/list_owners.cpp
@@ -15,9 +15,11 @@
 
 } // namespace
 
-ListOwners::ListOwners(asio::io_context& loop, const settings::Settings& settings, Callbacks callbacks)
+ListOwners::ListOwners(asio::io_context& loop, const settings::Settings& settings, metrics::Metrics& metrics,
+                       Callbacks callbacks)
     : self_(settings::to_text(settings.control)), callbacks_(std::move(callbacks)),
-      reader_(loop, settings.platform, [this](const discovery::ZoneList& list) { on_own_list(list); }) {
+      reader_(loop, settings.platform, metrics,
+              [this](const discovery::ZoneList& list) { on_own_list(list); }) {
     for (const auto& [zone, region] : settings.regions)
         zones_.push_back(zone);
 }
--- a/src/control/list_owners.h
+++ b/src/control/list_owners.h
@@ -22,7 +22,8 @@
         std::function<void(const nlohmann::json&)> broadcast; // to all other core members
         std::function<void(const discovery::ZoneList&)> changed;
     };
-    ListOwners(asio::io_context& loop, const settings::Settings& settings, Callbacks callbacks);
+    ListOwners(asio::io_context& loop, const settings::Settings& settings, metrics::Metrics& metrics,
+               Callbacks callbacks);
 
     void tick() { reader_.tick(Clock::now()); }
     // As the primary of this epoch, names the owners among these members and tells them.
--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -32,9 +32,9 @@
     return 1;
 }
 
-int serve(const settings::Settings& settings, const std::string& path) {
+int serve(const settings::Settings& settings, const std::string& path, std::uint16_t metrics_port) {
     asio::io_context loop(1);
-    control::ControlPlane plane(loop, settings, path);
+    control::ControlPlane plane(loop, settings, path, metrics_port);
     transport::run_until_it_leaves(loop, plane);
     return 0;
 }
@@ -46,7 +46,9 @@
     app.set_version_flag("--version", WILLOWRILL_VERSION);
     std::string settings_path, configuration_path;
     bool check = false;
+    std::uint16_t metrics_port = 0;
     app.add_option("--settings", settings_path, "settings file of this process")->envname("WILLOWRILL_BOOT");
+    app.add_option("--metrics-port", metrics_port, "serve figures at this port, path /metrics");
     app.add_flag("--check", check, "read the settings, say what is wrong with them, and end");
     app.add_option("--check-configuration", configuration_path,
                    "check an operator's configuration file, and end");
@@ -61,7 +63,7 @@
     }
     if (check) return 0;
     try {
-        return serve(settings.value(), settings_path);
+        return serve(settings.value(), settings_path, metrics_port);
     } catch (const std::exception& error) {
         fmt::print(stderr, "level=error event=ended detail=\"{}\"\n", error.what());
         return 1;
--- a/src/control/operator_api.cpp
+++ b/src/control/operator_api.cpp
@@ -87,12 +87,18 @@
 
 void OperatorApi::submit(const Request& request, const Respond& respond, configuration::Order order) {
     if (redirect(request, respond)) return;
-    node_.orders().submit(std::move(order), [request, respond](OrderResult result) {
-        if (result) return respond(json_response(request, 200, "{}"));
-        fmt::print(stderr, "level=info event=order-refused target={} detail=\"{}\"\n",
-                   std::string(request.target()), result.error().detail);
-        respond(error_response(request, result.error()));
-    });
+    const auto method = request.method_string();
+    const std::string kind(method.data(), method.size());
+    node_.orders().submit(
+        std::move(order), [this, request, respond, kind, since = steady_now()](OrderResult result) {
+            const unsigned status = result ? 200 : errors::answer_to(result.error().kind).status;
+            metrics_.add(metrics::Total::orders, kind, std::to_string(status));
+            metrics_.observe(metrics::Duration::order_wait, steady_now() - since, kind);
+            if (result) return respond(json_response(request, 200, "{}"));
+            fmt::print(stderr, "level=info event=order-refused target={} detail=\"{}\"\n",
+                       std::string(request.target()), result.error().detail);
+            respond(error_response(request, result.error()));
+        });
 }
 
 } // namespace willowrill::control
--- a/src/control/operator_api.h
+++ b/src/control/operator_api.h
@@ -4,6 +4,7 @@
 
 #include "control/core_node.h"
 #include "http/server.h"
+#include "metrics/metrics.h"
 
 #include <set>
 #include <string>
@@ -13,8 +14,8 @@
 class OperatorApi {
   public:
     // `zones`: those that can be evacuated.
-    OperatorApi(CoreNode& node, MemberId self, std::set<std::string> zones)
-        : node_(node), self_(std::move(self)), zones_(std::move(zones)) {}
+    OperatorApi(CoreNode& node, MemberId self, std::set<std::string> zones, metrics::Metrics& metrics)
+        : node_(node), self_(std::move(self)), zones_(std::move(zones)), metrics_(metrics) {}
 
     void on_request(const http_server::Request& request, const http_server::Respond& respond);
 
@@ -29,6 +30,7 @@
     CoreNode& node_;
     MemberId self_;
     std::set<std::string> zones_;
+    metrics::Metrics& metrics_;
 };
 
 } // namespace willowrill::control
--- a/src/control/platform_reader.cpp
+++ b/src/control/platform_reader.cpp
@@ -14,8 +14,9 @@
 
 } // namespace
 
-PlatformReader::PlatformReader(asio::io_context& loop, settings::Endpoint platform, OnList on_list)
-    : loop_(loop), platform_(std::move(platform)), on_list_(std::move(on_list)) {}
+PlatformReader::PlatformReader(asio::io_context& loop, settings::Endpoint platform, metrics::Metrics& metrics,
+                               OnList on_list)
+    : loop_(loop), platform_(std::move(platform)), metrics_(metrics), on_list_(std::move(on_list)) {}
 
 void PlatformReader::own(const std::string& zone, discovery::Token token) {
     Zone& mine = zones_[zone];
@@ -51,6 +52,8 @@
 }
 
 void PlatformReader::on_page(const std::string& name, const http_client::Response* response) {
+    metrics_.add(metrics::Total::platform_calls,
+                 response == nullptr ? "none" : std::to_string(response->result_int()));
     const auto found = zones_.find(name);
     if (found == zones_.end()) return;
     Zone& zone = found->second;
--- a/src/control/platform_reader.h
+++ b/src/control/platform_reader.h
@@ -4,6 +4,7 @@
 
 #include "discovery/instances.h"
 #include "http/client.h"
+#include "metrics/metrics.h"
 #include "ownership/ownership.h"
 #include "settings/settings.h"
 
@@ -17,7 +18,8 @@
 class PlatformReader {
   public:
     using OnList = std::function<void(const discovery::ZoneList&)>;
-    PlatformReader(asio::io_context& loop, settings::Endpoint platform, OnList on_list);
+    PlatformReader(asio::io_context& loop, settings::Endpoint platform, metrics::Metrics& metrics,
+                   OnList on_list);
 
     // This member reads the zone from now on, until a newer token names another owner.
     void own(const std::string& zone, discovery::Token token);
@@ -40,6 +42,7 @@
 
     asio::io_context& loop_;
     settings::Endpoint platform_;
+    metrics::Metrics& metrics_;
     OnList on_list_;
     std::map<std::string, Zone> zones_;
 };
--- a/src/data/context.h
+++ b/src/data/context.h
@@ -6,6 +6,7 @@
 #include "budget/retry_budget.h"
 #include "data/in_force.h"
 #include "data/worker_pool.h"
+#include "metrics/metrics.h"
 #include "routing/selector.h"
 #include "settings/settings.h"
 #include "transport/process.h"
@@ -46,6 +47,7 @@
     std::size_t schedulers = 1; // the most that were alive together lately
     std::set<std::string> scheduler_names;
     bool leaving = false;
+    metrics::Metrics metrics;
     Counters counters;
 };
 
--- a/src/data/data_plane.cpp
+++ b/src/data/data_plane.cpp
@@ -32,7 +32,8 @@
 
 } // namespace
 
-DataPlane::DataPlane(asio::io_context& loop, settings::Settings settings, std::string settings_path)
+DataPlane::DataPlane(asio::io_context& loop, settings::Settings settings, std::string settings_path,
+                     std::uint16_t metrics_port)
     : loop_(loop), settings_(std::move(settings)), settings_path_(std::move(settings_path)),
       context_(loop, settings_, draw()), incarnation_(draw()),
       core_(loop, settings_,
@@ -50,6 +51,13 @@
                  [this](const http_server::Request& request, const http_server::Respond& respond) {
                      on_readiness(request, respond);
                  }),
+      metrics_server_(loop, settings_.address, metrics_port, context_.metrics,
+                      [this] {
+                          using metrics::Level;
+                          context_.metrics.set(Level::workers, static_cast<double>(context_.workers.size()));
+                          context_.metrics.set(Level::members,
+                                               static_cast<double>(context_.scheduler_names.size()));
+                      }),
       timer_(loop) {
     core_.start();
     tick();
--- a/src/data/data_plane.h
+++ b/src/data/data_plane.h
@@ -10,6 +10,7 @@
 #include "distribution/held_members.h"
 #include "http/server.h"
 #include "membership/lease_table.h"
+#include "metrics/metrics_server.h"
 #include "settings/settings.h"
 
 #include <memory>
@@ -19,7 +20,8 @@
 
 class DataPlane {
   public:
-    DataPlane(asio::io_context& loop, settings::Settings settings, std::string settings_path);
+    DataPlane(asio::io_context& loop, settings::Settings settings, std::string settings_path,
+              std::uint16_t metrics_port = 0);
 
     // Takes no new clients, finishes what is under way, and ends the loop within the platform's grace.
     void leave();
@@ -56,6 +58,7 @@
     CoreConnection core_;
     ReadingExchange readings_;
     http_server::Server readiness_;
+    metrics::MetricsServer metrics_server_;
     std::optional<Front> front_;
     SteadyTimer timer_;
     Clock::time_point left_at_;
--- a/src/data/exchange.cpp
+++ b/src/data/exchange.cpp
@@ -88,16 +88,23 @@
             demand_.tried.clear(); // those that could not be reached may be back
             continue;
         }
-        const AttemptEnd end = co_await attempt(*choice.worker, choice.step);
+        const AttemptEnd end = co_await attempt(choice);
         if (state_ == ExchangeState::client_left || end == AttemptEnd::answered) break;
         if (!may_send_again(end)) break;
     }
     disarm();
     if (state_ == ExchangeState::client_left) {
         ++context_.counters.client_left;
+        context_.metrics.add(metrics::Total::requests, "client_left");
         co_return;
     }
-    if (state_ == ExchangeState::answered) co_return;
+    if (state_ == ExchangeState::answered) {
+        context_.metrics.add(metrics::Total::requests, "answered");
+        co_return;
+    }
+    context_.metrics.add(metrics::Total::requests, head_sent_      ? "cut_short"
+                                                   : may_have_run_ ? "failed"
+                                                                   : "refused");
     if (head_sent_) { // part of a stream that cannot be finished: the connection ends without its last chunk
         change_state(ExchangeState::aborted);
         ++context_.counters.failed;
@@ -107,6 +114,22 @@
     co_await refuse(error);
 }
 
+const char* Exchange::name_of(AttemptEnd end) {
+    switch (end) {
+    case AttemptEnd::answered:
+        return "answered";
+    case AttemptEnd::not_executed:
+        return "not_executed";
+    case AttemptEnd::unreachable:
+        return "unreachable";
+    case AttemptEnd::broken:
+        return "broken";
+    case AttemptEnd::broken_midway:
+        break;
+    }
+    return "broken_midway";
+}
+
 bool Exchange::may_send_again(AttemptEnd end) {
     if (left() <= answer_margin) return false;
     if (end == AttemptEnd::unreachable) return true; // nothing was sent
@@ -136,12 +159,40 @@
     return upstream_request(request_, headers);
 }
 
-asio::awaitable<Exchange::AttemptEnd> Exchange::attempt(routing::Worker& chosen, double step) {
+void Exchange::note_choice(const routing::Choice& choice) {
+    using metrics::Total;
+    metrics::Metrics& metrics = context_.metrics;
+    const bool to_holder = choice.tier == routing::Tier::holder;
+    metrics.add(Total::choices, routing::name_of(choice.tier));
+    if (demand_.prompt.shared_tokens > 0)
+        metrics.add(Total::shared_tokens, to_holder ? "holder" : "other", {},
+                    static_cast<double>(demand_.prompt.shared_tokens));
+    const auto note = [&](const char* reason, std::size_t workers) {
+        if (workers > 0) metrics.add(Total::passed_over, reason, {}, static_cast<double>(workers));
+    };
+    note("full", choice.passed_over.full);
+    note("resting", choice.passed_over.resting);
+    note("cold", choice.passed_over.cold);
+    if (choice.worker->reading)
+        metrics.observe(metrics::Duration::reading_age, steady_now() - choice.worker->reading->as_of);
+}
+
+void Exchange::note_first_event() {
+    if (!sent_at_) return;
+    context_.metrics.observe(metrics::Duration::first_event_wait, steady_now() - *sent_at_,
+                             routing::name_of(tier_), sends_ == 1 ? "first" : "later");
+    sent_at_.reset();
+}
+
+asio::awaitable<Exchange::AttemptEnd> Exchange::attempt(const routing::Choice& choice) {
+    routing::Worker& chosen = *choice.worker;
+    note_choice(choice);
+    tier_ = choice.tier;
     const std::string id = chosen.instance.id, address = chosen.instance.address;
     const std::size_t shares = std::max<std::size_t>(1, context_.schedulers);
     const std::size_t most_open = std::max<std::size_t>(4, service_->max_connections * 3 / 4 / shares);
     // Counted before anything is awaited, so that requests of the same moment see each other.
-    chosen.note_dispatch(steady_now(), step);
+    chosen.note_dispatch(steady_now(), choice.step);
     ++chosen.in_flight;
     if (steady_now() < chosen.cold_until) context_.cold.note_send(steady_now(), id);
     const auto outgoing = std::make_shared<OutgoingRequest>();
@@ -158,6 +209,7 @@
         ++sends_;
         ++context_.counters.attempts;
         timed_out_ = false;
+        sent_at_ = steady_now();
         const bool can_move = route_.repeatable() && sends_ < route_.max_attempts;
         arm(can_move ? std::min(deadline_ - answer_margin,
                                 steady_now() + std::max(first_event_wait, route_.target))
@@ -169,6 +221,7 @@
     current_ = nullptr;
     disarm();
 
+    context_.metrics.add(metrics::Total::attempts, name_of(end));
     if (end == AttemptEnd::broken || end == AttemptEnd::broken_midway) may_have_run_ = true;
     demand_.tried.insert(id);
     const auto found = context_.workers.find(id); // it may have left the list meanwhile
@@ -198,6 +251,8 @@
 }
 
 asio::awaitable<void> Exchange::refuse(const Error& error) {
+    if (errors::answer_to(error.kind).retry_after)
+        context_.metrics.add(metrics::Total::refusals, errors::answer_to(error.kind).reason);
     keep_alive_ = keep_alive_ && !context_.leaving;
     auto answer = http_server::error_response(request_, error);
     if (!attempt_id_.empty()) answer.set("Attempt-Id", attempt_id_);
--- a/src/data/exchange.h
+++ b/src/data/exchange.h
@@ -10,6 +10,7 @@
 #include "stream/event_splitter.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace willowrill::data {
@@ -67,7 +68,10 @@
     using Parser = http::response_parser<http::buffer_body>;
 
     void change_state(ExchangeState next);
-    asio::awaitable<AttemptEnd> attempt(routing::Worker& worker, double step);
+    asio::awaitable<AttemptEnd> attempt(const routing::Choice& choice);
+    void note_choice(const routing::Choice& choice);
+    void note_first_event();
+    static const char* name_of(AttemptEnd end);
     asio::awaitable<AttemptEnd> send_and_converse(const WorkerConnectionPtr& connection,
                                                   const std::string& address,
                                                   const std::shared_ptr<OutgoingRequest>& outgoing);
@@ -105,6 +109,8 @@
     routing::Demand demand_;
     std::string attempt_id_;
     unsigned sends_ = 0;
+    routing::Tier tier_ = routing::Tier::elsewhere; // of the attempt under way
+    std::optional<routing::Time> sent_at_;          // of the attempt, until its answer begins
     bool may_have_run_ = false;
     bool timed_out_ = false;
     bool head_sent_ = false;
--- a/src/data/exchange_relay.cpp
+++ b/src/data/exchange_relay.cpp
@@ -124,6 +124,7 @@
         context_.pool.drop(address, connection);
         co_return AttemptEnd::broken;
     }
+    note_first_event();
     const auto& head = parser.get();
     const bool ok = head.result_int() / 100 == 2;
     settle(address, connection, head, parser.keep_alive());
@@ -185,6 +186,7 @@
         }
         std::string whole = events_.take_events();
         if (whole.empty()) continue;
+        note_first_event();
         // From now on only silence ends it early, and only where it can be resumed.
         const bool can_move = resumable && sends_ < route_.max_attempts;
         const Time longest = std::max(first_event_wait, 2 * route_.longest_gap);
--- a/src/data/main.cpp
+++ b/src/data/main.cpp
@@ -11,9 +11,9 @@
 
 using namespace willowrill;
 
-int serve(const settings::Settings& settings, const std::string& path) {
+int serve(const settings::Settings& settings, const std::string& path, std::uint16_t metrics_port) {
     asio::io_context loop(1);
-    data::DataPlane plane(loop, settings, path);
+    data::DataPlane plane(loop, settings, path, metrics_port);
     transport::run_until_it_leaves(loop, plane);
     return 0;
 }
@@ -25,7 +25,9 @@
     app.set_version_flag("--version", WILLOWRILL_VERSION);
     std::string settings_path;
     bool check = false;
+    std::uint16_t metrics_port = 0;
     app.add_option("--settings", settings_path, "settings file of this process")->envname("WILLOWRILL_BOOT");
+    app.add_option("--metrics-port", metrics_port, "serve figures at this port, path /metrics");
     app.add_flag("--check", check, "read the settings, say what is wrong with them, and end");
     CLI11_PARSE(app, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
@@ -37,7 +39,7 @@
     }
     if (check) return 0;
     try {
-        return serve(settings.value(), settings_path);
+        return serve(settings.value(), settings_path, metrics_port);
     } catch (const std::exception& error) {
         fmt::print(stderr, "level=error event=ended detail=\"{}\"\n", error.what());
         return 1;
--- a/src/data/reading_exchange.cpp
+++ b/src/data/reading_exchange.cpp
@@ -151,7 +151,9 @@
         connection->send({{"type", "subscribe"},
                           {"version", transport::protocol_version},
                           {"service", service},
-                          {"scope", scope_name(scope == Scope::own)}});
+                          {"scope", scope_name(scope == Scope::own)},
+                          {"zone", context_.settings.zone},
+                          {"region", context_.settings.region}});
     };
     transport::dial(context_.loop, endpoint.value().host, endpoint.value().port, dial_timeout, on_connected);
 }
@@ -185,6 +187,7 @@
         // Only model workers report their load; of others no more is asked than whether they answer at all.
         prober.due = now + (service->has_engine ? probe_period : health_period);
         ++probes_;
+        context_.metrics.add(metrics::Total::probes, service->has_engine ? "report" : "health");
         prober.client->get(
             service->has_engine ? "/-/report" : service->health_path, probe_timeout,
             [this, id = id](const http_client::Response* response) { on_report(id, response); });
@@ -243,6 +246,14 @@
     const Scope scope = message.at("scope") == scope_name(true) ? Scope::own : Scope::all;
     const Group group{message.at("service").get<std::string>(), scope};
     subscribers_[connection] = group;
+    const char* crossing = metrics::name_of(
+        metrics::crossing(context_.settings.zone, context_.settings.region,
+                          message.value("zone", std::string()), message.value("region", std::string())));
+    connection->count_into([this, crossing](std::size_t bytes) {
+        context_.metrics.add(metrics::Total::internal_bytes, "readings", crossing,
+                             static_cast<double>(bytes));
+        context_.metrics.add(metrics::Total::internal_messages, "readings", crossing);
+    });
     connection->send(tellers_[group].whole(steady_now(), group.first));
 }
 
--- /dev/null
+++ b/src/metrics/metrics.h
@@ -0,0 +1,66 @@
+// Figures that a process tells of itself, in Prometheus' text format. The closed list of what is counted
+// stands here, with its labels; prometheus-cpp keeps the values. One thread.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace willowrill::metrics {
+
+// Totals; the labels are named in metrics.cpp.
+enum class Total {
+    requests,          // of clients, by outcome
+    attempts,          // requests sent to workers, by outcome
+    refusals,          // answers that nothing has run, by reason
+    choices,           // of a worker, by its tier
+    passed_over,       // workers that were not considered for a choice, by reason
+    shared_tokens,     // of prompts sent, by whether to the worker that is to hold their parts
+    probes,            // by kind
+    connections,       // to workers, opened
+    internal_bytes,    // sent to other processes of the system, by kind and by what they cross
+    internal_messages, // likewise
+    orders,            // of operators, by kind and status
+    platform_calls,    // by result
+};
+
+// Distributions of times.
+enum class Duration {
+    first_event_wait, // of answered attempts, by tier and by whether it was the first attempt
+    reading_age,      // of the load reading that a choice went by
+    order_wait,       // of operators' orders, by kind
+};
+
+// Values as of now.
+enum class Level { sessions, is_primary, epoch, workers, members };
+
+// Where a message goes, seen from its sender.
+enum class Crossing { none, zone, region, unknown };
+Crossing crossing(std::string_view zone, std::string_view region, std::string_view other_zone,
+                  std::string_view other_region);
+const char* name_of(Crossing crossing);
+
+class Metrics {
+  public:
+    Metrics();
+    ~Metrics();
+    Metrics(const Metrics&) = delete;
+    Metrics& operator=(const Metrics&) = delete;
+
+    // Label values in the order of the table; a total with one label leaves the second empty.
+    void add(Total total, std::string_view first = {}, std::string_view second = {}, double amount = 1);
+    void observe(Duration duration, std::chrono::milliseconds value, std::string_view first = {},
+                 std::string_view second = {});
+    void set(Level level, double value);
+
+    // All of it, in Prometheus' text format.
+    std::string text() const;
+
+  private:
+    struct Families;
+    std::unique_ptr<Families> families_;
+};
+
+} // namespace willowrill::metrics
--- /dev/null
+++ b/src/metrics/metrics_server.cpp
@@ -0,0 +1,30 @@
+#include "metrics/metrics_server.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace willowrill::metrics {
+
+MetricsServer::MetricsServer(asio::io_context& loop, const std::string& host, std::uint16_t port,
+                             Metrics& metrics, std::function<void()> refresh) {
+    if (port == 0) return;
+    const auto handler = [&metrics, refresh = std::move(refresh)](const http_server::Request& request,
+                                                                  const http_server::Respond& respond) {
+        if (request.target() != metrics_path)
+            return respond(http_server::error_response(
+                request, {errors::ErrorKind::unknown_resource, std::string(request.target())}));
+        refresh();
+        auto response = http_server::json_response(request, 200, metrics.text());
+        response.set(http::field::content_type, "text/plain; version=0.0.4");
+        respond(std::move(response));
+    };
+    try {
+        server_.emplace(loop, host, port, http_server::Options{}, handler);
+    } catch (const std::exception& error) {
+        fmt::print(stderr, "level=warning event=metrics-not-served port={} detail=\"{}\"\n", port,
+                   error.what());
+    }
+}
+
+} // namespace willowrill::metrics
--- a/src/routing/selector.cpp
+++ b/src/routing/selector.cpp
@@ -27,8 +27,37 @@
                                static_cast<double>(demand.service->cache_tokens));
 }
 
+// The increment of a tier. The own zone is preferred where nobody holds parts of the prompt.
+double increment(Tier tier, bool has_holder) {
+    switch (tier) {
+    case Tier::holder:
+        return preferred;
+    case Tier::zone:
+        return has_holder ? next : preferred;
+    case Tier::region:
+        return next;
+    case Tier::elsewhere:
+        break;
+    }
+    return last_resort;
+}
+
 } // namespace
 
+const char* name_of(Tier tier) {
+    switch (tier) {
+    case Tier::holder:
+        return "holder";
+    case Tier::zone:
+        return "zone";
+    case Tier::region:
+        return "region";
+    case Tier::elsewhere:
+        break;
+    }
+    return "elsewhere";
+}
+
 const std::string& Place::region_of(const std::string& other) const {
     const auto found = regions.find(other);
     return found == regions.end() ? other : found->second;
@@ -89,10 +118,10 @@
     return best;
 }
 
-double Selector::increment(const Worker& worker, const std::string& holder) const {
-    if (!holder.empty() && worker.instance.id == holder) return preferred;
-    if (place_.region_of(worker.instance.zone) != place_.region) return last_resort;
-    return holder.empty() && worker.instance.zone == place_.zone ? preferred : next;
+Tier Selector::tier_of(const Worker& worker, const std::string& holder) const {
+    if (!holder.empty() && worker.instance.id == holder) return Tier::holder;
+    if (place_.region_of(worker.instance.zone) != place_.region) return Tier::elsewhere;
+    return worker.instance.zone == place_.zone ? Tier::zone : Tier::region;
 }
 
 Choice Selector::choose(Time now, Workers& workers, const Demand& demand, const Bounds& bounds,
@@ -103,24 +132,37 @@
     const std::string holder = holder_of(able, demand.prompt);
 
     Choice best;
+    PassedOver passed_over;
     double best_score = std::numeric_limits<double>::infinity();
     std::size_t ties = 0;
     // In health and not full first; where there is none, whoever is left.
     for (const bool anyone : {false, true}) {
         for (Worker* worker : able) {
-            if (!anyone && (worker->suspect(now) || now < worker->full_until)) continue;
+            if (!anyone && worker->suspect(now)) {
+                ++passed_over.resting;
+                continue;
+            }
+            if (!anyone && now < worker->full_until) {
+                ++passed_over.full;
+                continue;
+            }
             const std::string& id = worker->instance.id;
             const double rate = demand.service->cold_rate_per_s;
             const bool is_cold = now < worker->cold_until && rate > 0;
-            if (is_cold && !cold.allows(now, id, rate, bounds.schedulers, bounds.cold_rank(id))) continue;
-            const double tier = increment(*worker, holder);
-            const double total = policy::total(worker->load() + worker->degradation(), tier);
+            if (is_cold && !cold.allows(now, id, rate, bounds.schedulers, bounds.cold_rank(id))) {
+                ++passed_over.cold;
+                continue;
+            }
+            const Tier tier = tier_of(*worker, holder);
+            const double step = increment(tier, !holder.empty());
+            const double total = policy::total(worker->load() + worker->degradation(), step);
             if (total > best_score) continue;
             ties = total < best_score ? 1 : ties + 1;
             if (ties > 1 && random_() % ties != 0) continue;
             best_score = total;
-            best = {worker, tier * steps_per_increment * share_of(demand, *worker)};
+            best = {worker, step * steps_per_increment * share_of(demand, *worker), tier, {}};
         }
+        best.passed_over = passed_over;
         if (best.worker != nullptr) return best;
     }
     return best;
--- a/src/routing/selector.h
+++ b/src/routing/selector.h
@@ -50,9 +50,22 @@
 
 using Workers = std::map<std::string, Worker>; // by instance id
 
+// Why a worker is near or far for a request: the order of its increments.
+enum class Tier { holder, zone, region, elsewhere };
+const char* name_of(Tier tier);
+
+// Workers that a choice did not consider though they may have the request.
+struct PassedOver {
+    std::size_t full = 0;    // turned a request away a moment ago
+    std::size_t resting = 0; // failed here, or are silent
+    std::size_t cold = 0;    // have had their share
+};
+
 struct Choice {
     Worker* worker = nullptr; // null: none may have it
     double step = 0;          // what the dispatch adds to X
+    Tier tier = Tier::elsewhere;
+    PassedOver passed_over;
 };
 
 // Why nobody was chosen, for the answer.
@@ -68,7 +81,7 @@
 
   private:
     bool eligible(const Worker& worker, const Demand& demand, const Bounds& bounds) const;
-    double increment(const Worker& worker, const std::string& holder) const;
+    Tier tier_of(const Worker& worker, const std::string& holder) const;
     std::string holder_of(const std::vector<Worker*>& able, const Prompt& prompt) const;
 
     Place place_;
--- a/src/transport/frame_connection.cpp
+++ b/src/transport/frame_connection.cpp
@@ -30,6 +30,7 @@
 
 void FrameConnection::send_frame(Frame frame) {
     if (!open_) return;
+    if (on_sent_) on_sent_(frame->size());
     waiting_bytes_ += frame->size();
     if (waiting_bytes_ > most_waiting_bytes) return close(); // a peer that does not read
     queue_.push_back(std::move(frame));
--- a/src/transport/frame_connection.h
+++ b/src/transport/frame_connection.h
@@ -32,6 +32,8 @@
     void send_frame(Frame frame);
     void close();
     bool is_open() const { return open_; }
+    // Told of the bytes of each frame that is sent from now on.
+    void count_into(std::function<void(std::size_t)> on_sent) { on_sent_ = std::move(on_sent); }
 
   private:
     void read_length();
@@ -41,6 +43,7 @@
     Tcp::socket socket_;
     OnMessage on_message_;
     OnClosed on_closed_;
+    std::function<void(std::size_t)> on_sent_;
     bool open_ = true;
     bool writing_ = false;
     std::array<unsigned char, frame_length_bytes> length_{};
