Count no send to an instance that is gone; give far regions their keys' holders

And a region that is no home of a route found no holder of its prompts: a third of that traffic went to any worker.

Change: a 421 says that the instance is gone, not that a worker of the service has had the request: it takes from the retry budget, as an arrival, and leaves maxAttempts; the instance is not chosen again. Where no worker of the own region may have a request, the holder is the one that its own region's schedulers take.

Ruled out: a rest after a 421 (the id never comes back). The exchange's model has the fate of its own that a 421 stands for; it asked for no second send before.

--- a/src/data/answer_head.cpp
+++ b/src/data/answer_head.cpp
@@ -13,9 +13,17 @@
            status == http::status::too_many_requests || status == http::status::service_unavailable;
 }
 
+bool is_misdirected(const http::response_header<>& head) {
+    return head.result() == http::status::misdirected_request;
+}
+
 // A worker's promise: in so many words, or as the address belongs to another instance.
 bool is_promise(const http::response_header<>& head) {
-    return head.find(not_executed) != head.end() || head.result() == http::status::misdirected_request;
+    return head.find(not_executed) != head.end() || is_misdirected(head);
+}
+
+AnswerMeaning promise_of(const http::response_header<>& head) {
+    return is_misdirected(head) ? AnswerMeaning::misdirected : AnswerMeaning::not_executed;
 }
 
 } // namespace
@@ -28,9 +36,8 @@
     // A new connection has had no other request whose answer this could be.
     if (has_id && !ours) return attempt.reused ? AnswerMeaning::earlier : AnswerMeaning::unusable;
     // Without an id it is this attempt's only where there was no other; and only a promise may lack one.
-    if (!has_id)
-        return is_promise(head) && !attempt.reused ? AnswerMeaning::not_executed : AnswerMeaning::unusable;
-    if (is_promise(head)) return AnswerMeaning::not_executed;
+    if (!has_id) return is_promise(head) && !attempt.reused ? promise_of(head) : AnswerMeaning::unusable;
+    if (is_promise(head)) return promise_of(head);
     // Without the worker's promise the request may have run, so that the client must not read one out of it.
     if (promises_to_clients(head.result())) return AnswerMeaning::unusable;
     const bool success = http::to_status_class(head.result()) == http::status_class::successful;
--- a/src/data/answer_head.h
+++ b/src/data/answer_head.h
@@ -13,6 +13,7 @@
     whole,        // an answer to this attempt that is passed on once it is whole
     stream,       // one that is passed on event by event
     not_executed, // the worker promises that it did not run this attempt and will not
+    misdirected,  // likewise, as the instance that it was sent to is not at that address any more
     earlier,      // belongs to an earlier request on this connection: read past it
     unusable      // nothing can be told from it; the attempt may have run
 };
--- a/src/data/exchange.cpp
+++ b/src/data/exchange.cpp
@@ -120,6 +120,8 @@
         return "answered";
     case AttemptEnd::not_executed:
         return "not_executed";
+    case AttemptEnd::misdirected:
+        return "misdirected";
     case AttemptEnd::unreachable:
         return "unreachable";
     case AttemptEnd::broken:
@@ -133,6 +135,9 @@
 bool Exchange::may_send_again(AttemptEnd end) {
     if (left() <= answer_margin) return false;
     if (end == AttemptEnd::unreachable) return true; // nothing was sent
+    // The instance it was sent to is gone, so that no worker of the service has had it by that send; the
+    // arrival counts for the budget all the same.
+    if (end == AttemptEnd::misdirected) --sends_;
     if (sends_ >= route_.max_attempts) return false;
     const bool ran = end == AttemptEnd::broken || end == AttemptEnd::broken_midway;
     if (ran && !route_.repeatable()) return false;
@@ -237,6 +242,10 @@
         ++context_.counters.not_executed;
         worker.note_full(steady_now());
         break;
+    case AttemptEnd::misdirected:
+        ++context_.counters.not_executed;
+        worker.gone = true;
+        break;
     case AttemptEnd::unreachable:
         ++context_.counters.unreachable;
         worker.note_failure(steady_now());
--- a/src/data/exchange.h
+++ b/src/data/exchange.h
@@ -60,6 +60,7 @@
     enum class AttemptEnd {
         answered,     // the client has its answer
         not_executed, // the worker did not run it
+        misdirected,  // the worker is not there any more; what is there did not run it
         unreachable,  // nothing was sent
         broken,       // it may have run, and the client has nothing yet
         broken_midway // the client has part of a stream
--- a/src/data/exchange_relay.cpp
+++ b/src/data/exchange_relay.cpp
@@ -69,9 +69,10 @@
         if (meaning == AnswerMeaning::whole) co_return co_await relay_whole(connection, parser, address);
         if (meaning == AnswerMeaning::unusable) break;
         const bool whole = co_await read_past(connection, parser);
-        if (meaning == AnswerMeaning::not_executed) {
+        const bool misdirected = meaning == AnswerMeaning::misdirected;
+        if (misdirected || meaning == AnswerMeaning::not_executed) {
             settle(address, connection, parser.get(), whole && parser.keep_alive());
-            co_return AttemptEnd::not_executed;
+            co_return misdirected ? AttemptEnd::misdirected : AttemptEnd::not_executed;
         }
         if (!whole || !parser.keep_alive()) break;
     }
--- a/src/routing/selector.cpp
+++ b/src/routing/selector.cpp
@@ -95,20 +95,22 @@
     if (instance.service != demand.service->name) return false;
     if (instance.state != discovery::InstanceState::in_service) return false;
     if (bounds.evacuated != nullptr && bounds.evacuated->contains(instance.zone)) return false;
-    if (demand.tried.contains(instance.id)) return false;
+    if (worker.gone || demand.tried.contains(instance.id)) return false;
     const auto& homes = demand.route->home_regions;
     return homes.empty() || std::ranges::count(homes, place_.region_of(instance.zone)) > 0;
 }
 
-// The worker that all schedulers send this prompt's kin to: of this region or, where reading the shared parts
-// again takes longer than the way to another region, of all.
-std::string Selector::holder_of(const std::vector<Worker*>& able, const Prompt& prompt) const {
+// The worker that all schedulers send this prompt's kin to: of this region, or of all where reading the
+// shared parts again takes longer than the way to another region, or where no worker of this region may have
+// it. The first of all is also the first of its own region, so that it is the one which that region's
+// schedulers take.
+std::string Selector::holder_of(const std::vector<Worker*>& able, const Prompt& prompt, bool any_near) const {
     if (prompt.shared_key.empty()) return {};
-    const bool anywhere = prompt.shared_tokens >= far_holder_tokens;
+    const bool anywhere = !any_near || prompt.shared_tokens >= far_holder_tokens;
     std::string best;
     std::uint64_t best_weight = 0;
     for (const Worker* worker : able) {
-        if (!anywhere && place_.region_of(worker->instance.zone) != place_.region) continue;
+        if (!anywhere && !near(*worker)) continue;
         const std::uint64_t weight = ownership::rendezvous_weight(prompt.shared_key, worker->instance.id);
         if (best.empty() || weight > best_weight) {
             best = worker->instance.id;
@@ -118,9 +120,10 @@
     return best;
 }
 
-Tier Selector::tier_of(const Worker& worker, const std::string& holder) const {
+// Where none is near, all regions are as good as the next one.
+Tier Selector::tier_of(const Worker& worker, const std::string& holder, bool any_near) const {
     if (!holder.empty() && worker.instance.id == holder) return Tier::holder;
-    if (place_.region_of(worker.instance.zone) != place_.region) return Tier::elsewhere;
+    if (!near(worker)) return any_near ? Tier::elsewhere : Tier::region;
     return worker.instance.zone == place_.zone ? Tier::zone : Tier::region;
 }
 
@@ -129,7 +132,8 @@
     std::vector<Worker*> able;
     for (auto& [id, worker] : workers)
         if (eligible(worker, demand, bounds)) able.push_back(&worker);
-    const std::string holder = holder_of(able, demand.prompt);
+    const bool any_near = std::ranges::any_of(able, [this](const Worker* worker) { return near(*worker); });
+    const std::string holder = holder_of(able, demand.prompt, any_near);
 
     Choice best;
     PassedOver passed_over;
@@ -153,7 +157,7 @@
                 ++passed_over.cold;
                 continue;
             }
-            const Tier tier = tier_of(*worker, holder);
+            const Tier tier = tier_of(*worker, holder, any_near);
             const double step = increment(tier, !holder.empty());
             const double total = policy::total(worker->load() + worker->degradation(), step);
             if (total > best_score) continue;
--- a/src/routing/selector.h
+++ b/src/routing/selector.h
@@ -81,8 +81,9 @@
 
   private:
     bool eligible(const Worker& worker, const Demand& demand, const Bounds& bounds) const;
-    Tier tier_of(const Worker& worker, const std::string& holder) const;
-    std::string holder_of(const std::vector<Worker*>& able, const Prompt& prompt) const;
+    bool near(const Worker& worker) const { return place_.region_of(worker.instance.zone) == place_.region; }
+    Tier tier_of(const Worker& worker, const std::string& holder, bool any_near) const;
+    std::string holder_of(const std::vector<Worker*>& able, const Prompt& prompt, bool any_near) const;
 
     Place place_;
     std::mt19937_64 random_;
--- a/src/routing/worker.h
+++ b/src/routing/worker.h
@@ -37,6 +37,7 @@
     Time suspect_until{-1};          // failed to answer this scheduler
     int failures = 0;                // in a row
     Time full_until{-1};             // turned a request away
+    bool gone = false; // another instance answers at its address: it never comes back under this id
 
     double load() const;
     double degradation() const;
--- a/tests/system/routing_test.cpp
+++ b/tests/system/routing_test.cpp
@@ -5,6 +5,7 @@
 #include "expect.h"
 
 #include <criterion/criterion.h>
+#include <fmt/format.h>
 
 #include <random>
 #include <string>
@@ -75,6 +76,39 @@
     expect_text(scene.choose().c_str(), "b");
 }
 
+// Found in the account of parts read again: a region that is no home of a route sent each prompt anywhere.
+Test(plud, where_no_worker_is_near_the_holder_is_the_one_of_its_own_region) {
+    Scene scene;
+    scene.route.home_regions = {"south"};
+    for (const char* id : {"a", "b", "c", "d"})
+        scene.add(id, "south-a").take(reading(900, 2));
+    scene.add("near", "north-a").take(reading(900, 0));
+    Selector south{{"south-a", "south", {{"north-a", "north"}, {"south-a", "south"}}}, 2};
+    std::set<std::string> holders;
+    for (int key = 0; key < 40; ++key) {
+        scene.demand.prompt = read_prompt(fmt::format("{:x}:500,cd:1000", key), "1500,10");
+        const Choice there = south.choose(Time(1000), scene.workers, scene.demand, scene.bounds, scene.cold);
+        cr_assert(there.tier == Tier::holder);
+        expect_text(scene.choose(), there.worker->instance.id);
+        holders.insert(there.worker->instance.id);
+    }
+    cr_assert_eq(holders.size(), 4U);
+    // One that is loaded is left for others that are as far.
+    scene.demand.prompt = read_prompt("7:500,cd:1000", "1500,10");
+    const std::string holder = scene.choose();
+    scene.workers.at(holder).take(reading(950, 5));
+    expect_other_text(scene.choose(), holder);
+}
+
+// One that another instance answers for never comes back under its id.
+Test(plud, an_instance_that_is_gone_is_not_chosen_again) {
+    Scene scene;
+    scene.add("a", "north-a").gone = true;
+    expect_text(scene.choose(), "");
+    scene.add("b", "south-a");
+    expect_text(scene.choose(), "b");
+}
+
 Test(plud, own_dispatches_count_until_a_report_shows_them) {
     Scene scene;
     scene.add("a", "north-a").take(reading(900, 0));
