Count prompts that wait to be read in L; leave a holder only for a much shorter wait

Hypothesis and change: what reading takes is learned from answers of workers at which nothing waited; L is the share of the target that passes before the waiting prompts are read, where that is more than the share of places or memory. It is capped under the last resort: a late answer is not read anew in another region. In this unit a holder of prompt parts is left for the next tier only for a wait shorter by 0.3 of the target.

--- a/examples/system_demo.py
+++ b/examples/system_demo.py
@@ -25,6 +25,14 @@
 SEEDS = [f"{ip}:{PORTS['control']}" for ip in MACHINES.values()]
 
 
+class QuietServer(http.server.ThreadingHTTPServer):
+    """A stand-in whose callers may leave at any moment: that is no news, and nothing else is passed over."""
+
+    def handle_error(self, request, client_address):
+        if not isinstance(sys.exc_info()[1], (BrokenPipeError, ConnectionResetError)):
+            super().handle_error(request, client_address)
+
+
 class Worker(http.server.BaseHTTPRequestHandler):
     """A worker as the protocol page describes it: echoes the attempt's id, seals its answer, streams events."""
     protocol_version = "HTTP/1.1"
@@ -100,7 +108,7 @@
     workers = []
     for zone, ip in MACHINES.items():
         for service, port in (("model", 19001), ("intake", 19002)):
-            server = http.server.ThreadingHTTPServer((ip, port), Worker)
+            server = QuietServer((ip, port), Worker)
             server.instance, server.active, server.ran = f"i-{service}-{zone}", 0, []
             server.entry = {"instanceId": server.instance, "service": service, "address": f"{ip}:{port}", "zone": zone,
                             "configVersion": "v1", "capacity": 4, "state": "in_service", "coldRemainingMs": 0}
@@ -222,7 +230,7 @@
     arguments.add_argument("--requests", type=int, default=20)
     options = arguments.parse_args()
     workers = make_workers()
-    platform = serve(http.server.ThreadingHTTPServer(PLATFORM, Platform))
+    platform = serve(QuietServer(PLATFORM, Platform))
     platform.workers = workers
     processes = []
     with tempfile.TemporaryDirectory() as folder:
--- a/src/data/context.h
+++ b/src/data/context.h
@@ -42,7 +42,8 @@
     routing::Workers workers;
     routing::Selector selector;
     budget::ColdBudget cold;
-    std::map<std::string, budget::RetryBudget> retry_budgets; // by service
+    std::map<std::string, budget::RetryBudget> retry_budgets;  // by service
+    std::map<std::string, routing::PrefillCost> prefill_costs; // of models, by service
     WorkerPool pool;
     std::size_t schedulers = 1; // the most that were alive together lately
     std::set<std::string> scheduler_names;
--- a/src/data/exchange.cpp
+++ b/src/data/exchange.cpp
@@ -67,6 +67,7 @@
     const std::string& name = context_.selector.pick_service(route_);
     service_ = in_force_->configuration.find_service(name);
     demand_.service = service_;
+    if (service_->has_engine) demand_.prefill = &context_.prefill_costs[name];
     context_.retries(name).note_request(steady_now());
     const auto rank = [this](const std::string& worker) {
         const std::uint64_t own = ownership::rendezvous_weight(worker, context_.settings.node_name);
@@ -186,6 +187,9 @@
     if (!sent_at_) return;
     context_.metrics.observe(metrics::Duration::first_event_wait, steady_now() - *sent_at_,
                              routing::name_of(tier_), sends_ == 1 ? "first" : "later");
+    // What crosses regions is on its way for longer than a prompt may take.
+    if (service_->has_engine && nothing_waits_ && tier_ != routing::Tier::elsewhere)
+        context_.prefill_costs[service_->name].note_answer(steady_now() - *sent_at_, tokens_to_read_);
     sent_at_.reset();
 }
 
@@ -193,6 +197,9 @@
     routing::Worker& chosen = *choice.worker;
     note_choice(choice);
     tier_ = choice.tier;
+    tokens_to_read_ = choice.tokens_to_read;
+    nothing_waits_ = choice.nothing_waits;
+    if (service_->has_engine) context_.prefill_costs[service_->name].note_dispatch(tokens_to_read_);
     const std::string id = chosen.instance.id, address = chosen.instance.address;
     const std::size_t shares = std::max<std::size_t>(1, context_.schedulers);
     const std::size_t most_open = std::max<std::size_t>(4, service_->max_connections * 3 / 4 / shares);
--- a/src/data/exchange.h
+++ b/src/data/exchange.h
@@ -112,6 +112,8 @@
     unsigned sends_ = 0;
     routing::Tier tier_ = routing::Tier::elsewhere; // of the attempt under way
     std::optional<routing::Time> sent_at_;          // of the attempt, until its answer begins
+    std::uint64_t tokens_to_read_ = 0;              // by the worker of the attempt
+    bool nothing_waits_ = false;                    // before it there
     bool may_have_run_ = false;
     bool timed_out_ = false;
     bool head_sent_ = false;
--- a/src/routing/selector.cpp
+++ b/src/routing/selector.cpp
@@ -14,6 +14,12 @@
 constexpr double preferred = 0.1;
 constexpr double next = 0.2;
 constexpr double last_resort = 1.0;
+// The next tier of a request whose prompt another worker holds parts of: to read them again takes that
+// worker's time from all that wait there, so that a longer wait at the holder is the lesser evil.
+constexpr double without_parts = 0.4;
+// Waiting counts for no more: an answer that is late anyway is not to be read anew in another region, which
+// would be late next.
+constexpr double most_waiting = 0.8;
 // X grows by the tier's I, scaled so that at the preferred tier it is the share that the request takes.
 constexpr double steps_per_increment = 10;
 // To read so many tokens takes longer than a round trip between regions.
@@ -27,15 +33,30 @@
                                static_cast<double>(demand.service->cache_tokens));
 }
 
+// Prompt tokens that a worker of the tier is expected to read: the holder has the shared ones.
+std::uint64_t tokens_to_read(const Prompt& prompt, Tier tier) {
+    const std::uint64_t held = tier == Tier::holder ? prompt.shared_tokens : 0;
+    return prompt.input_tokens - std::min(prompt.input_tokens, held);
+}
+
+// L: the share of the places or the memory taken or, where that is more, the share of the time in which the
+// answer is to begin that passes before the prompts that wait at the worker are read.
+double load_of(const Demand& demand, const Worker& worker) {
+    const auto target = static_cast<double>(demand.route->target.count());
+    if (demand.prefill == nullptr || !worker.reading || target <= 0) return worker.load();
+    const double wait_ms = static_cast<double>(worker.reading->queued) * demand.prefill->mean_milliseconds();
+    return std::max(worker.load(), std::min(most_waiting, wait_ms / target));
+}
+
 // The increment of a tier. The own zone is preferred where nobody holds parts of the prompt.
 double increment(Tier tier, bool has_holder) {
     switch (tier) {
     case Tier::holder:
         return preferred;
     case Tier::zone:
-        return has_holder ? next : preferred;
+        return has_holder ? without_parts : preferred;
     case Tier::region:
-        return next;
+        return has_holder ? without_parts : next;
     case Tier::elsewhere:
         break;
     }
@@ -77,7 +98,8 @@
 Prompt read_prompt(std::string_view prompt_prefix, std::string_view token_count) {
     Prompt out;
     const std::size_t comma = token_count.find(',');
-    out.tokens = tokens_in(token_count.substr(0, comma));
+    out.input_tokens = tokens_in(token_count.substr(0, comma));
+    out.tokens = out.input_tokens;
     if (comma != std::string_view::npos) out.tokens += tokens_in(token_count.substr(comma + 1));
     for (std::size_t end = prompt_prefix.find(','); end != std::string_view::npos;
          end = prompt_prefix.find(',')) {
@@ -159,12 +181,17 @@
             }
             const Tier tier = tier_of(*worker, holder, any_near);
             const double step = increment(tier, !holder.empty());
-            const double total = policy::total(worker->load() + worker->degradation(), step);
+            const double total = policy::total(load_of(demand, *worker) + worker->degradation(), step);
             if (total > best_score) continue;
             ties = total < best_score ? 1 : ties + 1;
             if (ties > 1 && random_() % ties != 0) continue;
             best_score = total;
-            best = {worker, step * steps_per_increment * share_of(demand, *worker), tier, {}};
+            best = {worker,
+                    step * steps_per_increment * share_of(demand, *worker),
+                    tier,
+                    tokens_to_read(demand.prompt, tier),
+                    worker->reading && worker->reading->queued == 0 && worker->dispatches.empty(),
+                    {}};
         }
         best.passed_over = passed_over;
         if (best.worker != nullptr) return best;
--- a/src/routing/selector.h
+++ b/src/routing/selector.h
@@ -5,6 +5,7 @@
 
 #include "budget/cold_budget.h"
 #include "configuration/configuration.h"
+#include "routing/prefill_cost.h"
 #include "routing/worker.h"
 
 #include <cstdint>
@@ -30,6 +31,7 @@
 struct Prompt {
     std::string shared_key;          // the deepest part that others may share, empty where there is none
     std::uint64_t shared_tokens = 0; // of all parts that may be shared
+    std::uint64_t input_tokens = 0;  // of the whole prompt
     std::uint64_t tokens = 0;        // of the whole prompt, and the most that may go out
 };
 
@@ -38,7 +40,8 @@
     const configuration::Route* route = nullptr;
     const configuration::Service* service = nullptr;
     Prompt prompt;
-    std::set<std::string> tried; // workers that had this request or could not be reached
+    const PrefillCost* prefill = nullptr; // of the service, where it is a model's
+    std::set<std::string> tried;          // workers that had this request or could not be reached
 };
 
 // What else bounds the choice.
@@ -65,6 +68,8 @@
     Worker* worker = nullptr; // null: none may have it
     double step = 0;          // what the dispatch adds to X
     Tier tier = Tier::elsewhere;
+    std::uint64_t tokens_to_read = 0; // as far as the worker is not expected to hold them
+    bool nothing_waits = false;       // at the worker, as far as is known
     PassedOver passed_over;
 };
 
