--- a/src/control/lease_gossip.cpp
+++ b/src/control/lease_gossip.cpp
@@ -86,17 +86,14 @@
     const auto number = message.at("number").get<std::uint64_t>();
     const bool follows = told.life == life && told.number + 1 == number;
     const bool same = told.life == life && told.number == number;
-    bool changed = false;
-    if (type == "leases")
-        changed = take_whole(now, told, message);
-    else if (type == "leases-change" && follows)
-        changed = take_change(now, told, message);
-    else if (type == "leases-alive" && same && take_proof_of_life(now, told, message))
+    if (type == "leases-alive" && same && take_proof_of_life(now, told, message)) return;
+    const bool whole = type == "leases";
+    if (!whole && !(type == "leases-change" && follows)) {
+        const bool is_behind = told.life != life || told.number <= number; // else it is old news
+        if (is_behind) callbacks_.send(from, {{"type", "leases-wanted"}});
         return;
-    else if (told.life != life || told.number <= number)
-        return callbacks_.send(from, {{"type", "leases-wanted"}});
-    else
-        return; // from before the list that is held
+    }
+    const bool changed = whole ? take_whole(now, told, message) : take_change(now, told, message);
     told.life = life;
     told.number = number;
     if (changed) on_changed();
