--- a/fuzz/patch_fuzz.cpp
+++ b/fuzz/patch_fuzz.cpp
@@ -13,7 +13,8 @@
 
 constexpr std::string_view base =
     R"({"configVersion":2,"routes":[{"name":"a","host":"h","pathPrefix":"/a/","routeClass":"safe",)"
-    R"("timeoutMs":9,"service":"s"}],"services":[{"name":"s"},{"name":"t","engine":{"capacity":4}}],"limits":{}})";
+    R"("timeoutMs":9,"service":"s"}],"services":[{"name":"s"},{"name":"t","engine":{"capacity":4}}],)"
+    R"("limits":{}})";
 
 } // namespace
 
