--- a/src/scheduler/net/clock.h
+++ b/src/scheduler/net/clock.h
@@ -13,6 +13,8 @@
 class Clock {
   public:
     Time now() const { return offset_ + std::chrono::steady_clock::now().time_since_epoch(); }
+    // From now on the clock runs this much ahead of where it was, as after a pause of the process.
+    void jump(Duration ahead) { offset_ += ahead; }
 
   private:
     Duration offset_ =
--- a/src/scheduler/net/loop.cpp
+++ b/src/scheduler/net/loop.cpp
@@ -36,6 +36,8 @@
     const auto wait_ms = std::chrono::ceil<milliseconds>(std::max(wait, Duration(0)));
     const int ready = ::poll(polled_.data(), polled_.size(), static_cast<int>(wait_ms.count()));
     if (ready < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "poll");
+    const bool waited = ready == 0 && wait_ms.count() > 0;
+    rounds_since_wait_ = waited ? 0 : rounds_since_wait_ + 1;
     now_ = clock_.now();
     const std::size_t count =
         ready > 0 ? polled_.size() : 0; // what is added in this round waits for the next
--- a/src/scheduler/net/loop.h
+++ b/src/scheduler/net/loop.h
@@ -1,10 +1,15 @@
 // The one loop of the program: poll(2), timers, and a hook at the end of each round.
+//
+// The work of a round is bounded by the descriptors that are ready and the timers that are due, and not by
+// the time that has passed since the round before: after a pause of the process, however long, each timer
+// goes off once and the loop waits again within a few rounds.
 #pragma once
 
 #include "scheduler/net/wheel.h"
 
 #include <poll.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <vector>
@@ -22,6 +27,11 @@
     Loop() : now_(clock_.now()), wheel_(now_) {}
 
     Time now() const { return now_; } // of this round
+    // For tests: lets the clock jump ahead, as it seems to do after a pause of the process.
+    void jump(Duration ahead) { clock_.jump(ahead); }
+    // Rounds since poll(2) last waited to its end without any event: work that did not let go of the
+    // processor.
+    std::uint64_t rounds_since_wait() const { return rounds_since_wait_; }
     Wheel& wheel() { return wheel_; }
 
     void watch(int fd, short events, Pollable& pollable); // again: changes the events
@@ -46,6 +56,7 @@
     std::vector<std::size_t> position_; // by descriptor: place in `polled_`, plus one
     std::vector<std::shared_ptr<void>> buried_;
     std::function<void()> round_end_;
+    std::uint64_t rounds_since_wait_ = 0;
     bool stopped_ = false, holes_ = false;
 };
 
--- /dev/null
+++ b/tests/scheduler/net/loop_test.cpp
@@ -0,0 +1,71 @@
+// The loop after a pause of the process: how often timers go off, and how soon it waits again.
+#include "scheduler/net/loop.h"
+
+#include <doctest/doctest.h>
+
+#include <deque>
+
+namespace willowrill::testing {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::array<net::Duration, 3> pauses{5s, 40s, 300s};
+
+// Goes off again and again, as the program's periodic work does.
+struct Periodic {
+    Periodic(net::Loop& loop, net::Duration period)
+        : loop(loop), period(period), timer(loop.wheel(), [this] { fire(); }) {
+        timer.arm(loop.now() + period);
+    }
+    void fire() {
+        ++fired;
+        timer.arm(loop.now() + period);
+    }
+    net::Loop& loop;
+    net::Duration period;
+    net::Timer timer;
+    int fired = 0;
+};
+
+} // namespace
+
+TEST_CASE("loop: after a pause each timer goes off once, however long the pause was") {
+    for (const net::Duration pause : pauses) {
+        net::Loop loop;
+        std::deque<Periodic> periodic;
+        for (int i = 0; i < 500; ++i)
+            periodic.emplace_back(loop, 100ms + i * 10ms);
+        loop.run_once(0ms);
+        loop.jump(pause);
+        loop.run_once(0ms);
+        int due = 0;
+        for (const Periodic& one : periodic) {
+            CHECK(one.fired <= 1);
+            due += one.fired;
+        }
+        CHECK(due >= (pause > 5s ? 500 : 490));
+        loop.run_once(50ms);
+        CHECK(loop.rounds_since_wait() == 0);
+    }
+}
+
+TEST_CASE("loop: a timer that is armed anew for a time long past lets the loop wait in between") {
+    net::Loop loop;
+    net::Time due = loop.now();
+    int fired = 0;
+    net::Timer* self = nullptr;
+    net::Timer timer(loop.wheel(), [&] {
+        ++fired;
+        self->arm(due += 1ms); // catches up with what it missed, one period at a time
+    });
+    self = &timer;
+    timer.arm(due);
+    loop.jump(300s);
+    for (int round = 0; round < 20; ++round)
+        loop.run_once(1s);
+    CHECK(fired <= 20);
+    CHECK(loop.rounds_since_wait() <= 1);
+}
+
+} // namespace willowrill::testing
