--- a/src/system/configuration/control_state.cpp
+++ b/src/system/configuration/control_state.cpp
@@ -10,6 +10,7 @@
 #include <sodium.h>
 
 #include <algorithm>
+#include <charconv>
 #include <functional>
 #include <stdexcept>
 #include <utility>
@@ -22,6 +23,10 @@
 using errors::Result;
 using Json = nlohmann::json;
 
+// Of a state whose cluster version is not the first.
+constexpr std::string_view cluster_version_prefix = R"({"cluster_version":)";
+constexpr const char* orders_key = "orders";
+
 OrderDigest digest_of(std::string_view bytes) {
     OrderDigest out{};
     static_assert(out.size() == crypto_hash_sha256_BYTES);
@@ -127,6 +132,35 @@
     return Applied{std::move(next)};
 }
 
+Result<Applied> finish_upgrade(const ControlState& state, const FinishUpgrade& order) {
+    if (order.version <= state.cluster_version) return Applied{Unchanged{}};
+    if (order.version > protocol::supported_versions.max)
+        return Error{ErrorKind::upgrade_blocked,
+                     fmt::format("the primary speaks no version above {}", protocol::supported_versions.max)};
+    ControlState next = state;
+    next.cluster_version = order.version;
+    return Applied{std::move(next)};
+}
+
+// All but the cluster version and the configuration.
+Json encode_orders(const ControlState& state) {
+    Json taken = Json::array();
+    for (const TakenOrder& order : state.taken)
+        taken.push_back(Json{to_hex(order.digest), order.version});
+    return Json{{"version", state.version},
+                {"evacuated", state.evacuated_zones},
+                {"taken", std::move(taken)},
+                {"forgotten_through", state.forgotten_through}};
+}
+
+void decode_orders(const Json& json, ControlState& out) {
+    json.at("version").get_to(out.version);
+    json.at("evacuated").get_to(out.evacuated_zones);
+    for (const Json& order : json.at("taken"))
+        out.taken.push_back({from_hex(order.at(0).get<std::string>()), order.at(1).get<Version>()});
+    json.at("forgotten_through").get_to(out.forgotten_through);
+}
+
 struct Applier {
     const ControlState& state;
     Result<Applied> operator()(const PutConfiguration& order) const { return put(state, order); }
@@ -135,6 +169,7 @@
     Result<Applied> operator()(const EndEvacuation& order) const {
         return set_evacuated(state, order.zone, false);
     }
+    Result<Applied> operator()(const FinishUpgrade& order) const { return finish_upgrade(state, order); }
 };
 
 } // namespace
@@ -144,32 +179,39 @@
 }
 
 std::string encode(const ControlState& state) {
-    Json taken = Json::array();
-    for (const TakenOrder& order : state.taken)
-        taken.push_back(Json{to_hex(order.digest), order.version});
-    const Json head{{"version", state.version},
-                    {"evacuated", state.evacuated_zones},
-                    {"taken", std::move(taken)},
-                    {"forgotten_through", state.forgotten_through}};
-    return head.dump() + "\n" + state.configuration;
+    const Json orders = encode_orders(state);
+    if (state.cluster_version == protocol::initial_cluster_version)
+        return orders.dump() + "\n" + state.configuration;
+    return fmt::format("{}{},\"{}\":{}}}\n{}", cluster_version_prefix, state.cluster_version, orders_key,
+                       orders.dump(), state.configuration);
+}
+
+protocol::Version cluster_version_of(std::string_view encoded) {
+    if (!encoded.starts_with(cluster_version_prefix)) return protocol::initial_cluster_version;
+    encoded.remove_prefix(cluster_version_prefix.size());
+    protocol::Version out = protocol::initial_cluster_version;
+    std::from_chars(encoded.data(), encoded.data() + encoded.size(), out);
+    return out;
 }
 
 Result<ControlState> decode(const std::string& text) {
     ControlState out;
     if (text.empty()) return out;
+    out.cluster_version = cluster_version_of(text);
+    if (out.cluster_version > protocol::supported_versions.max)
+        return Error{ErrorKind::unsupported_version,
+                     fmt::format("the state is one of cluster version {}, this program speaks up to {}",
+                                 out.cluster_version, protocol::supported_versions.max)};
     try {
         const std::size_t line = text.find('\n');
         const Json json = Json::parse(text.substr(0, line));
-        json.at("version").get_to(out.version);
         // Earlier versions of this program kept the configuration among the rest.
         if (line == std::string::npos)
             json.at("configuration").get_to(out.configuration);
         else
             out.configuration = text.substr(line + 1);
-        json.at("evacuated").get_to(out.evacuated_zones);
-        for (const Json& order : json.at("taken"))
-            out.taken.push_back({from_hex(order.at(0).get<std::string>()), order.at(1).get<Version>()});
-        json.at("forgotten_through").get_to(out.forgotten_through);
+        const bool has_cluster_version = out.cluster_version != protocol::initial_cluster_version;
+        decode_orders(has_cluster_version ? json.at(orders_key) : json, out);
     } catch (const std::exception& error) {
         return Error{ErrorKind::storage_failed, error.what()};
     }
--- a/src/system/configuration/control_state.h
+++ b/src/system/configuration/control_state.h
@@ -4,6 +4,7 @@
 
 #include "system/configuration/configuration.h"
 #include "system/errors/error.h"
+#include "system/protocol/version.h"
 
 #include <array>
 #include <cstddef>
@@ -13,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <variant>
 
 namespace willowrill::configuration {
@@ -33,6 +35,8 @@
     std::set<std::string> evacuated_zones;
     std::deque<TakenOrder> taken;  // at most `max_taken`, the oldest first
     Version forgotten_through = 0; // orders up to this version are not among `taken` any more
+    // Of the protocol: lower ones are spoken no more.
+    protocol::Version cluster_version = protocol::initial_cluster_version;
 };
 
 // Orders remembered. An operator has at most eight orders under way and sends one again within seconds, so
@@ -44,9 +48,15 @@
 inline constexpr std::size_t max_state_bytes = 8U << 20U;
 inline constexpr std::size_t max_record_bytes = 1U << 20U;
 
-// A line with all but the configuration, then the configuration as it is.
+// A line with all but the configuration, then the configuration as it is. Up to cluster version 3 the line is
+// one that programs of that version read; from then on it begins with the cluster version, and those programs
+// can read nothing of it, so that none of them can write a state that lacks it.
 std::string encode(const ControlState& state);
-errors::Result<ControlState> decode(const std::string& text); // "" is the state before the first order
+// "" is the state before the first order. An error of the kind `unsupported_version` where the state is one
+// of a later cluster version than this program speaks, `storage_failed` where it cannot be read.
+errors::Result<ControlState> decode(const std::string& text);
+// The cluster version of an encoded state, from its beginning alone.
+protocol::Version cluster_version_of(std::string_view encoded);
 
 struct PutConfiguration {
     std::optional<Version> based_on; // If-Match
@@ -63,7 +73,11 @@
 struct EndEvacuation {
     std::string zone;
 };
-using Order = std::variant<PutConfiguration, PatchConfiguration, Evacuate, EndEvacuation>;
+// Raises the cluster version. Whether every process speaks it is for the caller to find out.
+struct FinishUpgrade {
+    protocol::Version version = protocol::initial_cluster_version;
+};
+using Order = std::variant<PutConfiguration, PatchConfiguration, Evacuate, EndEvacuation, FinishUpgrade>;
 
 // The order changes nothing: what it asks for is so already.
 struct Unchanged {};
--- a/src/system/control/connection_acceptor.cpp
+++ b/src/system/control/connection_acceptor.cpp
@@ -1,6 +1,10 @@
 #include "system/control/connection_acceptor.h"
 
+#include "system/logging/log.h"
 #include "system/messages/codec.h"
+#include "system/transport/process.h"
+
+#include <utility>
 
 namespace willowrill::control {
 namespace {
@@ -21,38 +25,88 @@
 void ConnectionAcceptor::accept(const transport::FrameConnectionPtr& connection) {
     if (unidentified_.size() >= max_unidentified) return connection->close();
     unidentified_.insert(connection);
-    const auto identity = std::make_shared<Identity>();
-    const auto on_document = [this, weak = std::weak_ptr(connection),
-                              identity](const nlohmann::json& document) {
-        if (const auto self = weak.lock()) on_message(self, *identity, document);
+    const auto peer = std::make_shared<Peer>();
+    const auto on_document = [this, weak = std::weak_ptr(connection), peer](const nlohmann::json& document) {
+        const auto self = weak.lock();
+        if (!self) return;
+        on_message(self, *peer, document);
+        if (!std::holds_alternative<std::monostate>(peer->identity)) identified_.try_emplace(self, peer);
     };
-    connection->start(on_document, [this, weak = std::weak_ptr(connection), identity] {
-        if (const auto self = weak.lock()) unidentified_.erase(self);
-        if (const auto* session = std::get_if<SessionId>(identity.get()))
+    connection->start(on_document, [this, weak = std::weak_ptr(connection), peer] {
+        if (const auto self = weak.lock()) {
+            unidentified_.erase(self);
+            identified_.erase(self);
+        }
+        if (const auto* session = std::get_if<SessionId>(&peer->identity))
             handler_.on_scheduler_closed(*session);
     });
 }
 
-void ConnectionAcceptor::on_message(const transport::FrameConnectionPtr& connection, Identity& identity,
+void ConnectionAcceptor::on_message(const transport::FrameConnectionPtr& connection, Peer& peer,
                                     const nlohmann::json& document) {
-    if (const auto* session = std::get_if<SessionId>(&identity))
-        return handler_.on_scheduler_message(*session, messages::decode_scheduler_message(document));
-    if (const auto* member = std::get_if<MemberId>(&identity))
-        return handler_.on_core_message(*member, messages::decode_core_message(document));
-    on_hello(connection, identity, document);
+    if (const auto* session = std::get_if<SessionId>(&peer.identity)) {
+        const auto message = messages::decode_scheduler_message(document);
+        if (const auto* unknown = std::get_if<messages::UnknownMessage>(&message))
+            return on_unknown(connection, peer, PeerKind::scheduler, *unknown);
+        return handler_.on_scheduler_message(*session, message);
+    }
+    if (const auto* member = std::get_if<MemberId>(&peer.identity)) {
+        const auto message = messages::decode_core_message(document);
+        if (const auto* unknown = std::get_if<messages::UnknownMessage>(&message))
+            return on_unknown(connection, peer, PeerKind::core_member, *unknown);
+        return handler_.on_core_message(*member, message);
+    }
+    on_hello(connection, peer, document);
+}
+
+void ConnectionAcceptor::on_unknown(const transport::FrameConnectionPtr& connection, const Peer& peer,
+                                    PeerKind kind, const messages::UnknownMessage& message) {
+    handler_.on_unknown_message(kind);
+    if (message.optional || !peer.agreement.refuses_unknown_messages()) return;
+    logging::error("peer-message-unknown").field("peer", peer.name).field("message", message.type);
+    connection->close();
 }
 
-void ConnectionAcceptor::on_hello(const transport::FrameConnectionPtr& connection, Identity& identity,
+void ConnectionAcceptor::refuse(const transport::FrameConnectionPtr& connection, const Peer& peer,
+                                PeerKind kind, const errors::Error& error) {
+    handler_.on_refused(kind);
+    if (refusal_log_.is_due(steady_now(), peer.name))
+        logging::warning("peer-refused").field("peer", peer.name).text("detail", error.detail);
+    connection->send(messages::encode(messages::HelloRefusal{handler_.greeting().versions, error.detail}));
+    connection->close_when_sent();
+}
+
+void ConnectionAcceptor::on_hello(const transport::FrameConnectionPtr& connection, Peer& peer,
                                   const nlohmann::json& document) {
     unidentified_.erase(connection);
     const auto hello = messages::decode_hello(document);
     if (!hello) return connection->close();
-    if (const auto* core = std::get_if<messages::CoreHello>(&*hello)) {
-        if (!handler_.on_core_member(core->member)) return connection->close();
-        identity = core->member.id;
-        return;
+    const auto* core = std::get_if<messages::CoreHello>(&*hello);
+    const PeerKind kind = core != nullptr ? PeerKind::core_member : PeerKind::scheduler;
+    peer.name = core != nullptr ? core->member.id : "scheduler";
+    peer.greeting = std::visit([](const auto& one) { return one.greeting; }, *hello);
+    auto agreement = protocol::negotiate(handler_.greeting(), peer.greeting);
+    if (!agreement) return refuse(connection, peer, kind, agreement.error());
+    peer.agreement = std::move(agreement.value());
+    if (core != nullptr && !handler_.on_core_member(core->member)) return connection->close();
+    // Programs that name one version alone read nothing here.
+    if (peer.agreement.version >= protocol::negotiated_version)
+        connection->send(messages::encode(messages::HelloReply{handler_.greeting()}));
+    if (core != nullptr)
+        peer.identity = core->member.id;
+    else
+        peer.identity = handler_.on_scheduler(connection);
+}
+
+void ConnectionAcceptor::refuse_outdated() {
+    const protocol::Greeting own = handler_.greeting();
+    for (const auto& [connection, peer] : identified_) {
+        const auto agreement = protocol::negotiate(own, peer->greeting);
+        const bool is_core_member = std::holds_alternative<MemberId>(peer->identity);
+        if (!agreement)
+            refuse(connection, *peer, is_core_member ? PeerKind::core_member : PeerKind::scheduler,
+                   agreement.error());
     }
-    identity = handler_.on_scheduler(connection);
 }
 
 } // namespace willowrill::control
--- a/src/system/control/control_plane.cpp
+++ b/src/system/control/control_plane.cpp
@@ -20,6 +20,10 @@
 // The process ends so long before the platform would end it.
 constexpr std::chrono::milliseconds grace_margin{1000};
 
+const char* label_of(ConnectionAcceptor::PeerKind peer) {
+    return peer == ConnectionAcceptor::PeerKind::core_member ? "core" : "scheduler";
+}
+
 std::set<std::string> zones_of(const settings::Settings& settings) {
     std::set<std::string> out;
     for (const auto& [zone, region] : settings.regions)
@@ -40,7 +44,8 @@
              [this](const replication::Position& position, const configuration::ControlState& state) {
                  on_state(position, state);
              },
-             [this] { assign_lists(); }}), // schedulers that start wait for the list
+             [this] { assign_lists(); }, // schedulers that start wait for the list
+             [this](protocol::Version version) { raise_cluster_version(version); }}),
       mesh_(loop, {self_, settings_.zone, settings_.region}, settings_.first_internal_port, mesh_callbacks()),
       sessions_(session_callbacks()),
       leases_(
@@ -53,7 +58,7 @@
               [this](const discovery::ZoneList& list) { sessions_.publish_zone(list); }}),
       timer_(loop), schedule_(tick_period),
       acceptor_(loop, settings_.address, settings_.first_internal_port, *this),
-      operator_api_(node_, self_, zones_of(settings_), metrics_),
+      operator_api_(node_, self_, zones_of(settings_), metrics_, [this] { return upgrade_status(); }),
       control_server_(loop, settings_.control.host, settings_.control.port, {},
                       [this](const http_server::Request& request, const http_server::Respond& respond) {
                           operator_api_.on_request(request, respond);
@@ -79,6 +84,32 @@
     metrics_.set(metrics::Level::is_primary, node_.is_primary() ? 1 : 0);
     metrics_.set(metrics::Level::epoch, static_cast<double>(node_.witness_register().decided.epoch));
     metrics_.set(metrics::Level::members, static_cast<double>(leases_.leases().size()));
+    metrics_.set(metrics::Level::cluster_version, cluster_version_);
+    metrics_.set(metrics::Level::max_version, protocol::supported_versions.max);
+}
+
+// ---- Versions of the protocol ----------------------------------------------------------------------------
+
+void ControlPlane::raise_cluster_version(protocol::Version version) {
+    if (version <= cluster_version_) return;
+    cluster_version_ = version;
+    logging::info("cluster-version").field("member", self_).field("version", version);
+    acceptor_.refuse_outdated();
+    mesh_.drop_outdated();
+}
+
+UpgradeStatus ControlPlane::upgrade_status() const {
+    auto greetings = mesh_.greetings();
+    greetings[self_] = greeting();
+    return make_upgrade_status(cluster_version_, node_.witness_register(), greetings, leases_.leases());
+}
+
+void ControlPlane::on_refused(ConnectionAcceptor::PeerKind peer) {
+    metrics_.add(metrics::Total::refused_sessions, label_of(peer), "self");
+}
+
+void ControlPlane::on_unknown_message(ConnectionAcceptor::PeerKind peer) {
+    metrics_.add(metrics::Total::skipped_messages, label_of(peer));
 }
 
 CoreMesh::Callbacks ControlPlane::mesh_callbacks() {
@@ -90,7 +121,9 @@
                 return counter("core", metrics::crossing(settings_.zone, settings_.region,
                                                          known ? location->second.zone : "",
                                                          known ? location->second.region : ""));
-            }};
+            },
+            [this] { return greeting(); },
+            [this](const MemberId&) { metrics_.add(metrics::Total::refused_sessions, "core", "peer"); }};
 }
 
 distribution::SchedulerSessions::Callbacks ControlPlane::session_callbacks() {
@@ -183,6 +216,7 @@
 }
 
 void ControlPlane::on_state(const replication::Position& position, const configuration::ControlState& state) {
+    raise_cluster_version(state.cluster_version);
     if (state.version > 0) sessions_.publish_state(position, state);
 }
 
--- a/src/system/control/control_plane.h
+++ b/src/system/control/control_plane.h
@@ -46,7 +46,6 @@
     void discover_peers();
     std::vector<MemberId> reached() const;
     std::vector<messages::CoreMember> reached_members() const;
-    // Whether a tick that comes with this period, a multiple of its own, is due now.
 
     // ConnectionAcceptor::Handler
     bool on_core_member(const messages::CoreMember& member) override;
@@ -54,12 +53,17 @@
     distribution::SessionId on_scheduler(const transport::FrameConnectionPtr& connection) override;
     void on_scheduler_message(distribution::SessionId id, const messages::SchedulerMessage& message) override;
     void on_scheduler_closed(distribution::SessionId id) override;
+    protocol::Greeting greeting() const override { return protocol::own_greeting(cluster_version_); }
+    void on_refused(ConnectionAcceptor::PeerKind peer) override;
+    void on_unknown_message(ConnectionAcceptor::PeerKind peer) override;
 
     void on(const MemberId& from, const messages::UnknownMessage&) const;
     void on(const MemberId& from, const messages::ReplicationEnvelope& envelope);
     void on(const MemberId& from, const messages::CorePeers& peers);
     void on(const MemberId& from, const messages::LeasesMessage& message);
     void on(const MemberId& from, const messages::EndpointListMessage& message);
+    void raise_cluster_version(protocol::Version version);
+    UpgradeStatus upgrade_status() const;
     void on_peer_connected(const MemberId& member);
     void on_state(const replication::Position& position, const configuration::ControlState& state);
     CoreMesh::Callbacks mesh_callbacks();
@@ -73,6 +77,8 @@
     settings::Settings settings_;
     std::string settings_path_;
     MemberId self_;
+    // The highest that was ever committed here in this life of the process.
+    protocol::Version cluster_version_ = protocol::initial_cluster_version;
     CoreNode node_;
     CoreMesh mesh_;
     distribution::SchedulerSessions sessions_;
--- a/src/system/control/core_mesh.cpp
+++ b/src/system/control/core_mesh.cpp
@@ -1,8 +1,10 @@
 #include "system/control/core_mesh.h"
 
+#include "system/logging/log.h"
 #include "system/messages/codec.h"
 #include "system/settings/settings.h"
 #include "system/transport/dial.h"
+#include "system/transport/process.h"
 
 #include <utility>
 
@@ -11,6 +13,8 @@
 
 // Short, as a dial into a cut hangs long after the cut has healed.
 constexpr std::chrono::milliseconds dial_timeout{250};
+// A member that refused a session is dialled again after so long.
+constexpr std::chrono::milliseconds refusal_pause{2000};
 
 } // namespace
 
@@ -28,8 +32,9 @@
 }
 
 void CoreMesh::maintain() {
+    const std::chrono::milliseconds now = steady_now();
     for (const auto& [member, link] : links_)
-        if (!link.connection && !link.dialling) dial(member);
+        if (!link.connection && !link.dialling && now >= link.refused_until) dial(member);
 }
 
 void CoreMesh::dial(const MemberId& member) {
@@ -37,21 +42,53 @@
     links_[member].dialling = true;
     transport::dial(loop_, endpoint.value().host, internal_port_, dial_timeout,
                     [this, member](const transport::FrameConnectionPtr& connection) {
-                        Link& link = links_[member];
-                        link.dialling = false;
-                        if (!connection) return;
-                        link.connection = connection;
-                        connection->observe_sent_frames(callbacks_.counter(member));
-                        connection->start([](const nlohmann::json&) {},
-                                          [this, member] {
-                                              links_[member].connection = nullptr;
-                                              callbacks_.lost(member);
-                                          });
-                        connection->send(messages::encode(messages::CoreHello{self_}));
-                        callbacks_.connected(member);
+                        links_[member].dialling = false;
+                        if (connection) on_connected(member, connection);
                     });
 }
 
+void CoreMesh::on_connected(const MemberId& member, const transport::FrameConnectionPtr& connection) {
+    Link& link = links_[member];
+    link.connection = connection;
+    link.greeting = {};
+    connection->observe_sent_frames(callbacks_.counter(member));
+    connection->start(
+        [this, member](const nlohmann::json& document) {
+            on_reply(member, messages::decode_dial_reply(document));
+        },
+        [this, member] {
+            links_[member].connection = nullptr;
+            callbacks_.lost(member);
+        });
+    connection->send(messages::encode(messages::CoreHello{self_, callbacks_.greeting()}));
+    callbacks_.connected(member);
+}
+
+void CoreMesh::on_reply(const MemberId& member, const messages::DialReply& reply) {
+    Link& link = links_[member];
+    if (const auto* accepted = std::get_if<messages::HelloReply>(&reply)) link.greeting = accepted->greeting;
+    const auto* refusal = std::get_if<messages::HelloRefusal>(&reply);
+    if (refusal == nullptr) return;
+    callbacks_.refused(member);
+    if (refusal_log_.is_due(steady_now(), member))
+        logging::warning("refused-by-peer").field("peer", member).text("detail", refusal->detail);
+    link.refused_until = steady_now() + refusal_pause;
+    if (link.connection) link.connection->close();
+}
+
+std::map<MemberId, protocol::Greeting> CoreMesh::greetings() const {
+    std::map<MemberId, protocol::Greeting> out;
+    for (const auto& [member, link] : links_)
+        if (link.connection) out[member] = link.greeting;
+    return out;
+}
+
+void CoreMesh::drop_outdated() {
+    const protocol::Greeting own = callbacks_.greeting();
+    for (const auto& [member, link] : links_)
+        if (link.connection && !protocol::negotiate(own, link.greeting)) link.connection->close();
+}
+
 void CoreMesh::send(const MemberId& to, const messages::CoreMessage& message) {
     const auto link = links_.find(to);
     if (link != links_.end() && link->second.connection)
--- a/src/system/control/core_mesh.h
+++ b/src/system/control/core_mesh.h
@@ -3,9 +3,12 @@
 // thread.
 #pragma once
 
+#include "system/control/refusal_log.h"
 #include "system/messages/messages.h"
+#include "system/protocol/negotiation.h"
 #include "system/transport/frame_connection.h"
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <set>
@@ -23,6 +26,10 @@
         std::function<void(const MemberId&)> lost;
         // What counts the bytes that go to a member.
         std::function<std::function<void(std::size_t)>(const MemberId&)> counter;
+        // What this process says of itself now.
+        std::function<protocol::Greeting()> greeting;
+        // A member has refused a session, as no version is had in common.
+        std::function<void(const MemberId&)> refused;
     };
 
     // `internal_port`: where core members listen for each other, alike on all machines.
@@ -39,19 +46,29 @@
     void send(const MemberId& to, const messages::CoreMessage& message);
     void broadcast(const messages::CoreMessage& message);
     std::vector<MemberId> connected() const;
+    // What the connected members have announced. One that has not, or not yet, speaks the one version that
+    // named no range.
+    std::map<MemberId, protocol::Greeting> greetings() const;
+    // Ends the connections to members with which no version is had in common any more.
+    void drop_outdated();
 
   private:
     struct Link {
         transport::FrameConnectionPtr connection;
         bool dialling = false;
+        protocol::Greeting greeting;                // on this connection; as announced, if it was
+        std::chrono::milliseconds refused_until{0}; // steady; is not dialled before
     };
     void dial(const MemberId& member);
+    void on_connected(const MemberId& member, const transport::FrameConnectionPtr& connection);
+    void on_reply(const MemberId& member, const messages::DialReply& reply);
 
     asio::io_context& loop_;
     messages::CoreMember self_;
     std::uint16_t internal_port_;
     Callbacks callbacks_;
     std::map<MemberId, Link> links_;
+    RefusalLog refusal_log_;
 };
 
 } // namespace willowrill::control
--- a/src/system/control/core_node.cpp
+++ b/src/system/control/core_node.cpp
@@ -28,7 +28,14 @@
 CoreNode::CoreNode(asio::io_context& loop, const settings::Settings& settings, Callbacks callbacks)
     : self_(settings::to_text(settings.control)), callbacks_(std::move(callbacks)),
       replica_(options_of(settings)), orders_([this](replication::Event event) { feed(std::move(event)); }),
-      store_(loop, settings.data_path, [this](replication::Event event) { feed(std::move(event)); }) {}
+      store_(loop, settings.data_path,
+             [this](replication::Event event) { on_store_event(std::move(event)); }) {}
+
+void CoreNode::on_store_event(replication::Event event) {
+    if (const auto* loaded = std::get_if<replication::Loaded>(&event); loaded != nullptr && loaded->state)
+        callbacks_.on_stored_version(configuration::cluster_version_of(*loaded->state->content));
+    feed(std::move(event));
+}
 
 // Events that actions give rise to wait for their turn: the replica is never entered twice.
 void CoreNode::feed(replication::Event event) {
--- a/src/system/control/core_node.h
+++ b/src/system/control/core_node.h
@@ -21,6 +21,8 @@
         std::function<void(const MemberId&, const replication::Message&)> send;
         std::function<void(const replication::Position&, const configuration::ControlState&)> on_state;
         std::function<void()> on_primary; // this member has just become the primary
+        // The disk holds a state of this cluster version; it need not be committed.
+        std::function<void(protocol::Version)> on_stored_version;
     };
     CoreNode(asio::io_context& loop, const settings::Settings& settings, Callbacks callbacks);
 
@@ -36,6 +38,7 @@
     const replication::WitnessRegister& witness_register() const { return replica_.witness_register(); }
 
   private:
+    void on_store_event(replication::Event event);
     void carry_out(const replication::Action& action);
     void on_state_changed();
     void log_role();
--- a/src/system/control/operator_api.cpp
+++ b/src/system/control/operator_api.cpp
@@ -19,6 +19,8 @@
 
 constexpr std::string_view configuration_path = "/-/configuration";
 constexpr std::string_view evacuation_path = "/-/evacuation/";
+constexpr std::string_view upgrade_path = "/-/upgrade";
+constexpr std::string_view finish_upgrade_path = "/-/upgrade/finish";
 
 // The version in an If-Match header, with or without quotes.
 std::optional<configuration::Version> version_in(std::string_view text) {
@@ -42,9 +44,33 @@
     if (target == configuration_path) return on_configuration(request, respond);
     if (target.starts_with(evacuation_path))
         return on_evacuation(request, respond, target.substr(evacuation_path.size()));
+    if (target == upgrade_path) return on_upgrade(request, respond);
+    if (target == finish_upgrade_path) return on_finish_upgrade(request, respond);
     respond(error_response(request, {ErrorKind::unknown_resource, target}));
 }
 
+void OperatorApi::on_upgrade(const Request& request, const Respond& respond) {
+    if (request.method() != http::verb::get)
+        return respond(error_response(request, {ErrorKind::method_not_allowed, "use GET"}));
+    if (redirect(request, respond)) return;
+    respond(json_response(request, 200, to_json_text(upgrade_status_(), protocol::supported_versions.max)));
+}
+
+// Finished is finished: sent again, the order is acknowledged again, whoever is connected by then.
+void OperatorApi::on_finish_upgrade(const Request& request, const Respond& respond) {
+    if (request.method() != http::verb::post)
+        return respond(error_response(request, {ErrorKind::method_not_allowed, "use POST"}));
+    if (redirect(request, respond)) return;
+    constexpr protocol::Version target = protocol::supported_versions.max;
+    const UpgradeStatus status = upgrade_status_();
+    const auto blockers = upgrade_blockers(status, target);
+    if (status.cluster_version < target && !blockers.empty()) {
+        logging::info("order-refused").field("target", finish_upgrade_path).text("detail", to_text(blockers));
+        return respond(error_response(request, {ErrorKind::upgrade_blocked, to_text(blockers)}));
+    }
+    submit(request, respond, configuration::FinishUpgrade{target});
+}
+
 // Says whether the request was answered here, as another member is the primary or none is known.
 bool OperatorApi::redirect(const Request& request, const Respond& respond) const {
     if (node_.is_primary()) return false;
--- a/src/system/control/operator_api.h
+++ b/src/system/control/operator_api.h
@@ -1,11 +1,13 @@
-// The operators' interface of a core member: configuration and evacuations. Only the primary answers; the
-// others name it, or say at once that they cannot. One thread.
+// The operators' interface of a core member: configuration, evacuations and upgrades. Only the primary
+// answers; the others name it, or say at once that they cannot. One thread.
 #pragma once
 
 #include "system/control/core_node.h"
+#include "system/control/upgrade_status.h"
 #include "system/http_server/server.h"
 #include "system/metrics/metrics.h"
 
+#include <functional>
 #include <set>
 #include <string>
 
@@ -13,9 +15,11 @@
 
 class OperatorApi {
   public:
-    // `zones`: those that can be evacuated.
-    OperatorApi(CoreNode& node, MemberId self, std::set<std::string> zones, metrics::Metrics& metrics)
-        : node_(node), self_(std::move(self)), zones_(std::move(zones)), metrics_(metrics) {}
+    // `zones`: those that can be evacuated. `upgrade_status`: as of now, asked for at each order and look.
+    OperatorApi(CoreNode& node, MemberId self, std::set<std::string> zones, metrics::Metrics& metrics,
+                std::function<UpgradeStatus()> upgrade_status)
+        : node_(node), self_(std::move(self)), zones_(std::move(zones)), metrics_(metrics),
+          upgrade_status_(std::move(upgrade_status)) {}
 
     void on_request(const http_server::Request& request, const http_server::Respond& respond);
 
@@ -23,6 +27,8 @@
     void on_configuration(const http_server::Request& request, const http_server::Respond& respond);
     void on_evacuation(const http_server::Request& request, const http_server::Respond& respond,
                        std::string zone);
+    void on_upgrade(const http_server::Request& request, const http_server::Respond& respond);
+    void on_finish_upgrade(const http_server::Request& request, const http_server::Respond& respond);
     void submit(const http_server::Request& request, const http_server::Respond& respond,
                 configuration::Order order);
     bool redirect(const http_server::Request& request, const http_server::Respond& respond) const;
@@ -31,6 +37,7 @@
     MemberId self_;
     std::set<std::string> zones_;
     metrics::Metrics& metrics_;
+    std::function<UpgradeStatus()> upgrade_status_;
 };
 
 } // namespace willowrill::control
--- a/src/system/control/replica_store.cpp
+++ b/src/system/control/replica_store.cpp
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <stdexcept>
 #include <utility>
 
@@ -65,12 +66,23 @@
     return {newest(registers_, replication::decode_register), newest(states_, unpacked_state)};
 }
 
+storage::RecordFormat ReplicaStore::format_of(const replication::DiskRecord& record) const {
+    const storage::RecordFormat so_far = std::max(registers_.format(), states_.format());
+    const auto* state = std::get_if<replication::ReplicatedState>(&record);
+    if (state == nullptr) return so_far;
+    const bool needs_later =
+        configuration::cluster_version_of(*state->content) > protocol::initial_cluster_version;
+    return needs_later ? storage::RecordFormat::cluster_version : so_far;
+}
+
 bool ReplicaStore::save(const replication::Save& request) {
     if (failed_ && !request.restores) return false;
+    const storage::RecordFormat format = format_of(request.record);
     const auto* value = std::get_if<replication::WitnessRegister>(&request.record);
-    failed_ = value != nullptr ? !registers_.write(replication::encode_register(*value))
+    failed_ = value != nullptr ? !registers_.write(replication::encode_register(*value), format)
                                : !states_.write(compression::compress(replication::encode_state(
-                                     std::get<replication::ReplicatedState>(request.record))));
+                                                    std::get<replication::ReplicatedState>(request.record))),
+                                                format);
     return !failed_;
 }
 
--- a/src/system/control/replica_store.h
+++ b/src/system/control/replica_store.h
@@ -24,6 +24,10 @@
     ReplicaStore(storage::RecordRing registers, storage::RecordRing states)
         : registers_(std::move(registers)), states_(std::move(states)) {}
 
+    // Both rings are written in the format that the newest known state needs: a program that cannot read the
+    // state is not to vote with the register either.
+    storage::RecordFormat format_of(const replication::DiskRecord& record) const;
+
     storage::RecordRing registers_;
     storage::RecordRing states_;
     bool failed_ = false; // and not restored yet
--- a/src/system/data/core_connection.cpp
+++ b/src/system/data/core_connection.cpp
@@ -1,5 +1,6 @@
 #include "system/data/core_connection.h"
 
+#include "system/logging/log.h"
 #include "system/messages/codec.h"
 #include "system/transport/dial.h"
 #include "system/transport/process.h"
@@ -11,6 +12,8 @@
 
 constexpr std::chrono::milliseconds tick_period{100};
 constexpr std::chrono::milliseconds dial_timeout{500};
+// A scheduler goes by no cluster version: the core decides whom it takes in.
+const protocol::Greeting own_greeting = protocol::own_greeting(protocol::initial_cluster_version);
 
 } // namespace
 
@@ -52,20 +55,42 @@
 
 void CoreConnection::on_connected(const transport::FrameConnectionPtr& connection) {
     connection_ = connection;
+    agreement_ = {};
     callbacks_.session_began();
     connection->start(
-        [this](const nlohmann::json& document) {
-            feed(distribution::MessageReceived{messages::decode_core_update(document)});
+        [this, raw = connection.get()](const nlohmann::json& document) {
+            if (connection_.get() == raw) on_document(document);
         },
         [this, raw = connection.get()] {
             if (connection_.get() != raw) return; // it was left before
             connection_ = nullptr;
             feed(distribution::ConnectionLost{});
         });
-    connection->send(messages::encode(messages::SchedulerHello{}));
+    connection->send(messages::encode(messages::SchedulerHello{own_greeting}));
     feed(distribution::DialSucceeded{});
 }
 
+void CoreConnection::on_document(const nlohmann::json& document) {
+    const messages::CoreUpdate update = messages::decode_core_update(document);
+    if (const auto* unknown = std::get_if<messages::UnknownMessage>(&update)) return on_unknown(*unknown);
+    if (const auto* reply = std::get_if<messages::HelloReply>(&update))
+        if (auto agreement = protocol::negotiate(own_greeting, reply->greeting))
+            agreement_ = std::move(agreement.value());
+    if (const auto* refusal = std::get_if<messages::HelloRefusal>(&update)) {
+        callbacks_.refused();
+        if (session_.refusal() != refusal->detail)
+            logging::error("refused-by-core").text("detail", refusal->detail);
+    }
+    feed(distribution::MessageReceived{update});
+}
+
+void CoreConnection::on_unknown(const messages::UnknownMessage& message) {
+    callbacks_.unknown_message();
+    if (message.optional || !agreement_.refuses_unknown_messages()) return;
+    logging::error("core-message-unknown").field("message", message.type);
+    connection_->close();
+}
+
 void CoreConnection::carry_out(const distribution::Disconnect&) {
     if (const auto connection = std::exchange(connection_, nullptr)) connection->close();
 }
--- a/src/system/data/core_connection.h
+++ b/src/system/data/core_connection.h
@@ -26,12 +26,16 @@
         std::function<void()> session_began;                        // with another member, or the same anew
         std::function<void(const messages::CoreUpdate&)> on_update; // state, members, zone
         std::function<std::vector<settings::Endpoint>()> seeds;     // as the settings file names them now
+        std::function<void()> refused;         // a core member refused a session, as no version is in common
+        std::function<void()> unknown_message; // one came that is not understood
     };
     CoreConnection(asio::io_context& loop, const settings::Settings& settings, Callbacks callbacks);
 
     void start() { tick(); }
     // Renews at once: the lease has changed, or something is lacking.
     void renew_now() { feed(distribution::LeaseChanged{}); }
+    // Why the core refuses this process, if it does.
+    const std::optional<std::string>& refusal() const { return session_.refusal(); }
 
   private:
     void tick();
@@ -41,6 +45,8 @@
     void carry_out(const distribution::RenewLease& renewal);
     void carry_out(const distribution::Pushed& pushed);
     void on_connected(const transport::FrameConnectionPtr& connection);
+    void on_document(const nlohmann::json& document);
+    void on_unknown(const messages::UnknownMessage& message);
 
     asio::io_context& loop_;
     std::uint16_t core_port_;
@@ -48,6 +54,8 @@
     distribution::CoreSession session_;
     SteadyTimer timer_;
     transport::FrameConnectionPtr connection_;
+    protocol::Agreement
+        agreement_; // of this connection; before the core member's reply, of the lowest version
 };
 
 } // namespace willowrill::data
--- a/src/system/data/data_plane.cpp
+++ b/src/system/data/data_plane.cpp
@@ -64,6 +64,8 @@
     callbacks.resync = [this] { return std::exchange(resync_, {}); };
     callbacks.session_began = [this] { members_.begin_session(); };
     callbacks.on_update = [this](const messages::CoreUpdate& update) { on_core_update(update); };
+    callbacks.refused = [this] { context_.metrics.add(metrics::Total::refused_sessions, "core", "peer"); };
+    callbacks.unknown_message = [this] { context_.metrics.add(metrics::Total::skipped_messages, "core"); };
     callbacks.seeds = [this] {
         reload_settings(); // the file may have changed without a signal; a core member is looked for rarely
         return settings_.seeds;
@@ -80,9 +82,13 @@
     using metrics::Level;
     context_.metrics.set(Level::workers, static_cast<double>(context_.workers.size()));
     context_.metrics.set(Level::members, static_cast<double>(context_.scheduler_names.size()));
+    context_.metrics.set(Level::max_version, protocol::supported_versions.max);
 }
 
 void DataPlane::on_readiness(const http_server::Request& request, const http_server::Respond& respond) const {
+    if (const auto& refusal = core_.refusal())
+        return respond(
+            http_server::error_response(request, {errors::ErrorKind::unsupported_version, *refusal}));
     if (phase_ == Phase::ready) return respond(http_server::json_response(request, 200, R"({"ready":true})"));
     respond(http_server::error_response(request, {errors::ErrorKind::not_ready, "starting or leaving"}));
 }
@@ -96,6 +102,7 @@
     out.client_address = settings::to_text(settings_.front);
     out.peer_address = fmt::format("{}:{}", settings_.address, load_report_port(settings_));
     out.phase = phase_;
+    out.versions = protocol::supported_versions;
     return out;
 }
 
--- a/src/system/data/data_plane.h
+++ b/src/system/data/data_plane.h
@@ -49,8 +49,11 @@
     void end();
 
     void on_core_update(const messages::CoreUpdate& update);
+    // Answered by the connection and the session.
     void on(const messages::UnknownMessage&) const {}
-    void on(const messages::LeaseAck&) const {} // answered by the session
+    void on(const messages::HelloReply&) const {}
+    void on(const messages::HelloRefusal&) const {}
+    void on(const messages::LeaseAck&) const {}
     void on(const messages::StateSnapshot& snapshot);
     void on(const messages::StateDelta& delta);
     void on(const messages::MembersSnapshot& snapshot);
--- a/src/system/data/load_report_exchange.cpp
+++ b/src/system/data/load_report_exchange.cpp
@@ -90,7 +90,7 @@
     const auto& [service, zone] = key;
     const settings::Settings& settings = context_.settings;
     load_reports::SubscribeRequest request;
-    request.protocol_version = transport::protocol_version;
+    request.greeting = protocol::own_greeting(protocol::initial_cluster_version);
     request.service = service;
     request.scope = zone == settings.zone ? ReportScope::all_zones : ReportScope::probed_here;
     request.zone = settings.zone;
--- a/src/system/data/load_report_publication.cpp
+++ b/src/system/data/load_report_publication.cpp
@@ -1,5 +1,7 @@
 #include "system/data/load_report_publication.h"
 
+#include "system/logging/log.h"
+
 #include <memory>
 #include <variant>
 
@@ -50,8 +52,14 @@
 
 void LoadReportPublication::on_message(const transport::FrameConnectionPtr& connection,
                                        const nlohmann::json& message) {
-    const auto decoded = load_reports::decode_subscriber_message(message, transport::protocol_version);
-    if (std::holds_alternative<load_reports::UnsupportedVersion>(decoded)) return connection->close();
+    const auto decoded = load_reports::decode_subscriber_message(
+        message, protocol::own_greeting(protocol::initial_cluster_version));
+    if (const auto* unsupported = std::get_if<load_reports::UnsupportedVersion>(&decoded)) {
+        logging::warning("subscriber-refused").text("detail", unsupported->detail);
+        context_.metrics.add(metrics::Total::refused_sessions, "subscriber", "self");
+        connection->send(encode(load_reports::SubscribeRefusal{unsupported->detail}));
+        return connection->close_when_sent();
+    }
     if (const auto* request = std::get_if<SubscribeRequest>(&decoded)) subscribe(connection, *request);
 }
 
--- a/src/system/data/subscription.cpp
+++ b/src/system/data/subscription.cpp
@@ -1,6 +1,7 @@
 #include "system/data/subscription.h"
 
 #include "system/load_reports/load_report_codec.h"
+#include "system/logging/log.h"
 #include "system/transport/dial.h"
 
 #include <utility>
@@ -67,8 +68,18 @@
 
 void Subscription::on_message(const nlohmann::json& message) {
     last_message_at_ = Clock::now();
-    if (const auto update = load_reports::decode_update(message, steady_now()))
+    const auto decoded = load_reports::decode_publisher_message(message, steady_now());
+    if (const auto* update = std::get_if<load_reports::LoadReportUpdate>(&decoded))
         subscriber_.apply(*update, context_.workers);
+    if (const auto* refusal = std::get_if<load_reports::SubscribeRefusal>(&decoded)) on_refused(*refusal);
+}
+
+// Another scheduler is the home until this one's back-off is over.
+void Subscription::on_refused(const load_reports::SubscribeRefusal& refusal) {
+    logging::warning("subscription-refused").field("publisher", node_).text("detail", refusal.detail);
+    context_.metrics.add(metrics::Total::refused_sessions, "publisher", "peer");
+    backoff_.back_off(node_, Clock::now());
+    std::exchange(connection_, nullptr)->close();
 }
 
 } // namespace willowrill::data
--- a/src/system/data/subscription.h
+++ b/src/system/data/subscription.h
@@ -35,6 +35,7 @@
     void on_connected(const std::string& node, const transport::FrameConnectionPtr& connection);
     void start(const transport::FrameConnectionPtr& connection);
     void on_message(const nlohmann::json& message);
+    void on_refused(const load_reports::SubscribeRefusal& refusal);
 
     Context& context_;
     SchedulerBackoff& backoff_;
--- a/src/system/distribution/core_session.cpp
+++ b/src/system/distribution/core_session.cpp
@@ -12,6 +12,8 @@
 // A near member that was left is not moved to again for so long; only to be near is worth no risk.
 constexpr SteadyTime min_back_off{5000};
 constexpr SteadyTime max_back_off{40000};
+// After a member has refused a session, the next one is dialled only after so long.
+constexpr SteadyTime refusal_pause{500};
 
 } // namespace
 
@@ -32,7 +34,7 @@
         actions_->emplace_back(Disconnect{});
         change_phase(Phase::idle);
     }
-    if (phase_ == Phase::idle) dial_next();
+    if (phase_ == Phase::idle && now_ >= refused_until_) dial_next();
     if (phase_ == Phase::connected && now_ - renewed_ >= renewal_period) renew();
 }
 
@@ -119,14 +121,27 @@
 
 void CoreSession::on(const MessageReceived& received) {
     if (phase_ != Phase::connected) return;
+    if (const auto* refusal = std::get_if<messages::HelloRefusal>(&received.message))
+        return on_refusal(*refusal);
     answered_ = now_;
+    if (std::holds_alternative<messages::HelloReply>(received.message)) return;
     if (const auto* ack = std::get_if<messages::LeaseAck>(&received.message)) return on_lease_ack(*ack);
     actions_->emplace_back(Pushed{received.message});
 }
 
+void CoreSession::on_refusal(const messages::HelloRefusal& refusal) {
+    refusal_ = refusal.detail;
+    refused_until_ = now_ + refusal_pause;
+    if (preferred_ == host_) preferred_.clear();
+    back_off(host_);
+    actions_->emplace_back(Disconnect{});
+    change_phase(Phase::idle);
+}
+
 // A current member's list replaces what is known, so that members that are gone are forgotten; one that is
 // behind may still name others that are not.
 void CoreSession::on_lease_ack(const messages::LeaseAck& ack) {
+    refusal_.reset();
     if (ack.current) known_.clear();
     for (const messages::CoreMember& member : ack.core) {
         const std::string host = member.id.substr(0, member.id.find(':'));
--- a/src/system/distribution/core_session.h
+++ b/src/system/distribution/core_session.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -60,6 +61,8 @@
 
     void step(SteadyTime now, const SessionEvent& event, std::vector<SessionAction>& actions);
     bool connected() const { return phase_ == Phase::connected; }
+    // Why a core member refused a session, where no other has answered a renewal since.
+    const std::optional<std::string>& refusal() const { return refusal_; }
 
   private:
     enum class Phase { idle, dialling, connected };
@@ -74,6 +77,7 @@
     void dial_next();
     void renew();
     void on_lease_ack(const messages::LeaseAck& ack);
+    void on_refusal(const messages::HelloRefusal& refusal);
     void back_off(const std::string& host);
     void move_nearer();
     // Of a member from here: 0 in this zone, 1 in this region, 2 elsewhere or not known.
@@ -100,6 +104,8 @@
     std::size_t next_candidate_ = 0;
     SteadyTime renewed_{0}, answered_{0}, current_{0};
     std::uint64_t renewal_ = 0;
+    std::optional<std::string> refusal_;
+    SteadyTime refused_until_{0}; // no member is dialled before
 };
 
 } // namespace willowrill::distribution
--- a/src/system/errors/error.h
+++ b/src/system/errors/error.h
@@ -27,6 +27,8 @@
     deadline_passed_unsent, // the deadline passed and it has not run
     deadline_passed,        // the deadline passed and it may have run
     storage_failed,         // the disk did not take a record
+    upgrade_blocked,        // some process does not speak the version that the cluster is to have
+    unsupported_version,    // the two ends of a session speak no version of the protocol in common
     bad_settings,           // the settings file cannot be used
 };
 
@@ -75,6 +77,10 @@
         return {504, "deadline passed", false};
     case ErrorKind::storage_failed:
         return {503, "storage failed", true};
+    case ErrorKind::upgrade_blocked:
+        return {409, "the upgrade cannot be finished yet", false};
+    case ErrorKind::unsupported_version:
+        return {503, "no common protocol version", true};
     case ErrorKind::bad_settings:
         return {500, "bad settings", false};
     }
--- a/src/system/load_reports/load_report_codec.cpp
+++ b/src/system/load_reports/load_report_codec.cpp
@@ -12,8 +12,10 @@
 
 constexpr const char* subscribe_type = "subscribe";
 constexpr const char* update_type = "readings";
+constexpr const char* refusal_type = "subscribe-refused";
 constexpr const char* probed_here_scope = "own";
 constexpr const char* all_zones_scope = "all";
+constexpr std::size_t max_detail = 400; // of a refusal
 
 const char* name_of(ReportScope scope) {
     return scope == ReportScope::probed_here ? probed_here_scope : all_zones_scope;
@@ -42,17 +44,28 @@
 
 } // namespace
 
+// Programs of version 3 go by `version` alone and refuse whoever names another: the lowest version that is
+// spoken stands there.
 json encode(const SubscribeRequest& request) {
-    return {{"type", subscribe_type},     {"version", request.protocol_version},
-            {"service", request.service}, {"scope", name_of(request.scope)},
-            {"zone", request.zone},       {"region", request.region}};
+    json out{{"type", subscribe_type},     {"version", request.greeting.versions.min},
+             {"service", request.service}, {"scope", name_of(request.scope)},
+             {"zone", request.zone},       {"region", request.region}};
+    if (request.greeting.versions.max >= protocol::negotiated_version)
+        out["max_version"] = request.greeting.versions.max;
+    return out;
 }
 
-SubscriberMessage decode_subscriber_message(const json& message, int supported_version) {
+json encode(const SubscribeRefusal& refusal) { return {{"type", refusal_type}, {"detail", refusal.detail}}; }
+
+SubscriberMessage decode_subscriber_message(const json& message, const protocol::Greeting& own) {
     if (message.at("type") != subscribe_type) return UnknownMessage{};
-    if (message.at("version") != supported_version) return UnsupportedVersion{};
+    const json& min = message.at("version");
+    if (!min.is_number_integer()) return UnsupportedVersion{"the subscriber's version is no number"};
     SubscribeRequest out;
-    out.protocol_version = supported_version;
+    out.greeting.versions.min = min.get<protocol::Version>();
+    out.greeting.versions.max = message.value("max_version", out.greeting.versions.min);
+    const auto agreed = protocol::negotiate(own, out.greeting);
+    if (!agreed) return UnsupportedVersion{agreed.error().detail};
     out.scope = message.at("scope") == probed_here_scope ? ReportScope::probed_here : ReportScope::all_zones;
     out.service = message.at("service").get<std::string>();
     out.zone = message.value("zone", std::string());
@@ -70,8 +83,10 @@
     return out;
 }
 
-std::optional<LoadReportUpdate> decode_update(const json& message, Time now) {
-    if (message.at("type") != update_type) return std::nullopt;
+PublisherMessage decode_publisher_message(const json& message, Time now) {
+    if (message.at("type") == refusal_type)
+        return SubscribeRefusal{message.value("detail", std::string()).substr(0, max_detail)};
+    if (message.at("type") != update_type) return UnknownMessage{};
     LoadReportUpdate out;
     // A subscription is to one service, so that a subscriber knows it without reading it here.
     if (const auto service = message.find("service"); service != message.end() && service->is_string())
--- a/src/system/load_reports/load_report_codec.h
+++ b/src/system/load_reports/load_report_codec.h
@@ -9,23 +9,27 @@
 
 #include <nlohmann/json.hpp>
 
-#include <optional>
+#include <string>
 #include <variant>
 
 namespace willowrill::load_reports {
 
-// A subscriber speaks another version of the protocol; nothing else of its message was read.
-struct UnsupportedVersion {};
-// A message of a type that a publisher does not know; a later version may send such.
+// The two ends speak no version of the protocol in common; nothing else of the message was read.
+struct UnsupportedVersion {
+    std::string detail; // a sentence for the operator
+};
+// A message of a type that the receiver does not know; a later version may send such.
 struct UnknownMessage {};
 using SubscriberMessage = std::variant<SubscribeRequest, UnsupportedVersion, UnknownMessage>;
+using PublisherMessage = std::variant<LoadReportUpdate, SubscribeRefusal, UnknownMessage>;
 
 nlohmann::json encode(const SubscribeRequest& request);
-// What a subscriber sent to a publisher that speaks `supported_version`.
-SubscriberMessage decode_subscriber_message(const nlohmann::json& message, int supported_version);
+nlohmann::json encode(const SubscribeRefusal& refusal);
+// What a subscriber sent to a publisher that speaks what `own` says.
+SubscriberMessage decode_subscriber_message(const nlohmann::json& message, const protocol::Greeting& own);
 
 nlohmann::json encode(const LoadReportUpdate& update, routing::Time now);
-// What a publisher sent; empty for a message of another type.
-std::optional<LoadReportUpdate> decode_update(const nlohmann::json& message, routing::Time now);
+// What a publisher sent.
+PublisherMessage decode_publisher_message(const nlohmann::json& message, routing::Time now);
 
 } // namespace willowrill::load_reports
--- a/src/system/load_reports/load_report_messages.h
+++ b/src/system/load_reports/load_report_messages.h
@@ -2,6 +2,7 @@
 // load_report_codec.h alone. Pure values; times are those of the process that holds the message.
 #pragma once
 
+#include "system/protocol/negotiation.h"
 #include "system/routing/worker.h"
 
 #include <map>
@@ -19,7 +20,7 @@
 
 // Opens a subscription. Sent once, as the first message on a connection.
 struct SubscribeRequest {
-    int protocol_version = 0;
+    protocol::Greeting greeting;
     std::string service;
     ReportScope scope = ReportScope::all_zones;
     // Where the subscriber is; empty where it did not say.
@@ -27,6 +28,12 @@
     std::string region;
 };
 
+// Answers a request with whose sender no subscription can be had; the publisher closes the connection behind
+// it.
+struct SubscribeRefusal {
+    std::string detail; // a sentence for the operator
+};
+
 // A snapshot of what subscribers know, or a delta to it. Workers are named by instance id.
 struct LoadReportUpdate {
     std::string service;
--- a/src/system/membership/codec.h
+++ b/src/system/membership/codec.h
@@ -17,6 +17,8 @@
             {"renewal", lease.renewal},   {"zone", lease.zone},
             {"region", lease.region},     {"front", lease.client_address},
             {"peer", lease.peer_address}, {"phase", lease.phase}};
+    if (lease.versions == protocol::VersionRange{}) return; // as programs of that version write it
+    json["versions"] = {lease.versions.min, lease.versions.max};
 }
 
 inline void from_json(const nlohmann::json& json, Lease& out) {
@@ -28,6 +30,10 @@
     json.at("front").get_to(out.client_address);
     json.at("peer").get_to(out.peer_address);
     json.at("phase").get_to(out.phase);
+    out.versions = {};
+    if (!json.contains("versions")) return;
+    const nlohmann::json& versions = json.at("versions");
+    out.versions = {versions.at(0).get<protocol::Version>(), versions.at(1).get<protocol::Version>()};
 }
 
 // NOLINTEND(readability-identifier-naming)
--- a/src/system/membership/lease_table.h
+++ b/src/system/membership/lease_table.h
@@ -3,6 +3,8 @@
 // One thread.
 #pragma once
 
+#include "system/protocol/version.h"
+
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -29,6 +31,7 @@
     std::string client_address; // where clients connect, HOST:PORT
     std::string peer_address;   // where other schedulers connect, HOST:PORT
     Phase phase = Phase::starting;
+    protocol::VersionRange versions; // of the protocol, that its holder speaks
     bool operator==(const Lease&) const = default;
 };
 
--- a/src/system/messages/codec.cpp
+++ b/src/system/messages/codec.cpp
@@ -4,7 +4,9 @@
 #include "system/membership/codec.h"
 #include "system/replication/codec.h"
 
+#include <algorithm>
 #include <string_view>
+#include <utility>
 
 namespace willowrill::messages {
 
@@ -21,6 +23,28 @@
 
 constexpr const char* resync_state = "state";
 constexpr const char* resync_members = "members";
+constexpr const char* hello_reply_type = "hello-reply";
+constexpr const char* hello_refusal_type = "hello-refused";
+constexpr const char* needs_key = "needs";
+constexpr const char* optional_key = "optional";
+constexpr std::size_t max_features = 64; // of a greeting; more are not read
+constexpr std::size_t max_refusal_detail = 400;
+constexpr int out_of_range_id = 501; // of the library's exceptions
+
+UnknownMessage unknown(const json& in, std::string name) {
+    name.resize(std::min(name.size(), max_unknown_name));
+    return {std::move(name), in.value(optional_key, false)};
+}
+
+// A feature that the message needs and this program does not have.
+std::optional<std::string> missing_feature(const json& in) {
+    if (!in.contains(needs_key)) return std::nullopt;
+    for (const json& feature : in.at(needs_key)) {
+        const auto name = feature.get<std::string>();
+        if (!protocol::supported_features().contains(name)) return name;
+    }
+    return std::nullopt;
+}
 
 json encode_position(const Position& position) { return json::array({position.epoch, position.sequence}); }
 
@@ -55,17 +79,62 @@
 
 // ---- Hello -----------------------------------------------------------------------------------------------
 
-json document_of_hello(const char* kind) {
-    return {{"type", "hello"}, {"version", transport::protocol_version}, {"kind", kind}};
+// Programs of version 3 go by `version` alone and speak with nobody who names another: the lowest version
+// that is spoken stands there.
+void encode_greeting(json& out, const protocol::Greeting& greeting) {
+    out["version"] = greeting.versions.min;
+    if (greeting.versions.max < protocol::negotiated_version) return;
+    out["max_version"] = greeting.versions.max;
+    out["features"] = greeting.features;
+}
+
+protocol::VersionRange decode_versions(const json& in) {
+    const auto min = in.at("version").get<protocol::Version>();
+    const auto max = in.value("max_version", min);
+    if (min < 1 || max < min) throw json::other_error::create(out_of_range_id, "no range of versions", &in);
+    return {min, max};
+}
+
+protocol::Greeting decode_greeting(const json& in) {
+    protocol::Greeting out{decode_versions(in), {}};
+    if (!in.contains("features")) return out;
+    for (const json& feature : in.at("features"))
+        if (out.features.size() < max_features) out.features.insert(feature.get<std::string>());
+    return out;
+}
+
+json document_of_hello(const char* kind, const protocol::Greeting& greeting) {
+    json out{{"type", "hello"}, {"kind", kind}};
+    encode_greeting(out, greeting);
+    return out;
 }
 
 json encode_one(const CoreHello& hello) {
-    json out = document_of_hello("core");
+    json out = document_of_hello("core", hello.greeting);
     out["member"] = hello.member;
     return out;
 }
 
-json encode_one(const SchedulerHello&) { return document_of_hello("scheduler"); }
+json encode_one(const SchedulerHello& hello) { return document_of_hello("scheduler", hello.greeting); }
+
+json encode_one(const HelloReply& reply) {
+    json out{{"type", hello_reply_type}};
+    encode_greeting(out, reply.greeting);
+    return out;
+}
+
+json encode_one(const HelloRefusal& refusal) {
+    return {{"type", hello_refusal_type},
+            {"version", refusal.versions.min},
+            {"max_version", refusal.versions.max},
+            {"detail", refusal.detail}};
+}
+
+HelloReply decode_hello_reply(const json& in) { return {decode_greeting(in)}; }
+
+HelloRefusal decode_hello_refusal(const json& in) {
+    return {decode_versions(in), in.value("detail", std::string()).substr(0, max_refusal_detail)};
+}
 
 // ---- Between core members --------------------------------------------------------------------------------
 
@@ -123,6 +192,13 @@
     return std::visit([](const auto& one) { return encode_one(one); }, message);
 }
 
+CoreMessage decode_replication(const json& in) {
+    const json& message = in.at("message");
+    const auto type = message.at("type").get<std::string>();
+    if (!replication::knows_message(type)) return unknown(in, "replication/" + type);
+    return ReplicationEnvelope{replication::decode_message(message)};
+}
+
 LeasesMessage decode_leases_message(std::string_view type, const json& in) {
     if (type == "leases-wanted") return LeasesSnapshotRequest{};
     const LeaseListVersion version = decode_lease_list_version(in);
@@ -241,16 +317,29 @@
 }
 
 std::optional<Hello> decode_hello(const json& document) {
-    if (document.at("type") != "hello" || document.at("version") != transport::protocol_version)
-        return std::nullopt;
-    if (document.at("kind") != "core") return Hello{SchedulerHello{}};
-    return Hello{CoreHello{document.at("member").get<CoreMember>()}};
+    if (document.at("type") != "hello") return std::nullopt;
+    const protocol::Greeting greeting = decode_greeting(document);
+    if (document.at("kind") != "core") return Hello{SchedulerHello{greeting}};
+    // Whoever speaks another version may name itself in another form, and is refused all the same.
+    if (!protocol::negotiate(protocol::own_greeting(protocol::initial_cluster_version), greeting))
+        return Hello{CoreHello{document.value("member", CoreMember{}), greeting}};
+    return Hello{CoreHello{document.at("member").get<CoreMember>(), greeting}};
+}
+
+json encode(const HelloReply& reply) { return encode_one(reply); }
+json encode(const HelloRefusal& refusal) { return encode_one(refusal); }
+
+DialReply decode_dial_reply(const json& document) {
+    const auto type = document.at("type").get<std::string>();
+    if (type == hello_reply_type) return decode_hello_reply(document);
+    if (type == hello_refusal_type) return decode_hello_refusal(document);
+    return unknown(document, type);
 }
 
 CoreMessage decode_core_message(const json& document) {
     const auto type = document.at("type").get<std::string>();
-    if (type == "replication")
-        return ReplicationEnvelope{replication::decode_message(document.at("message"))};
+    if (const auto feature = missing_feature(document)) return unknown(document, *feature);
+    if (type == "replication") return decode_replication(document);
     if (type == "core") return CorePeers{document.at("members").get<std::vector<std::string>>()};
     if (type == "assign") return EndpointListMessage{decode_role_assignments(document)};
     if (type == "zone") return EndpointListMessage{decode_zone_list_update(document)};
@@ -258,16 +347,21 @@
         return EndpointListMessage{ZoneListUnchanged{document.at("zone").get<std::string>(),
                                                      document.at("token").get<discovery::FencingToken>()}};
     if (type.starts_with("leases")) return decode_leases_message(type, document);
-    return UnknownMessage{};
+    return unknown(document, type);
 }
 
 SchedulerMessage decode_scheduler_message(const json& document) {
-    if (document.at("type") != "lease") return UnknownMessage{};
+    const auto type = document.at("type").get<std::string>();
+    if (const auto feature = missing_feature(document)) return unknown(document, *feature);
+    if (type != "lease") return unknown(document, type);
     return decode_renew_lease(document);
 }
 
 CoreUpdate decode_core_update(const json& document) {
     const auto type = document.at("type").get<std::string>();
+    if (const auto feature = missing_feature(document)) return unknown(document, *feature);
+    if (type == hello_reply_type) return decode_hello_reply(document);
+    if (type == hello_refusal_type) return decode_hello_refusal(document);
     if (type == "beat") return decode_lease_ack(document);
     if (type == "state") return decode_state_snapshot(document);
     if (type == "state-change") return decode_state_delta(document);
@@ -279,7 +373,7 @@
                             document.at("changed").get<std::vector<Lease>>(),
                             document.at("gone").get<std::vector<std::string>>()};
     if (type == "zone") return decode_zone_list_update(document);
-    return UnknownMessage{};
+    return unknown(document, type);
 }
 
 } // namespace willowrill::messages
--- a/src/system/messages/codec.h
+++ b/src/system/messages/codec.h
@@ -2,7 +2,9 @@
 // spelled here and nowhere else; they stay as long as versions must run side by side. Pure.
 //
 // Decoding throws `nlohmann::json::exception` on a document of the wrong shape; the caller drops the
-// connection that it came on. A type that is not known is no error: it is decoded as `UnknownMessage`.
+// connection that it came on. A type that is not known is no error: it is decoded as `UnknownMessage`, and so
+// is a message whose key `needs` names a feature that this program does not have. The key `optional` marks
+// what may be skipped.
 #pragma once
 
 #include "system/messages/messages.h"
@@ -18,9 +20,13 @@
 nlohmann::json encode(const CoreMessage& message);
 nlohmann::json encode(const SchedulerMessage& message);
 nlohmann::json encode(const CoreUpdate& message);
+nlohmann::json encode(const HelloReply& reply);
+nlohmann::json encode(const HelloRefusal& refusal);
 
-// Nothing where it is no hello, or one of another version of the protocol: the caller drops the connection.
+// Nothing where it is no hello: the caller drops the connection. Whether a session can be had with who sent
+// it is not judged here.
 std::optional<Hello> decode_hello(const nlohmann::json& document);
+DialReply decode_dial_reply(const nlohmann::json& document);
 CoreMessage decode_core_message(const nlohmann::json& document);
 SchedulerMessage decode_scheduler_message(const nlohmann::json& document);
 CoreUpdate decode_core_update(const nlohmann::json& document);
--- a/src/system/messages/messages.h
+++ b/src/system/messages/messages.h
@@ -2,14 +2,16 @@
 // spelled on the wire is known to `messages/codec.h` alone. Plain values; no thread of their own.
 //
 // Shared content is sent as numbered snapshots and deltas: a receiver that has not got the base of a delta
-// asks for the snapshot. A message of a type that this version does not know is decoded as `UnknownMessage`,
-// so that versions can run side by side.
+// asks for the snapshot. A message of a type that this version does not know, or that needs a feature which
+// it does not have, is decoded as `UnknownMessage`, so that versions can run side by side: one that its
+// sender marked as optional is skipped, any other is skipped or ends the session, by the session's version.
 #pragma once
 
 #include "system/configuration/control_state.h"
 #include "system/discovery/instances.h"
 #include "system/membership/lease_table.h"
 #include "system/ownership/ownership.h"
+#include "system/protocol/negotiation.h"
 #include "system/replication/messages.h"
 #include "system/replication/types.h"
 
@@ -25,8 +27,12 @@
 // How many core members a process takes in at most.
 inline constexpr std::size_t max_core_members = 64;
 
-// A message of a type that this version does not know; its receiver ignores it.
-struct UnknownMessage {};
+// A message that this version does not understand.
+struct UnknownMessage {
+    std::string type;      // its type, or the feature that it needs; at most `max_unknown_name` bytes
+    bool optional = false; // its sender allows that it is skipped
+};
+inline constexpr std::size_t max_unknown_name = 64;
 
 // A core member and its location, by which schedulers choose a near one.
 struct CoreMember {
@@ -36,18 +42,33 @@
     bool operator==(const CoreMember&) const = default;
 };
 
-// ---- The first message on a connection -------------------------------------------------------------------
+// ---- The first messages on a connection ------------------------------------------------------------------
 
 // Sent by a core member that dials another.
 struct CoreHello {
     CoreMember member;
+    protocol::Greeting greeting;
 };
 
 // Sent by a scheduler that dials a core member.
-struct SchedulerHello {};
+struct SchedulerHello {
+    protocol::Greeting greeting;
+};
 
 using Hello = std::variant<CoreHello, SchedulerHello>;
 
+// Answers the hello of a process that names a range of versions: the session goes on at the highest version
+// that both speak.
+struct HelloReply {
+    protocol::Greeting greeting; // of the sender
+};
+
+// Answers a hello with which no session can be had; the sender closes the connection behind it.
+struct HelloRefusal {
+    protocol::VersionRange versions; // of the sender
+    std::string detail;              // a sentence for the operator
+};
+
 // ---- Between core members --------------------------------------------------------------------------------
 
 // A message of the replication protocol.
@@ -118,6 +139,9 @@
 using CoreMessage =
     std::variant<UnknownMessage, ReplicationEnvelope, CorePeers, LeasesMessage, EndpointListMessage>;
 
+// What the dialled member sends on the connection; all else goes the other way.
+using DialReply = std::variant<UnknownMessage, HelloReply, HelloRefusal>;
+
 // ---- From a scheduler to its core member -----------------------------------------------------------------
 
 // What a scheduler wants to be sent as a snapshot, as it has not got the base of a delta.
@@ -174,7 +198,7 @@
     std::vector<std::string> removed; // nodes
 };
 
-using CoreUpdate = std::variant<UnknownMessage, LeaseAck, StateSnapshot, StateDelta, MembersSnapshot,
-                                MembersDelta, ZoneListUpdate>;
+using CoreUpdate = std::variant<UnknownMessage, HelloReply, HelloRefusal, LeaseAck, StateSnapshot, StateDelta,
+                                MembersSnapshot, MembersDelta, ZoneListUpdate>;
 
 } // namespace willowrill::messages
--- a/src/system/metrics/metrics.cpp
+++ b/src/system/metrics/metrics.cpp
@@ -33,6 +33,9 @@
     Description{"willowrill_internal_messages_total", "Messages sent inside the system", "kind", "crossing"},
     Description{"willowrill_orders_total", "Orders of operators", "kind", "status"},
     Description{"willowrill_platform_calls_total", "Calls to the platform", "result", nullptr},
+    Description{"willowrill_refused_sessions_total", "Sessions refused for their protocol version", "peer",
+                "by"},
+    Description{"willowrill_skipped_messages_total", "Messages that were not understood", "peer", nullptr},
 };
 constexpr std::array durations{
     Description{"willowrill_first_event_wait_seconds", "From sending to the first bytes of an answer", "tier",
@@ -46,6 +49,10 @@
     Description{"willowrill_epoch", "The newest epoch known", nullptr, nullptr},
     Description{"willowrill_workers", "Workers listed", nullptr, nullptr},
     Description{"willowrill_members", "Schedulers known", nullptr, nullptr},
+    Description{"willowrill_cluster_version", "Lowest protocol version spoken in the cluster", nullptr,
+                nullptr},
+    Description{"willowrill_max_protocol_version", "Highest protocol version this program speaks", nullptr,
+                nullptr},
 };
 
 const prometheus::Histogram::BucketBoundaries bounds_s{0.005, 0.01, 0.02, 0.05, 0.1, 0.2,
--- a/src/system/metrics/metrics.h
+++ b/src/system/metrics/metrics.h
@@ -24,6 +24,8 @@
     internal_messages, // likewise
     orders,            // of operators, by kind and status
     platform_calls,    // by result
+    refused_sessions,  // with other processes of the system, by what the peer is and by who refused
+    skipped_messages,  // of other processes that were not understood, by what the peer is
 };
 
 // Histograms of times.
@@ -34,7 +36,7 @@
 };
 
 // Gauges.
-enum class Level { sessions, is_primary, epoch, workers, members };
+enum class Level { sessions, is_primary, epoch, workers, members, cluster_version, max_version };
 
 // Where a message goes, seen from its sender.
 enum class Crossing { none, zone, region, unknown };
--- /dev/null
+++ b/src/system/protocol/negotiation.cpp
@@ -0,0 +1,35 @@
+#include "system/protocol/negotiation.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace willowrill::protocol {
+
+Greeting own_greeting(Version cluster_version) {
+    return {versions_in_cluster(cluster_version), supported_features()};
+}
+
+errors::Result<Agreement> negotiate(const Greeting& own, const Greeting& peer) {
+    const Version lowest = std::max(own.versions.min, peer.versions.min);
+    const Version highest = std::min(own.versions.max, peer.versions.max);
+    if (highest < lowest)
+        return errors::Error{errors::ErrorKind::unsupported_version,
+                             fmt::format("this process speaks protocol versions {}, the peer {}: {}",
+                                         to_text(own.versions), to_text(peer.versions),
+                                         peer.versions.max < own.versions.min
+                                             ? "the peer's program is too old"
+                                             : "this process's program is too old")};
+    Agreement out{highest, {}};
+    std::ranges::set_intersection(own.features, peer.features,
+                                  std::inserter(out.features, out.features.begin()));
+    return out;
+}
+
+std::string to_text(const VersionRange& versions) {
+    if (versions.min == versions.max) return std::to_string(versions.min);
+    return fmt::format("{} to {}", versions.min, versions.max);
+}
+
+} // namespace willowrill::protocol
--- a/src/system/replication/codec.cpp
+++ b/src/system/replication/codec.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -124,6 +125,8 @@
     return json;
 }
 
+bool knows_message(const std::string& type) { return std::ranges::count(names, type) > 0; }
+
 Message decode_message(const Json& json) {
     Message out;
     const auto name = json.at("type").get<std::string>();
--- a/src/system/simulation/cluster.cpp
+++ b/src/system/simulation/cluster.cpp
@@ -13,6 +13,7 @@
 
 Operators::Habits habits_of(const Scenario& scenario) {
     Operators::Habits out = scenario.operators;
+    out.finish_upgrades = scenario.upgrades;
     out.unconfirmed_reads = scenario.break_unconfirmed_reads;
     return out;
 }
@@ -28,6 +29,7 @@
             .break_answers_for_others = scenario.break_answers_for_others,
             .break_always_current = scenario.break_always_current,
             .break_no_election_backoff = scenario.break_no_election_backoff,
+            .break_unchecked_upgrade = scenario.break_unchecked_upgrade,
             .trace = scenario.trace};
 }
 
--- a/src/system/simulation/fault_injector.cpp
+++ b/src/system/simulation/fault_injector.cpp
@@ -66,7 +66,10 @@
                                          &FaultInjector::kill_some};
     static constexpr Fault of_replacement[] = {&FaultInjector::replace_planned,
                                                &FaultInjector::replace_unplanned};
+    static constexpr Fault of_versions[] = {&FaultInjector::change_version, &FaultInjector::change_version,
+                                            &FaultInjector::change_version, &FaultInjector::change_version};
     std::vector<Fault> all(std::begin(always), std::end(always));
+    if (scenario_.upgrades) all.insert(all.end(), std::begin(of_versions), std::end(of_versions));
     if (scenario_.disk_faults) all.insert(all.end(), std::begin(of_disks), std::end(of_disks));
     if (scenario_.herds) all.insert(all.end(), std::begin(of_herds), std::end(of_herds));
     if (scenario_.replacements) all.insert(all.end(), std::begin(of_replacement), std::end(of_replacement));
@@ -219,6 +222,15 @@
     end_after(Time{1000}, [this] { machines_.add_member(false).start(); });
 }
 
+// A roll-out, which may turn round half-way until the upgrade is finished.
+void FaultInjector::change_version(Time duration) {
+    Member& member = machines_.random_member();
+    const bool back =
+        member.installed() == newer_program && !environment_.upgrade_ordered && queue_.chance() < 0.4;
+    member.install(back ? older_program : newer_program);
+    stop_for(member, std::min(duration, restart_delay), queue_.chance() < 0.2);
+}
+
 void FaultInjector::refuse_saves(Time duration) {
     Disk& disk = machines_.random_member().disk();
     disk.refusing_until = queue_.now() + duration;
@@ -262,10 +274,18 @@
     }
 }
 
+// Who finishes an upgrade leaves no older program behind.
+void FaultInjector::roll_out(Member& member) {
+    if (member.installed() == newer_program) return;
+    member.install(newer_program);
+    if (member.up()) stop_for(member, restart_delay, false);
+}
+
 void FaultInjector::heal() {
     monitor_.note_event();
     network_.heal_all();
     for (Member* member : machines_.present()) {
+        if (environment_.upgrade_ordered) roll_out(*member);
         member->thaw();
         Disk& disk = member->disk();
         disk.refusing_until = disk.stalled_until = Time{0};
--- a/src/system/simulation/fault_injector.h
+++ b/src/system/simulation/fault_injector.h
@@ -47,6 +47,8 @@
     void turn_over_seeds(Time);
     void replace_planned(Time);
     void replace_unplanned(Time);
+    void change_version(Time duration);
+    void roll_out(Member& member);
     void refuse_saves(Time duration);
     void stall_disk(Time duration);
     void slow_disk(Time duration);
--- a/src/system/simulation/history.cpp
+++ b/src/system/simulation/history.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace willowrill::simulation {
@@ -81,6 +82,20 @@
 void History::committed(const replication::Position& position, const std::string& content) {
     const auto [known, fresh] = committed_.emplace(position, content);
     if (!fresh && known->second != content) violation("two states at one position");
+    if (!fresh) return;
+    const protocol::Version version = configuration::cluster_version_of(content);
+    const auto entry = cluster_versions_.emplace(position, version).first;
+    // What is committed later is no lower, and what was committed before no higher.
+    if (entry != cluster_versions_.begin() && std::prev(entry)->second > version)
+        violation("the cluster version went back");
+    if (std::next(entry) != cluster_versions_.end() && std::next(entry)->second < version)
+        violation("the cluster version went back");
+}
+
+void History::upgrade_acknowledged() {
+    outcome_.upgraded = true;
+    if (cluster_versions_.empty() || cluster_versions_.rbegin()->second < protocol::negotiated_version)
+        violation("an upgrade was acknowledged that no member has committed");
 }
 
 void History::pushed(const std::string& scheduler, const configuration::Configuration& configuration) {
--- a/src/system/simulation/history.h
+++ b/src/system/simulation/history.h
@@ -35,6 +35,7 @@
     std::size_t acknowledged = 0;        // changes of the configuration
     std::size_t refused = 0;
     std::size_t reads = 0;
+    bool upgraded = false;       // an operator was told that the upgrade is finished
     std::size_t evacuations = 0; // acknowledged, and their ends
     std::size_t pushes = 0;      // states that schedulers took in
     std::size_t faults = 0;
@@ -57,6 +58,8 @@
     // An operator of its own for each zone: no two meet.
     void evacuation_sent(const std::string& zone, bool evacuated);
     void evacuation_acknowledged(const std::string& zone, bool evacuated);
+    // From now on no state without the new cluster version is committed.
+    void upgrade_acknowledged();
 
     // Core members and schedulers.
     void committed(const replication::Position& position, const std::string& content);
@@ -91,6 +94,7 @@
     std::map<std::string, Evacuation> evacuations_;
     std::map<replication::Position, std::string> committed_;
     std::set<replication::Epoch> epochs_;
+    std::map<replication::Position, protocol::Version> cluster_versions_; // of committed states
 };
 
 } // namespace willowrill::simulation
--- a/src/system/simulation/machines.cpp
+++ b/src/system/simulation/machines.cpp
@@ -35,6 +35,7 @@
     member.disk().forgets_registers = scenario_.break_forgets_registers;
     member.disk().hides_failures = scenario_.break_hides_failures;
     member.break_forgets_orders = scenario_.break_forgets_orders;
+    if (scenario_.upgrades && !environment_.upgrade_ordered) member.install(older_program);
     return member;
 }
 
--- a/src/system/simulation/member.cpp
+++ b/src/system/simulation/member.cpp
@@ -28,6 +28,12 @@
 
 void Member::start() {
     if (up_ || removed) return;
+    const Loaded stored = disk_.load();
+    program_ = installed_;
+    // The records name their format, and an older program does not start on what it cannot read.
+    if (stored.state && !can_read(*stored.state->content)) return;
+    cluster_version_ = stored.state ? configuration::cluster_version_of(*stored.state->content)
+                                    : protocol::initial_cluster_version;
     up_ = true;
     ++incarnation_;
     ticks_ = 0;
@@ -71,7 +77,7 @@
     });
     for (const MemberId& seed : environment_.seeds)
         add_peer(seed);
-    feed(disk_.load());
+    feed(stored);
     tick(incarnation_);
 }
 
@@ -153,6 +159,9 @@
                 when_awake(incarnation, [this, id, connection] {
                     dialling_.erase(id);
                     if (!connection || !connection->open) return;
+                    // The one that is dialled refuses who it cannot speak with.
+                    if (!environment_.find(id)->speaks_with(greeting()))
+                        return environment_.network.close(connection, node_);
                     links_[id] = connection;
                     connection->closed_at_dialler = [this, id, incarnation = incarnation_] {
                         when_awake(incarnation, [this, id] {
@@ -183,9 +192,52 @@
     const auto link = links_.find(to);
     Member* other = environment_.find(to);
     if (link == links_.end() || other == nullptr) return;
-    environment_.network.send(link->second, node_, [other, deliver = std::move(deliver)] {
-        other->when_running([other, deliver] { deliver(*other); });
-    });
+    environment_.network.send(link->second, node_,
+                              [other, greeting = greeting(), deliver = std::move(deliver)] {
+                                  other->when_running([other, greeting, deliver] {
+                                      if (other->speaks_with(greeting)) deliver(*other);
+                                  });
+                              });
+}
+
+// ---- Versions of the program -----------------------------------------------------------------------------
+
+protocol::Greeting Member::greeting() const {
+    const protocol::VersionRange versions{std::max(program_.min, cluster_version_), program_.max};
+    return {versions, knows_upgrades() ? protocol::supported_features() : protocol::FeatureSet{}};
+}
+
+bool Member::speaks_with(const protocol::Greeting& peer) const {
+    return static_cast<bool>(protocol::negotiate(greeting(), peer));
+}
+
+bool Member::can_read(const std::string& content) const {
+    return configuration::cluster_version_of(content) <= program_.max;
+}
+
+// Ends the connections to members that cannot follow; what comes from them is not listened to either.
+void Member::raise_cluster_version(protocol::Version version) {
+    if (version <= cluster_version_) return;
+    cluster_version_ = version;
+    std::vector<ConnectionPtr> outdated;
+    for (const auto& [id, link] : links_)
+        if (!speaks_with(environment_.find(id)->greeting())) outdated.push_back(link);
+    for (const ConnectionPtr& link : outdated)
+        environment_.network.close(link, node_);
+}
+
+void Member::finish_upgrade(control::OnOrderDone done) {
+    std::map<MemberId, protocol::Greeting> greetings{{id_, greeting()}};
+    for (const auto& [id, link] : links_)
+        greetings[id] = environment_.find(id)->greeting();
+    const auto status =
+        control::make_upgrade_status(cluster_version_, replica_->witness_register(), greetings, {});
+    constexpr protocol::Version target = newer_program.max;
+    const auto blockers = control::upgrade_blockers(status, target);
+    if (cluster_version_ < target && !blockers.empty() && !environment_.break_unchecked_upgrade)
+        return done(errors::Error{errors::ErrorKind::upgrade_blocked, control::to_text(blockers)});
+    environment_.upgrade_ordered = true;
+    orders_->submit(configuration::FinishUpgrade{target}, std::move(done));
 }
 
 void Member::feed(Event event) {
@@ -210,9 +262,12 @@
 void Member::replay_later(const MemberId& to, const std::function<void(Member&)>& deliver) {
     Member* other = environment_.find(to);
     if (other == nullptr) return;
-    environment_.queue.after(Time(environment_.queue.uniform(max_replay_delay)), [other, deliver] {
-        other->when_running([other, deliver] { deliver(*other); });
-    });
+    environment_.queue.after(Time(environment_.queue.uniform(max_replay_delay)),
+                             [other, greeting = greeting(), deliver] {
+                                 other->when_running([other, greeting, deliver] {
+                                     if (other->speaks_with(greeting)) deliver(*other);
+                                 });
+                             });
 }
 
 void Member::trace_role(Role before) const {
@@ -262,6 +317,8 @@
     newest_ = state.position;
     environment_.history.committed(state.position, *state.content);
     environment_.history.epoch_in_force(replica_->witness_register().decided.epoch);
+    if (!can_read(*state.content)) return; // an older program reports it, and knows no newer state
+    raise_cluster_version(configuration::cluster_version_of(*state.content));
     auto decoded = configuration::decode(*state.content).value();
     if (break_forgets_orders) decoded.taken.clear();
     orders_->on_state(decoded, state.position);
--- a/src/system/simulation/member.h
+++ b/src/system/simulation/member.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "system/control/order_queue.h"
+#include "system/control/upgrade_status.h"
 #include "system/distribution/scheduler_sessions.h"
 #include "system/replication/replica.h"
 #include "system/simulation/disk.h"
@@ -37,9 +38,16 @@
     bool break_answers_for_others = false;
     bool break_always_current = false;
     bool break_no_election_backoff = false;
+    bool break_unchecked_upgrade = false;
     bool trace = false;
+    // An order to finish the upgrade was taken in: nobody puts an older program on a machine from then on.
+    bool upgrade_ordered = false;
 };
 
+// The programs of a run in which members change their version.
+inline constexpr protocol::VersionRange older_program{protocol::exact_version, protocol::exact_version};
+inline constexpr protocol::VersionRange newer_program = protocol::supported_versions;
+
 class Member {
   public:
     Member(Environment& environment, NodeId node, MemberId id, bool initial_start);
@@ -60,6 +68,12 @@
     // Begins a graceful shutdown; `on_ended` is called once the process has ended.
     void shut_down(std::function<void()> on_ended);
     void feed(replication::Event event);
+    // The program that the next start runs.
+    void install(protocol::VersionRange program) { installed_ = program; }
+    protocol::VersionRange installed() const { return installed_; }
+    // As the operators' interface does; only a primary of the newer program is asked.
+    void finish_upgrade(control::OnOrderDone done);
+    bool knows_upgrades() const { return program_.max >= protocol::negotiated_version; }
     // Runs this now, or once the process wakes; never in another incarnation of it.
     void when_running(std::function<void()> act) { when_awake(incarnation_, std::move(act)); }
 
@@ -80,6 +94,10 @@
     };
     void tick(std::uint64_t incarnation);
     void dial_others();
+    protocol::Greeting greeting() const;
+    bool speaks_with(const protocol::Greeting& peer) const;
+    void raise_cluster_version(protocol::Version version);
+    bool can_read(const std::string& content) const;
     void gossip();
     void add_peer(const MemberId& id);
     // Runs this later in this incarnation of the process; while it is frozen, once it wakes.
@@ -97,6 +115,8 @@
     MemberId id_;
     Disk disk_;
     bool initial_start_;
+    protocol::VersionRange installed_ = newer_program, program_ = newer_program;
+    protocol::Version cluster_version_ = protocol::initial_cluster_version; // in this incarnation
     std::unique_ptr<replication::Replica> replica_;
     std::unique_ptr<control::OrderQueue> orders_;
     std::unique_ptr<distribution::SchedulerSessions> hub_;
--- a/src/system/simulation/operators.cpp
+++ b/src/system/simulation/operators.cpp
@@ -44,6 +44,8 @@
         read_anywhere();
     else if (what < 0.35)
         evacuate(author);
+    else if (habits_.finish_upgrades && what < 0.4)
+        finish_upgrade();
     else
         change(author);
     environment_.queue.after(habits_.shortest_pause + Time(environment_.queue.uniform(habits_.pause_spread)),
@@ -132,6 +134,17 @@
     });
 }
 
+void Operators::finish_upgrade() {
+    Member* member = answering();
+    if (member == nullptr || !member->knows_upgrades()) return;
+    member->finish_upgrade([this, asked = environment_.queue.now()](const control::OrderResult& result) {
+        if (environment_.queue.chance() < habits_.lost_answers ||
+            environment_.queue.now() - asked > answer_timeout)
+            return;
+        if (result) environment_.history.upgrade_acknowledged();
+    });
+}
+
 void Operators::read_anywhere() {
     if (Member* member = answering()) read_at(*member);
 }
--- a/src/system/simulation/operators.h
+++ b/src/system/simulation/operators.h
@@ -19,6 +19,7 @@
         Time shortest_pause{150};
         std::int64_t pause_spread = 500; // ms
         double lost_answers = 0.2;       // share of answers that never arrive
+        bool finish_upgrades = false;    // try to, now and then
         bool unconfirmed_reads = false;  // a deliberate break: what a member takes for the state is read
     };
     // `members`: all that ever ran, those removed too.
@@ -39,6 +40,7 @@
     void act(std::size_t author);
     void change(std::size_t author);
     void evacuate(std::size_t author);
+    void finish_upgrade();
     void read_at(Member& member);
     Member* some_member();
     // The member that would answer after redirects, or null where the answer is "not here" or none.
--- a/src/system/simulation/scenario.h
+++ b/src/system/simulation/scenario.h
@@ -21,8 +21,11 @@
     bool herds = true;        // all processes are killed, or all lose power, now and then
     bool disk_faults = true;  // disks refuse, stall and are slow
     bool replacements = true; // members leave for good, and others come
-    double replays = 0.01;    // share of messages between members that come once more, up to 5 s later
-    bool final_fault = true;  // at the end all lose power, and as many as are tolerated their disks
+    // Members begin as a program of protocol version 3, and are replaced by the newer one and back, one at a
+    // time, until an operator's order to finish the upgrade was taken in.
+    bool upgrades = false;
+    double replays = 0.01;   // share of messages between members that come once more, up to 5 s later
+    bool final_fault = true; // at the end all lose power, and as many as are tolerated their disks
     Operators::Habits operators{};
     bool trace = false; // writes faults and changes of role to standard error
     // Deliberate breaks, each of which the checker must notice.
@@ -38,6 +41,8 @@
     // stands again at once and hands nothing over, it is one.
     bool fails_as_primary = false;
     bool break_no_election_backoff = false;
+    // The upgrade is finished without a look at who could not follow.
+    bool break_unchecked_upgrade = false;
 };
 
 } // namespace willowrill::simulation
--- a/src/system/storage/record_format.cpp
+++ b/src/system/storage/record_format.cpp
@@ -20,7 +20,6 @@
 static_assert(sizeof(Header) == header_size);
 
 constexpr std::array<char, 8> magic{'w', 'i', 'l', 'l', 'o', 'w', 'r', 'r'};
-constexpr std::uint32_t version = 2;
 
 std::uint32_t checksum_of(std::uint64_t serial, std::string_view record) {
     boost::crc_32_type crc;
@@ -31,8 +30,9 @@
 
 } // namespace
 
-std::string encode_copy(std::uint64_t serial, std::string_view record) {
-    const Header header{magic, version, checksum_of(serial, record), serial, record.size()};
+std::string encode_copy(std::uint64_t serial, std::string_view record, RecordFormat format) {
+    const Header header{magic, static_cast<std::uint32_t>(format), checksum_of(serial, record), serial,
+                        record.size()};
     std::string out(sizeof header, '\0');
     std::memcpy(out.data(), &header, sizeof header);
     out.append(record);
@@ -42,15 +42,16 @@
 DecodedRecord decode_copy(std::string_view bytes) {
     Header header{};
     if (std::ranges::all_of(bytes.substr(0, sizeof header), [](char c) { return c == '\0'; }))
-        return {SlotContent::empty, 0, {}};
-    if (bytes.size() < sizeof header) return {SlotContent::torn, 0, {}};
+        return {SlotContent::empty, {}, 0, {}};
+    if (bytes.size() < sizeof header) return {SlotContent::torn, {}, 0, {}};
     std::memcpy(&header, bytes.data(), sizeof header);
-    if (header.magic != magic) return {SlotContent::foreign, 0, {}};
-    if (header.version > version) return {SlotContent::newer, 0, {}};
-    if (header.length > bytes.size() - sizeof header) return {SlotContent::torn, 0, {}};
+    if (header.magic != magic) return {SlotContent::foreign, {}, 0, {}};
+    if (header.version > static_cast<std::uint32_t>(newest_format)) return {SlotContent::newer, {}, 0, {}};
+    if (header.length > bytes.size() - sizeof header) return {SlotContent::torn, {}, 0, {}};
     const std::string_view record = bytes.substr(sizeof header, header.length);
-    if (checksum_of(header.serial, record) != header.checksum) return {SlotContent::torn, 0, {}};
-    return {SlotContent::valid, header.serial, std::string(record)};
+    if (checksum_of(header.serial, record) != header.checksum) return {SlotContent::torn, {}, 0, {}};
+    return {SlotContent::valid, static_cast<RecordFormat>(header.version), header.serial,
+            std::string(record)};
 }
 
 DecodedRecord decode_slot(std::string_view first_copy, std::string_view second_copy) {
--- a/src/system/storage/record_format.h
+++ b/src/system/storage/record_format.h
@@ -10,6 +10,12 @@
 
 namespace willowrill::storage {
 
+// The format of records, which stands in their header: a program refuses records of later formats than it
+// knows. The bytes are alike; a record of the second format holds what only programs understand that know of
+// cluster versions.
+enum class RecordFormat : std::uint32_t { initial = 2, cluster_version = 3 };
+inline constexpr RecordFormat newest_format = RecordFormat::cluster_version;
+
 // What a slot, or one copy in it, was found to hold.
 enum class SlotContent {
     empty,   // never written
@@ -21,12 +27,14 @@
 
 struct DecodedRecord {
     SlotContent content = SlotContent::empty;
+    RecordFormat format = RecordFormat::initial; // where valid
     std::uint64_t serial = 0; // where valid; of two records the one with the higher serial is newer
     std::string record;       // where valid
 };
 
 // One copy: its header, then the record.
-std::string encode_copy(std::uint64_t serial, std::string_view record);
+std::string encode_copy(std::uint64_t serial, std::string_view record,
+                        RecordFormat format = RecordFormat::initial);
 // `bytes`: the beginning of a copy, at least as far as its record goes; what follows is ignored.
 DecodedRecord decode_copy(std::string_view bytes);
 // A slot's newest complete copy.
--- a/src/system/storage/record_ring.cpp
+++ b/src/system/storage/record_ring.cpp
@@ -26,8 +26,12 @@
         std::optional<DecodedRecord> found = ring.read_slot(ring.slots_.back().file);
         if (!found) return Error{ErrorKind::storage_failed, fmt::format("cannot read {}", path)};
         ring.found_.push_back(found->content);
+        if (found->content == SlotContent::newer)
+            return Error{ErrorKind::unsupported_version,
+                         fmt::format("{} was written by a later version of this program", path)};
         if (found->content != SlotContent::valid || found->serial <= ring.serial_) continue;
         ring.serial_ = found->serial;
+        ring.format_ = found->format;
         ring.newest_ = std::move(found->record);
         ring.next_slot_ = (index + 1) % slots;
     }
@@ -63,14 +67,15 @@
     return *header + *record;
 }
 
-bool RecordRing::write(std::string_view record) {
+bool RecordRing::write(std::string_view record, RecordFormat format) {
     if (record.size() > record_capacity_) return false;
     Slot& slot = slots_[next_slot_];
     // A serial is not used twice: one that failed may be there after all.
-    const std::string copy = encode_copy(++serial_, record);
+    const std::string copy = encode_copy(++serial_, record, format);
     const bool was_suspect = std::exchange(suspect_, true);
     if (!write_slot(slot, copy) || (was_suspect && !reads_back(slot, copy))) return false;
     suspect_ = false;
+    format_ = format;
     next_slot_ = (next_slot_ + 1) % slots_.size();
     newest_ = std::string(record);
     return true;
--- a/src/system/storage/record_ring.h
+++ b/src/system/storage/record_ring.h
@@ -24,7 +24,8 @@
     // Makes the files NAME-0.ring, NAME-1.ring, ... that are missing, reads those that are there, and writes
     // the newest record anew: what a killed process had written may so far stand in the system's cache alone.
     // `record_capacity`: the longest record, in bytes. An error of the kind storage_failed where a file
-    // cannot be opened or read, or the newest record not be written.
+    // cannot be opened or read, or the newest record not be written; of the kind unsupported_version, and
+    // nothing is written, where a later version of this program has written a record.
     static errors::Result<RecordRing> open(const std::filesystem::path& folder, std::string_view name,
                                            std::size_t slots, std::size_t record_capacity);
 
@@ -36,7 +37,11 @@
     // Returns once the record will survive a loss of power, or false where the disk did not take it or it is
     // longer than the capacity. After a failure the record is there or not; the next one goes to the same
     // slot, and counts only once it was read back from a file opened anew.
-    bool write(std::string_view record);
+    bool write(std::string_view record) { return write(record, format_); }
+    // Likewise, with a format that is no earlier than that of the records written before.
+    bool write(std::string_view record, RecordFormat format);
+    // Of the newest record.
+    RecordFormat format() const { return format_; }
 
   private:
     struct Slot {
@@ -54,6 +59,7 @@
     std::vector<Slot> slots_;
     std::vector<SlotContent> found_;
     std::optional<std::string> newest_;
+    RecordFormat format_ = RecordFormat::initial;
     std::uint64_t serial_ = 0; // the highest that was used
     std::size_t next_slot_ = 0;
     std::size_t record_capacity_ = 0;
--- a/src/system/transport/frame.h
+++ b/src/system/transport/frame.h
@@ -11,7 +11,6 @@
 
 namespace willowrill::transport {
 
-inline constexpr int protocol_version = 3;
 inline constexpr std::size_t frame_length_bytes = 4;
 inline constexpr std::size_t max_message_bytes = 24U << 20U; // decompressed
 inline constexpr std::size_t min_compressed_bytes = 256;     // shorter messages gain too little
--- a/src/system/transport/frame_connection.cpp
+++ b/src/system/transport/frame_connection.cpp
@@ -13,7 +13,8 @@
 
 } // namespace
 
-FrameConnection::FrameConnection(Tcp::socket socket) : socket_(std::move(socket)) {
+FrameConnection::FrameConnection(Tcp::socket socket)
+    : socket_(std::move(socket)), linger_timer_(socket_.get_executor()) {
     configure_socket(socket_, unacknowledged_timeout);
 }
 
@@ -28,7 +29,7 @@
 }
 
 void FrameConnection::send_frame(Frame frame) {
-    if (!open_) return;
+    if (!open_ || lingering_) return;
     if (on_frame_sent_) on_frame_sent_(frame->size());
     queued_bytes_ += frame->size();
     if (queued_bytes_ > max_queued_bytes) return close(); // a peer that does not read
@@ -51,9 +52,25 @@
     if (error || !open_) return close(); // closing has emptied the queue
     queued_bytes_ -= frame->size();
     queue_.pop_front();
+    if (lingering_ && queue_.empty()) return finish_sending();
     write_next();
 }
 
+void FrameConnection::close_when_sent() {
+    if (!open_ || std::exchange(lingering_, true)) return;
+    linger_timer_.expires_after(linger_timeout);
+    linger_timer_.async_wait([self = shared_from_this()](ErrorCode error) {
+        if (!error) self->close();
+    });
+    if (queue_.empty()) finish_sending();
+}
+
+// To close with unread bytes would reset the connection, and the peer might lose what was sent: it closes.
+void FrameConnection::finish_sending() {
+    ErrorCode ignored;
+    socket_.shutdown(Tcp::socket::shutdown_send, ignored);
+}
+
 void FrameConnection::read_length() {
     asio::async_read(socket_, asio::buffer(length_),
                      [self = shared_from_this()](ErrorCode error, std::size_t /*bytes*/) {
@@ -77,7 +94,7 @@
 
 void FrameConnection::on_body() {
     try {
-        on_message_(message_in(std::string_view(body_)));
+        if (!lingering_) on_message_(message_in(std::string_view(body_)));
     } catch (const nlohmann::json::exception& problem) {
         logging::warning("peer-message-malformed").text("detail", problem.what());
         return close();
@@ -90,6 +107,7 @@
     if (!std::exchange(open_, false)) return;
     ErrorCode ignored;
     socket_.close(ignored);
+    linger_timer_.cancel();
     queue_.clear();
     // Later, as the caller may be in the middle of something; and the callbacks may own this connection.
     asio::post(socket_.get_executor(), [self = shared_from_this()] {
--- a/src/system/transport/frame_connection.h
+++ b/src/system/transport/frame_connection.h
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <deque>
 #include <functional>
@@ -19,6 +20,7 @@
 
 inline constexpr std::size_t max_frame_bytes = 16U << 20U;
 inline constexpr std::size_t max_queued_bytes = 24U << 20U;
+inline constexpr std::chrono::milliseconds linger_timeout{1000};
 
 // Must be owned by a std::shared_ptr: operations under way keep it alive.
 class FrameConnection : public std::enable_shared_from_this<FrameConnection> {
@@ -40,6 +42,9 @@
     void send_frame(Frame frame);
     // Ends the connection at once; what is queued is lost.
     void close();
+    // Ends the connection once the peer has got what is queued, or after `linger_timeout`; nothing that it
+    // sends from now on is looked at.
+    void close_when_sent();
     bool is_open() const { return open_; }
     // `on_frame_sent`: called with the size of each frame that is queued from now on, from inside the call
     // that queues it.
@@ -51,6 +56,7 @@
     void on_body();
     void write_next();
     void on_written(ErrorCode error, const Frame& frame);
+    void finish_sending();
 
     Tcp::socket socket_;
     OnMessage on_message_;
@@ -58,6 +64,8 @@
     OnFrameSent on_frame_sent_;
     bool open_ = true;
     bool writing_ = false;
+    bool lingering_ = false; // is to end once all is sent
+    SteadyTimer linger_timer_;
     std::array<unsigned char, frame_length_bytes> length_{};
     std::string body_;
     std::deque<Frame> queue_; // the first is being written
--- a/tests/system/configuration/configuration_test.cpp
+++ b/tests/system/configuration/configuration_test.cpp
@@ -299,3 +299,47 @@
     cr_assert_not(static_cast<bool>(decode(R"({"version":1})")));
     cr_assert_eq(decode("").value().version, 0U);
 }
+
+// ---- Cluster versions ------------------------------------------------------------------------------------
+
+Test(orders, an_upgrade_is_finished_once_and_never_goes_back) {
+    const ControlState before;
+    const ControlState after = applied(before, FinishUpgrade{4});
+    cr_assert_eq(after.cluster_version, 4);
+    for (const int version : {3, 4})
+        cr_assert(std::holds_alternative<Unchanged>(apply(after, FinishUpgrade{version}).value()));
+    const auto beyond = apply(after, FinishUpgrade{willowrill::protocol::supported_versions.max + 1});
+    cr_assert(beyond.error().kind == ErrorKind::upgrade_blocked);
+}
+
+Test(orders, a_state_keeps_its_cluster_version_through_other_orders_and_its_encoding) {
+    ControlState state = applied({}, FinishUpgrade{4});
+    state = applied(state, PutConfiguration{0, document(route("/a/"), 2)});
+    state = applied(state, Evacuate{"hall-a"});
+    const auto read = decode(encode(state));
+    cr_assert_eq(read.value().cluster_version, 4);
+    cr_assert_eq(read.value().version, 2);
+    cr_assert(read.value().evacuated_zones.contains("hall-a"));
+    cr_assert(read.value().taken == state.taken);
+    expect_text(read.value().configuration, state.configuration);
+    cr_assert_eq(cluster_version_of(encode(state)), 4);
+}
+
+// A program of version 3 reads the first line's `version`; before the upgrade is finished it must find it.
+Test(orders, before_an_upgrade_is_finished_states_are_written_as_ever) {
+    const ControlState state = applied({}, Evacuate{"hall-a"});
+    expect_text(encode(state),
+                "{\"evacuated\":[\"hall-a\"],\"forgotten_through\":0,\"taken\":[],\"version\":0}\n");
+    const std::string upgraded = encode(applied(state, FinishUpgrade{4}));
+    cr_assert_eq(upgraded.find("{\"cluster_version\":4,"), 0U);
+    cr_assert_eq(upgraded.find("\"version\":0"), upgraded.rfind("\"version\":0"));
+    cr_assert_eq(upgraded.find("{\"evacuated\""), upgraded.find("\"orders\":") + 9);
+}
+
+Test(orders, a_state_of_a_later_cluster_version_is_refused_by_name) {
+    std::string later = encode(applied({}, FinishUpgrade{4}));
+    later.replace(later.find(":4"), 2, ":5");
+    const auto read = decode(later);
+    cr_assert(read.error().kind == ErrorKind::unsupported_version);
+    cr_assert(read.error().detail.find("cluster version 5") != std::string::npos);
+}
--- a/tests/system/data/subscription_test.cpp
+++ b/tests/system/data/subscription_test.cpp
@@ -22,9 +22,10 @@
         const Tcp::acceptor free(loop, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
         return free.local_endpoint().port();
     }
-    std::shared_ptr<Subscription> subscription(ReportScope scope) {
-        const load_reports::SubscribeRequest request{transport::protocol_version, service_name, scope,
-                                                     "hall-a", "north"};
+    std::shared_ptr<Subscription> subscription(
+        ReportScope scope,
+        const protocol::Greeting& greeting = protocol::own_greeting(protocol::initial_cluster_version)) {
+        const load_reports::SubscribeRequest request{greeting, service_name, scope, "hall-a", "north"};
         return std::make_shared<Subscription>(own.context, backoff, request);
     }
     // Runs the loop, and publishes, until the condition holds; false where that does not come.
@@ -100,10 +101,36 @@
     first->close(); // while it connects
     LoadReportScene other(feed.loop, "other");
     const routing::Worker& open = other.add_worker("i1", "hall-a", "127.0.0.1:1");
-    const load_reports::SubscribeRequest request{transport::protocol_version, service_name,
-                                                 ReportScope::all_zones, "hall-a", "north"};
+    const load_reports::SubscribeRequest request{protocol::own_greeting(protocol::initial_cluster_version),
+                                                 service_name, ReportScope::all_zones, "hall-a", "north"};
     const auto second = std::make_shared<Subscription>(other.context, feed.backoff, request);
     second->subscribe_to(scheduler_lease("home", "hall-a", "north", feed.port));
     cr_assert(feed.publish_until(ReportScope::all_zones, [&] { return open.load_report.has_value(); }));
     cr_assert_not(closed.load_report.has_value());
 }
+
+Test(subscription, a_subscriber_that_speaks_other_versions_is_told_so_and_backs_off) {
+    Feed feed;
+    feed.home.add_worker("i1", "hall-a", "127.0.0.1:1").apply_report(report(3));
+    const routing::Worker& worker = feed.own.add_worker("i1", "hall-a", "127.0.0.1:1");
+    const auto subscription = feed.subscription(ReportScope::all_zones, {{97, 99}, {}});
+    subscription->subscribe_to(scheduler_lease("home", "hall-a", "north", feed.port));
+    cr_assert(feed.publish_until(ReportScope::all_zones, [&] {
+        return feed.backoff.backed_off(SchedulerBackoff::Clock::now()).contains("home");
+    }));
+    cr_assert_not(worker.load_report.has_value());
+    const auto figures = [](const LoadReportScene& scene) { return scene.context.metrics.text(); };
+    cr_assert(figures(feed.home).find(R"(refused_sessions_total{by="self",peer="subscriber"} 1)") !=
+              std::string::npos);
+    cr_assert(figures(feed.own).find(R"(refused_sessions_total{by="peer",peer="publisher"} 1)") !=
+              std::string::npos);
+}
+
+Test(subscription, a_subscriber_that_names_one_version_alone_is_served) {
+    Feed feed;
+    feed.home.add_worker("i1", "hall-a", "127.0.0.1:1").apply_report(report(3));
+    const routing::Worker& worker = feed.own.add_worker("i1", "hall-a", "127.0.0.1:1");
+    const auto subscription = feed.subscription(ReportScope::all_zones, {});
+    subscription->subscribe_to(scheduler_lease("home", "hall-a", "north", feed.port));
+    cr_assert(feed.publish_until(ReportScope::all_zones, [&] { return worker.load_report.has_value(); }));
+}
--- a/tests/system/distribution/core_session_test.cpp
+++ b/tests/system/distribution/core_session_test.cpp
@@ -153,3 +153,22 @@
     scheduler.step(30, MessageReceived{messages::StateSnapshot{}});
     cr_assert_eq(scheduler.pushed.size(), 1U);
 }
+
+Test(core_session, a_member_that_refuses_is_left_and_the_reason_is_kept_until_another_answers) {
+    FakeScheduler scheduler;
+    scheduler.step(0, SessionTick{});
+    scheduler.step(20, DialSucceeded{});
+    scheduler.step(30, MessageReceived{messages::HelloRefusal{{4, 5}, "the peer's program is too old"}});
+    cr_assert_eq(scheduler.disconnects, 1);
+    expect_text(scheduler.session.refusal().value_or("none"), "the peer's program is too old");
+    scheduler.step(100, SessionTick{});
+    cr_assert_eq(scheduler.dialled.size(), 1U); // not at once
+    scheduler.step(600, SessionTick{});
+    expect_text(scheduler.dialled.back(), "10.2.0.1");
+    scheduler.step(620, DialSucceeded{});
+    scheduler.step(630, MessageReceived{messages::HelloReply{}});
+    cr_assert(scheduler.session.refusal().has_value());
+    scheduler.step(640, MessageReceived{lease_ack(true, std::vector<std::string>{"10.2.0.1:8"})});
+    cr_assert_not(scheduler.session.refusal().has_value());
+    cr_assert(scheduler.pushed.empty());
+}
--- a/tests/system/load_reports/load_report_feed_test.cpp
+++ b/tests/system/load_reports/load_report_feed_test.cpp
@@ -149,7 +149,8 @@
         message["type"] = "readings";
         bool thrown = false;
         try {
-            subscriber.apply(load_reports::decode_update(message, Time(9)).value(), near);
+            subscriber.apply(
+                std::get<LoadReportUpdate>(load_reports::decode_publisher_message(message, Time(9))), near);
         } catch (const json::exception&) {
             thrown = true;
         }
--- /dev/null
+++ b/tests/system/protocol/negotiation_test.cpp
@@ -0,0 +1,59 @@
+// On which version and features two ends of a session settle.
+#include "system/protocol/negotiation.h"
+
+#include "support/expect.h"
+
+#include <criterion/criterion.h>
+
+using namespace willowrill;
+using namespace willowrill::protocol;
+
+Test(negotiation, the_highest_common_version_is_spoken) {
+    cr_assert_eq(negotiate({{3, 5}, {}}, {{4, 9}, {}}).value().version, 5);
+    cr_assert_eq(negotiate({{4, 9}, {}}, {{3, 5}, {}}).value().version, 5);
+    cr_assert_eq(negotiate({{3, 4}, {}}, {{3, 3}, {}}).value().version, 3);
+}
+
+Test(negotiation, features_are_those_that_both_have) {
+    const Agreement agreement = negotiate({{3, 4}, {"a", "b"}}, {{3, 4}, {"b", "c"}}).value();
+    cr_assert(agreement.has("b"));
+    cr_assert_not(agreement.has("a") || agreement.has("c"));
+}
+
+Test(negotiation, ranges_that_do_not_meet_are_refused_by_name) {
+    const auto old_peer = negotiate({{4, 5}, {}}, {{3, 3}, {}});
+    cr_assert(old_peer.error().kind == errors::ErrorKind::unsupported_version);
+    expect_text(old_peer.error().detail,
+                "this process speaks protocol versions 4 to 5, the peer 3: the peer's program is too old");
+    const auto old_self = negotiate({{3, 3}, {}}, {{4, 5}, {}});
+    expect_text(
+        old_self.error().detail,
+        "this process speaks protocol versions 3, the peer 4 to 5: this process's program is too old");
+}
+
+// Whoever speaks with both, the two ends come to the same.
+Test(negotiation, both_ends_settle_alike) {
+    for (Version min = 1; min < 5; ++min)
+        for (Version max = min; max < 6; ++max)
+            for (Version other_min = 1; other_min < 5; ++other_min)
+                for (Version other_max = other_min; other_max < 6; ++other_max) {
+                    const Greeting one{{min, max}, {"x"}}, other{{other_min, other_max}, {"x"}};
+                    const auto here = negotiate(one, other), there = negotiate(other, one);
+                    cr_assert_eq(static_cast<bool>(here), static_cast<bool>(there));
+                    if (here) cr_assert(here.value() == there.value());
+                }
+}
+
+Test(negotiation, a_cluster_version_raises_what_is_spoken_at_least) {
+    cr_assert(own_greeting(initial_cluster_version).versions == supported_versions);
+    cr_assert(own_greeting(negotiated_version).versions ==
+              (VersionRange{negotiated_version, supported_versions.max}));
+    cr_assert_not(static_cast<bool>(negotiate(own_greeting(negotiated_version), Greeting{})));
+}
+
+Test(negotiation, sessions_of_one_named_version_skip_what_they_do_not_know) {
+    cr_assert_not(
+        negotiate(own_greeting(initial_cluster_version), Greeting{}).value().refuses_unknown_messages());
+    const Greeting own = own_greeting(initial_cluster_version);
+    cr_assert(negotiate(own, own).value().refuses_unknown_messages());
+}
--- a/tests/system/replication/checker_test.cpp
+++ b/tests/system/replication/checker_test.cpp
@@ -69,3 +69,10 @@
     scenario.break_no_election_backoff = true;
     cr_assert_gt(broken(scenario, 20), 0);
 }
+
+Test(checker, sees_upgrades_that_are_finished_beside_older_members) {
+    simulation::Scenario scenario;
+    scenario.upgrades = true;
+    scenario.break_unchecked_upgrade = true;
+    cr_assert_gt(broken(scenario, 40), 0);
+}
--- a/tests/system/replication/cluster_test.cpp
+++ b/tests/system/replication/cluster_test.cpp
@@ -65,6 +65,23 @@
     expect_kept(scenario, 1, 30);
 }
 
+// Rolled out and back at random, and finished in a part of the histories.
+Test(cluster, members_that_change_their_version) {
+    simulation::Scenario scenario;
+    scenario.upgrades = true;
+    scenario.length = Time(40000);
+    std::size_t upgraded = 0;
+    for (std::uint64_t seed = 1; seed < 60; ++seed) {
+        scenario.seed = seed;
+        const auto outcome = simulation::run(scenario);
+        cr_assert(outcome.violations.empty(), "seed %d: %s", static_cast<int>(seed),
+                  outcome.violations.front().c_str());
+        upgraded += outcome.upgraded ? 1 : 0;
+    }
+    cr_assert_gt(upgraded, 5U, "%zu upgraded", upgraded);
+    cr_assert_lt(upgraded, 59U, "%zu upgraded", upgraded);
+}
+
 // The first fault of this kind: who wins each election and cannot serve must not hold up the others.
 Test(cluster, a_member_that_fails_whenever_it_is_the_primary) {
     simulation::Scenario scenario;
--- a/tests/system/storage/storage_test.cpp
+++ b/tests/system/storage/storage_test.cpp
@@ -238,3 +238,43 @@
     cr_assert(!willowrill::compression::decompress(packed.substr(0, packed.size() / 2), content->size()));
     expect_text(*willowrill::compression::decompress("{plain}", 10), "{plain}");
 }
+
+Test(ring, a_record_of_a_later_program_is_refused_by_name_and_nothing_is_written) {
+    const ScratchFolder scratch;
+    {
+        auto ring = RecordRing::open(scratch.path(), "state", 3, 100);
+        cr_assert(ring.value().write("of this version"));
+    }
+    const std::filesystem::path slot = scratch.path() / "state-1.ring";
+    std::string newer = encode_copy(9, "of a later one");
+    newer[8] = 9; // the format
+    {
+        std::fstream file(slot, std::ios::binary | std::ios::in | std::ios::out);
+        file.write(newer.data(), static_cast<std::streamsize>(newer.size()));
+        file.seekp(static_cast<std::streamoff>(second_copy_offset(100)));
+        file.write(newer.data(), static_cast<std::streamsize>(newer.size()));
+    }
+    const auto ring = RecordRing::open(scratch.path(), "state", 3, 100);
+    cr_assert_not(static_cast<bool>(ring));
+    cr_assert(ring.error().kind == willowrill::errors::ErrorKind::unsupported_version);
+    cr_assert(ring.error().detail.find("state-1.ring") != std::string::npos);
+    std::ifstream file(slot, std::ios::binary);
+    std::string found(newer.size(), ' ');
+    file.read(found.data(), static_cast<std::streamsize>(found.size()));
+    cr_assert(found == newer);
+}
+
+Test(ring, the_format_of_the_newest_record_is_kept_over_a_start) {
+    const ScratchFolder scratch;
+    {
+        auto ring = RecordRing::open(scratch.path(), "state", 3, 100);
+        cr_assert(ring.value().write("first"));
+        cr_assert(ring.value().format() == RecordFormat::initial);
+        cr_assert(ring.value().write("second", RecordFormat::cluster_version));
+    }
+    auto ring = RecordRing::open(scratch.path(), "state", 3, 100);
+    cr_assert(ring.value().format() == RecordFormat::cluster_version);
+    cr_assert(ring.value().newest() == "second");
+    cr_assert(ring.value().write("third"));
+    cr_assert(ring.value().format() == RecordFormat::cluster_version);
+}
--- a/tests/system/transport/frame_connection_test.cpp
+++ b/tests/system/transport/frame_connection_test.cpp
@@ -106,3 +106,36 @@
         pair.left->send_frame(frame);
     cr_assert(pair.until([&] { return closed; }));
 }
+
+// A peer that has sent more than was read must get the last words all the same.
+Test(frame_connection, what_was_sent_before_the_end_arrives_though_bytes_lie_unread) {
+    Pair pair;
+    const auto right = std::make_shared<FrameConnection>(std::move(*pair.right));
+    int heard = 0, closed = 0;
+    bool refused = false;
+    right->start([&](const nlohmann::json& message) { refused = message.contains("refused"); },
+                 [&] { ++closed; });
+    pair.left->start(
+        [&](const nlohmann::json&) {
+            ++heard;
+            pair.left->send({{"refused", true}});
+            pair.left->close_when_sent();
+            pair.left->send({{"late", true}}); // is not sent any more
+        },
+        [&] { ++closed; });
+    for (int i = 0; i < 500; ++i)
+        right->send({{"n", i}, {"text", std::string(2000, 'x')}});
+    cr_assert(pair.until([&] { return closed == 2; }));
+    cr_assert(refused);
+    cr_assert_eq(heard, 1);
+}
+
+Test(frame_connection, a_peer_that_does_not_close_is_left_after_a_while) {
+    Pair pair;
+    int closed = 0;
+    pair.left->start([](const nlohmann::json&) {}, [&] { ++closed; });
+    pair.left->send({{"refused", true}});
+    pair.left->close_when_sent();
+    cr_assert(pair.until([&] { return closed == 1; }));
+    cr_assert_not(pair.left->is_open());
+}
