End the watch of a client with its request; answer one target in the directory

Cause: the session's watch kept a reference to the request, which dangled where the request ended by an exception; the directory answered any target that begins with /-/resolution. Change: ClientWatch, destroyed with the request on every way out, calls nothing after that; the path is compared whole.

--- a/src/system/control/directory_service.cpp
+++ b/src/system/control/directory_service.cpp
@@ -27,7 +27,7 @@
 void DirectoryService::on_request(const http_server::Request& request,
                                   const http_server::Respond& respond) const {
     const std::string target(request.target());
-    if (!target.starts_with(resolution_path))
+    if (target.substr(0, target.find('?')) != resolution_path)
         return respond(http_server::error_response(request, {ErrorKind::unknown_resource, target}));
     const auto addresses =
         resolve(leases_(), query_parameter(target, "region"), query_parameter(target, "zone"));
--- a/src/system/data/client_session.cpp
+++ b/src/system/data/client_session.cpp
@@ -1,7 +1,7 @@
 #include "system/data/client_session.h"
 
+#include "system/data/client_watch.h"
 #include "system/http_server/server.h"
-#include "system/transport/socket_options.h"
 
 #include <string>
 #include <utility>
@@ -103,35 +103,11 @@
                                            const configuration::Route& route, routing::Time arrived) {
     const ScopedCount active_request(counts_->active_requests);
     ProxiedRequest proxied(context_, stream_, request, configuration, route, arrived);
-    watch_client(proxied);
+    const ClientWatch watch(stream_.socket(), [&proxied] { proxied.client_gone(); });
     co_await proxied.run();
-    end_watch();
     co_return proxied.reusable() && !context_.shutting_down;
 }
 
-// While a request is being answered its client sends nothing more, or its next request, or leaves.
-void ClientSession::watch_client(ProxiedRequest& request) {
-    const auto on_ready = [self = shared_from_this(), &request,
-                           generation = ++watch_generation_](ErrorCode error) {
-        if (self->watch_generation_ != generation || error == asio::error::operation_aborted) return;
-        switch (transport::pending(self->stream_.socket())) {
-        case transport::Pending::nothing:
-            return self->watch_client(request);
-        case transport::Pending::bytes:
-            return;
-        case transport::Pending::ended:
-            return request.client_gone();
-        }
-    };
-    stream_.socket().async_wait(Tcp::socket::wait_read, on_ready);
-}
-
-void ClientSession::end_watch() {
-    ++watch_generation_;
-    ErrorCode ignored;
-    stream_.socket().cancel(ignored);
-}
-
 // Bytes that are no request are answered where there were any; then the connection ends.
 asio::awaitable<bool> ClientSession::reject_unreadable(ErrorCode error, bool has_bytes) {
     const std::optional<Error> reason = unreadable_error(error, has_bytes);
--- a/src/system/data/client_session.h
+++ b/src/system/data/client_session.h
@@ -57,8 +57,6 @@
                                        ErrorCode& error);
     asio::awaitable<void> send_continue();
     asio::awaitable<bool> write_rejection(const http::response<http::string_body>& response);
-    void watch_client(ProxiedRequest& request);
-    void end_watch();
     void close();
 
     Context& context_;
@@ -66,7 +64,6 @@
     ScopedCount connection_count_;
     beast::tcp_stream stream_;
     beast::flat_buffer buffer_;
-    std::uint64_t watch_generation_ = 0; // a watch of an older one does nothing
     std::uint64_t requests_read_ = 0;
 };
 
