--- a/tests/system/data/client_watch_test.cpp
+++ b/tests/system/data/client_watch_test.cpp
@@ -61,14 +61,12 @@
     cr_assert_eq(connection.gone, 0);
 }
 
-Test(client_watch, nothing_is_called_where_the_end_was_heard_before_it_was_destroyed) {
+// The watch may end in the same turn of the loop in which the client's end is seen.
+Test(client_watch, nothing_is_called_where_it_is_destroyed_when_the_end_is_seen) {
     Connection connection;
     connection.watch();
     connection.client.close();
-    // The handler is due: it was queued before the watch ended.
     asio::post(connection.loop, [&] { connection.heard.reset(); });
     connection.run_dry();
-    cr_assert_leq(connection.gone, 1);
-    connection.run_dry();
-    cr_assert_leq(connection.gone, 1);
+    cr_assert_eq(connection.gone, 0);
 }
