Send replicated states between core members as deltas of the one before

Cause: the whole state, packed, went to each in-sync member at each change, and nothing yet held back a message that a peer has not announced, as no such message existed; fields that are not known were not counted. CoreMesh sends a message that needs a feature only to a peer that has announced it, and counts what it held back; schedulers announce less than core members. Unknown fields at the top of a message are counted. The simulated core plays the same two ends.

--- a/src/system/control/connection_acceptor.cpp
+++ b/src/system/control/connection_acceptor.cpp
@@ -2,6 +2,7 @@
 
 #include "system/logging/log.h"
 #include "system/messages/codec.h"
+#include "system/messages/unknown_fields.h"
 #include "system/transport/process.h"
 
 #include <utility>
@@ -45,20 +46,43 @@
 void ConnectionAcceptor::on_message(const transport::FrameConnectionPtr& connection, Peer& peer,
                                     const nlohmann::json& document) {
     if (const auto* session = std::get_if<SessionId>(&peer.identity)) {
+        count_unknown_fields(PeerKind::scheduler, document);
         const auto message = messages::decode_scheduler_message(document);
         if (const auto* unknown = std::get_if<messages::UnknownMessage>(&message))
             return on_unknown(connection, peer, PeerKind::scheduler, *unknown);
         return handler_.on_scheduler_message(*session, message);
     }
     if (const auto* member = std::get_if<MemberId>(&peer.identity)) {
-        const auto message = messages::decode_core_message(document);
-        if (const auto* unknown = std::get_if<messages::UnknownMessage>(&message))
-            return on_unknown(connection, peer, PeerKind::core_member, *unknown);
-        return handler_.on_core_message(*member, message);
+        count_unknown_fields(PeerKind::core_member, document);
+        return on_core_message(connection, peer, *member, messages::decode_core_message(document));
     }
     on_hello(connection, peer, document);
 }
 
+void ConnectionAcceptor::count_unknown_fields(PeerKind kind, const nlohmann::json& document) {
+    if (const std::size_t count = messages::count_unknown_fields(document); count > 0)
+        handler_.on_unknown_fields(kind, count);
+}
+
+void ConnectionAcceptor::on_core_message(const transport::FrameConnectionPtr& connection, Peer& peer,
+                                         const MemberId& from, const messages::CoreMessage& message) {
+    if (const auto* unknown = std::get_if<messages::UnknownMessage>(&message))
+        return on_unknown(connection, peer, PeerKind::core_member, *unknown);
+    if (const auto* delta = std::get_if<messages::ReplicationDelta>(&message))
+        return on_replication_delta(peer, from, *delta);
+    if (const auto* envelope = std::get_if<messages::ReplicationEnvelope>(&message))
+        peer.states.on_message(envelope->message);
+    handler_.on_core_message(from, message);
+}
+
+void ConnectionAcceptor::on_replication_delta(Peer& peer, const MemberId& from,
+                                              const messages::ReplicationDelta& delta) {
+    if (const auto whole = peer.states.apply(delta))
+        return handler_.on_core_message(from, messages::ReplicationEnvelope{*whole});
+    logging::warning("state-base-missing").field("peer", peer.name).field("epoch", delta.base.epoch);
+    handler_.on_missing_state_base(from);
+}
+
 void ConnectionAcceptor::on_unknown(const transport::FrameConnectionPtr& connection, const Peer& peer,
                                     PeerKind kind, const messages::UnknownMessage& message) {
     handler_.on_unknown_message(kind);
@@ -84,6 +108,7 @@
     const auto* core = std::get_if<messages::CoreHello>(&*hello);
     const PeerKind kind = core != nullptr ? PeerKind::core_member : PeerKind::scheduler;
     peer.name = core != nullptr ? core->member.id : "scheduler";
+    count_unknown_fields(kind, document);
     peer.greeting = std::visit([](const auto& one) { return one.greeting; }, *hello);
     auto agreement = protocol::negotiate(handler_.greeting(), peer.greeting);
     if (!agreement) return refuse(connection, peer, kind, agreement.error());
--- a/src/system/control/connection_acceptor.h
+++ b/src/system/control/connection_acceptor.h
@@ -7,6 +7,7 @@
 #include "system/control/refusal_log.h"
 #include "system/distribution/scheduler_sessions.h"
 #include "system/messages/messages.h"
+#include "system/messages/state_delta.h"
 #include "system/protocol/negotiation.h"
 #include "system/replication/types.h"
 #include "system/transport/frame_connection.h"
@@ -47,6 +48,10 @@
         virtual void on_refused(PeerKind peer) = 0;
         // A message that is not understood came, and was skipped or ended its connection.
         virtual void on_unknown_message(PeerKind peer) = 0;
+        // A message had fields that are not known; they were skipped.
+        virtual void on_unknown_fields(PeerKind peer, std::size_t count) = 0;
+        // A delta of a state could not be applied: nothing has changed, and the state has to be had whole.
+        virtual void on_missing_state_base(const replication::MemberId& from) = 0;
     };
 
     // `handler` outlives this object.
@@ -65,11 +70,17 @@
         std::string name; // for the log
         protocol::Greeting greeting;
         protocol::Agreement agreement;
+        messages::StateDeltaReceiver states; // of a core member
     };
 
     void accept(const transport::FrameConnectionPtr& connection);
     void on_message(const transport::FrameConnectionPtr& connection, Peer& peer,
                     const nlohmann::json& document);
+    void on_core_message(const transport::FrameConnectionPtr& connection, Peer& peer,
+                         const replication::MemberId& from, const messages::CoreMessage& message);
+    void on_replication_delta(Peer& peer, const replication::MemberId& from,
+                              const messages::ReplicationDelta& delta);
+    void count_unknown_fields(PeerKind kind, const nlohmann::json& document);
     void on_hello(const transport::FrameConnectionPtr& connection, Peer& peer,
                   const nlohmann::json& document);
     void refuse(const transport::FrameConnectionPtr& connection, const Peer& peer, PeerKind kind,
--- a/src/system/control/control_plane.cpp
+++ b/src/system/control/control_plane.cpp
@@ -38,9 +38,7 @@
     : loop_(loop), settings_(std::move(settings)), settings_path_(std::move(settings_path)),
       self_(settings::to_text(settings_.control)),
       node_(loop, settings_,
-            {[this](const MemberId& to, const replication::Message& message) {
-                 mesh_.send(to, messages::ReplicationEnvelope{message});
-             },
+            {[this](const MemberId& to, const replication::Message& message) { mesh_.send(to, message); },
              [this](const replication::Position& position, const configuration::ControlState& state) {
                  on_state(position, state);
              },
@@ -112,18 +110,30 @@
     metrics_.add(metrics::Total::skipped_messages, label_of(peer));
 }
 
+void ControlPlane::on_unknown_fields(ConnectionAcceptor::PeerKind peer, std::size_t count) {
+    metrics_.add(metrics::Total::unknown_fields, label_of(peer), {}, static_cast<double>(count));
+}
+
+void ControlPlane::on_missing_state_base(const MemberId& from) {
+    metrics_.add(metrics::Total::missing_bases);
+    mesh_.send(from, messages::StateSnapshotRequest{});
+}
+
 CoreMesh::Callbacks ControlPlane::mesh_callbacks() {
-    return {[this](const MemberId& member) { on_peer_connected(member); },
-            [this](const MemberId& member) { node_.feed(replication::PeerDisconnected{member}); },
-            [this](const MemberId& member) {
-                const auto location = member_locations_.find(member);
-                const bool known = location != member_locations_.end();
-                return counter("core", metrics::crossing(settings_.zone, settings_.region,
-                                                         known ? location->second.zone : "",
-                                                         known ? location->second.region : ""));
-            },
-            [this] { return greeting(); },
-            [this](const MemberId&) { metrics_.add(metrics::Total::refused_sessions, "core", "peer"); }};
+    return {
+        [this](const MemberId& member) { on_peer_connected(member); },
+        [this](const MemberId& member) { node_.feed(replication::PeerDisconnected{member}); },
+        [this](const MemberId& member) {
+            const auto location = member_locations_.find(member);
+            const bool known = location != member_locations_.end();
+            return counter("core", metrics::crossing(settings_.zone, settings_.region,
+                                                     known ? location->second.zone : "",
+                                                     known ? location->second.region : ""));
+        },
+        [this] { return greeting(); },
+        [this](const MemberId&) { metrics_.add(metrics::Total::refused_sessions, "core", "peer"); },
+        [this] { metrics_.add(metrics::Total::held_back); },
+        [this](bool as_delta) { metrics_.add(metrics::Total::states_sent, as_delta ? "delta" : "whole"); }};
 }
 
 distribution::SchedulerSessions::Callbacks ControlPlane::session_callbacks() {
@@ -280,6 +290,13 @@
     node_.feed(replication::Received{from, envelope.message});
 }
 
+// The acceptor has made it whole already.
+void ControlPlane::on(const MemberId& /*from*/, const messages::ReplicationDelta&) const {}
+
+void ControlPlane::on(const MemberId& from, const messages::StateSnapshotRequest&) {
+    mesh_.on_state_snapshot_request(from);
+}
+
 void ControlPlane::on(const MemberId& /*from*/, const messages::CorePeers& peers) {
     for (const MemberId& id : peers.members)
         mesh_.add_peer(id);
--- a/src/system/control/control_plane.h
+++ b/src/system/control/control_plane.h
@@ -53,12 +53,18 @@
     distribution::SessionId on_scheduler(const transport::FrameConnectionPtr& connection) override;
     void on_scheduler_message(distribution::SessionId id, const messages::SchedulerMessage& message) override;
     void on_scheduler_closed(distribution::SessionId id) override;
-    protocol::Greeting greeting() const override { return protocol::own_greeting(cluster_version_); }
+    protocol::Greeting greeting() const override {
+        return protocol::own_greeting(cluster_version_, protocol::supported_features());
+    }
     void on_refused(ConnectionAcceptor::PeerKind peer) override;
     void on_unknown_message(ConnectionAcceptor::PeerKind peer) override;
+    void on_unknown_fields(ConnectionAcceptor::PeerKind peer, std::size_t count) override;
+    void on_missing_state_base(const MemberId& from) override;
 
     void on(const MemberId& from, const messages::UnknownMessage&) const;
     void on(const MemberId& from, const messages::ReplicationEnvelope& envelope);
+    void on(const MemberId& from, const messages::ReplicationDelta& delta) const;
+    void on(const MemberId& from, const messages::StateSnapshotRequest&);
     void on(const MemberId& from, const messages::CorePeers& peers);
     void on(const MemberId& from, const messages::LeasesMessage& message);
     void on(const MemberId& from, const messages::EndpointListMessage& message);
--- a/src/system/control/core_mesh.cpp
+++ b/src/system/control/core_mesh.cpp
@@ -51,6 +51,8 @@
     Link& link = links_[member];
     link.connection = connection;
     link.greeting = {};
+    link.features = {};
+    link.states = {};
     connection->observe_sent_frames(callbacks_.counter(member));
     connection->start(
         [this, member](const nlohmann::json& document) {
@@ -66,7 +68,11 @@
 
 void CoreMesh::on_reply(const MemberId& member, const messages::DialReply& reply) {
     Link& link = links_[member];
-    if (const auto* accepted = std::get_if<messages::HelloReply>(&reply)) link.greeting = accepted->greeting;
+    if (const auto* accepted = std::get_if<messages::HelloReply>(&reply)) {
+        link.greeting = accepted->greeting;
+        if (auto agreement = protocol::negotiate(callbacks_.greeting(), link.greeting))
+            link.features = std::move(agreement.value().features);
+    }
     const auto* refusal = std::get_if<messages::HelloRefusal>(&reply);
     if (refusal == nullptr) return;
     callbacks_.refused(member);
@@ -89,16 +95,44 @@
         if (link.connection && !protocol::negotiate(own, link.greeting)) link.connection->close();
 }
 
+bool CoreMesh::is_understood(const Link& link, const messages::CoreMessage& message) const {
+    const auto feature = messages::required_feature(message);
+    if (!feature || link.features.contains(*feature)) return true;
+    callbacks_.held_back();
+    return false;
+}
+
 void CoreMesh::send(const MemberId& to, const messages::CoreMessage& message) {
     const auto link = links_.find(to);
-    if (link != links_.end() && link->second.connection)
-        link->second.connection->send(messages::encode(message));
+    if (link == links_.end() || !link->second.connection) return;
+    if (is_understood(link->second, message)) link->second.connection->send(messages::encode(message));
+}
+
+void CoreMesh::send(const MemberId& to, const replication::Message& message) {
+    const auto found = links_.find(to);
+    if (found == links_.end() || !found->second.connection) return;
+    Link& link = found->second;
+    const bool understands_deltas = link.features.contains(protocol::state_delta_feature);
+    send_state(link, link.states.prepare(message, understands_deltas));
+}
+
+void CoreMesh::send_state(Link& link, const messages::CoreMessage& message) const {
+    const auto* whole = std::get_if<messages::ReplicationEnvelope>(&message);
+    if (whole == nullptr || replication::state_in(whole->message) != nullptr)
+        callbacks_.state_sent(whole == nullptr);
+    link.connection->send(messages::encode(message));
+}
+
+void CoreMesh::on_state_snapshot_request(const MemberId& from) {
+    const auto link = links_.find(from);
+    if (link == links_.end() || !link->second.connection) return;
+    if (const auto message = link->second.states.on_snapshot_request()) send_state(link->second, *message);
 }
 
 void CoreMesh::broadcast(const messages::CoreMessage& message) {
     transport::Frame frame;
     for (const auto& [member, link] : links_) {
-        if (!link.connection) continue;
+        if (!link.connection || !is_understood(link, message)) continue;
         if (!frame) frame = messages::frame_of(message);
         link.connection->send_frame(frame);
     }
--- a/src/system/control/core_mesh.h
+++ b/src/system/control/core_mesh.h
@@ -5,6 +5,7 @@
 
 #include "system/control/refusal_log.h"
 #include "system/messages/messages.h"
+#include "system/messages/state_delta.h"
 #include "system/protocol/negotiation.h"
 #include "system/transport/frame_connection.h"
 
@@ -30,6 +31,10 @@
         std::function<protocol::Greeting()> greeting;
         // A member has refused a session, as no version is had in common.
         std::function<void(const MemberId&)> refused;
+        // A message was not sent, as its receiver has not announced the feature that it needs.
+        std::function<void()> held_back;
+        // A replicated state went out, whole or as a delta.
+        std::function<void(bool as_delta)> state_sent;
     };
 
     // `internal_port`: where core members listen for each other, alike on all machines.
@@ -41,9 +46,14 @@
     // there are too many.
     bool add_peer(const MemberId& member);
     // Dials the peers that it is not connected to; to be called often.
-    // A message to a peer that is not connected is dropped.
     void maintain();
+    // A message to a peer that is not connected is dropped, and so is one that needs a feature which the peer
+    // has not announced on this connection.
     void send(const MemberId& to, const messages::CoreMessage& message);
+    // Likewise; a state in it goes as a delta where the peer can apply that.
+    void send(const MemberId& to, const replication::Message& message);
+    // The peer could not apply a delta: it is sent the newest state whole.
+    void on_state_snapshot_request(const MemberId& from);
     void broadcast(const messages::CoreMessage& message);
     std::vector<MemberId> connected() const;
     // What the connected members have announced. One that has not, or not yet, speaks the one version that
@@ -57,11 +67,16 @@
         transport::FrameConnectionPtr connection;
         bool dialling = false;
         protocol::Greeting greeting;                // on this connection; as announced, if it was
+        protocol::FeatureSet features;              // that both ends have announced on it
+        messages::StateDeltaSender states;          // sent on it
         std::chrono::milliseconds refused_until{0}; // steady; is not dialled before
     };
     void dial(const MemberId& member);
     void on_connected(const MemberId& member, const transport::FrameConnectionPtr& connection);
     void on_reply(const MemberId& member, const messages::DialReply& reply);
+    // Whether the message may be sent to this peer.
+    bool is_understood(const Link& link, const messages::CoreMessage& message) const;
+    void send_state(Link& link, const messages::CoreMessage& message) const;
 
     asio::io_context& loop_;
     messages::CoreMember self_;
--- a/src/system/messages/codec.cpp
+++ b/src/system/messages/codec.cpp
@@ -4,6 +4,8 @@
 #include "system/membership/codec.h"
 #include "system/replication/codec.h"
 
+#include <sodium.h>
+
 #include <algorithm>
 #include <string_view>
 #include <utility>
@@ -25,6 +27,8 @@
 constexpr const char* resync_members = "members";
 constexpr const char* hello_reply_type = "hello-reply";
 constexpr const char* hello_refusal_type = "hello-refused";
+constexpr const char* replication_delta_type = "replication-delta";
+constexpr const char* state_snapshot_request_type = "state-wanted";
 constexpr const char* needs_key = "needs";
 constexpr const char* optional_key = "optional";
 constexpr std::size_t max_features = 64; // of a greeting; more are not read
@@ -46,6 +50,28 @@
     return std::nullopt;
 }
 
+std::string to_base64(std::string_view bytes) {
+    constexpr int variant = sodium_base64_VARIANT_ORIGINAL;
+    std::string out(sodium_base64_encoded_len(bytes.size(), variant), '\0');
+    sodium_bin2base64(out.data(), out.size(), reinterpret_cast<const unsigned char*>(bytes.data()),
+                      bytes.size(), variant);
+    out.pop_back(); // the zero behind the text
+    return out;
+}
+
+std::string from_base64(const json& in) {
+    const auto text = in.get<std::string>();
+    std::string out(text.size(), '\0');
+    std::size_t size = 0;
+    const char* end = nullptr;
+    if (sodium_base642bin(reinterpret_cast<unsigned char*>(out.data()), out.size(), text.data(), text.size(),
+                          nullptr, &size, &end, sodium_base64_VARIANT_ORIGINAL) != 0 ||
+        end != text.data() + text.size())
+        throw json::other_error::create(out_of_range_id, "no base64", &in);
+    out.resize(size);
+    return out;
+}
+
 json encode_position(const Position& position) { return json::array({position.epoch, position.sequence}); }
 
 Position decode_position(const json& in) {
@@ -145,6 +171,16 @@
     return {{"type", "replication"}, {"message", replication::encode(envelope.message)}};
 }
 
+json encode_one(const ReplicationDelta& delta) {
+    return {{"type", replication_delta_type},
+            {"message", replication::encode(delta.message)},
+            {"base", encode_position(delta.base)},
+            {"digest", to_base64({reinterpret_cast<const char*>(delta.digest.data()), delta.digest.size()})},
+            {"delta", to_base64(delta.delta)}};
+}
+
+json encode_one(const StateSnapshotRequest&) { return {{"type", state_snapshot_request_type}}; }
+
 json encode_one(const CorePeers& peers) { return {{"type", "core"}, {"members", peers.members}}; }
 
 json encode_one(const LeasesSnapshot& snapshot) {
@@ -199,6 +235,20 @@
     return ReplicationEnvelope{replication::decode_message(message)};
 }
 
+// A message of a kind that carries no state is as malformed as one that cannot be read.
+CoreMessage decode_replication_delta(const json& in) {
+    const json& message = in.at("message");
+    const auto type = message.at("type").get<std::string>();
+    if (!replication::knows_message(type)) return unknown(in, "replication/" + type);
+    ReplicationDelta out{replication::decode_message(message), decode_position(in.at("base")), {}, ""};
+    const std::string digest = from_base64(in.at("digest"));
+    if (replication::state_in(out.message) == nullptr || digest.size() != out.digest.size())
+        throw json::other_error::create(out_of_range_id, "no delta of a state", &in);
+    std::ranges::copy(digest, out.digest.begin());
+    out.delta = from_base64(in.at("delta"));
+    return out;
+}
+
 LeasesMessage decode_leases_message(std::string_view type, const json& in) {
     if (type == "leases-wanted") return LeasesSnapshotRequest{};
     const LeaseListVersion version = decode_lease_list_version(in);
@@ -340,6 +390,8 @@
     const auto type = document.at("type").get<std::string>();
     if (const auto feature = missing_feature(document)) return unknown(document, *feature);
     if (type == "replication") return decode_replication(document);
+    if (type == replication_delta_type) return decode_replication_delta(document);
+    if (type == state_snapshot_request_type) return StateSnapshotRequest{};
     if (type == "core") return CorePeers{document.at("members").get<std::vector<std::string>>()};
     if (type == "assign") return EndpointListMessage{decode_role_assignments(document)};
     if (type == "zone") return EndpointListMessage{decode_zone_list_update(document)};
--- a/src/system/messages/messages.h
+++ b/src/system/messages/messages.h
@@ -15,10 +15,12 @@
 #include "system/replication/messages.h"
 #include "system/replication/types.h"
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -34,6 +36,9 @@
 };
 inline constexpr std::size_t max_unknown_name = 64;
 
+// SHA-256 of a replicated state's content.
+using StateDigest = std::array<unsigned char, 32>;
+
 // A core member and its location, by which schedulers choose a near one.
 struct CoreMember {
     std::string id; // control endpoint, HOST:PORT
@@ -76,6 +81,19 @@
     replication::Message message;
 };
 
+// A message of the replication protocol that carries a replicated state, with the state as the difference to
+// one that was sent before on the same connection (state_delta.h).
+struct ReplicationDelta {
+    replication::Message message; // its state has no content
+    replication::Position base;
+    StateDigest digest{}; // of the state's content
+    std::string delta;    // by compression::compress_against
+};
+
+// The receiver has not got the base of a delta that the peer sent, or it is another than the peer's: the peer
+// sends its last state whole. Nothing has changed at the sender of this request.
+struct StateSnapshotRequest {};
+
 // The core members that the sender is connected to.
 struct CorePeers {
     std::vector<std::string> members; // ids
@@ -136,8 +154,12 @@
 
 using EndpointListMessage = std::variant<RoleAssignments, ZoneListUpdate, ZoneListUnchanged>;
 
-using CoreMessage =
-    std::variant<UnknownMessage, ReplicationEnvelope, CorePeers, LeasesMessage, EndpointListMessage>;
+using CoreMessage = std::variant<UnknownMessage, ReplicationEnvelope, ReplicationDelta, StateSnapshotRequest,
+                                 CorePeers, LeasesMessage, EndpointListMessage>;
+
+// The feature that a peer must have announced before this is sent to it; nothing for a message that every
+// version in the range of those spoken understands.
+std::optional<std::string_view> required_feature(const CoreMessage& message);
 
 // What the dialled member sends on the connection; all else goes the other way.
 using DialReply = std::variant<UnknownMessage, HelloReply, HelloRefusal>;
--- a/src/system/metrics/metrics.cpp
+++ b/src/system/metrics/metrics.cpp
@@ -36,6 +36,13 @@
     Description{"willowrill_refused_sessions_total", "Sessions refused for their protocol version", "peer",
                 "by"},
     Description{"willowrill_skipped_messages_total", "Messages that were not understood", "peer", nullptr},
+    Description{"willowrill_unknown_fields_total", "Fields of messages that were not understood", "peer",
+                nullptr},
+    Description{"willowrill_held_back_messages_total", "Messages that the peer has not announced", nullptr,
+                nullptr},
+    Description{"willowrill_states_sent_total", "Replicated states sent to core members", "form", nullptr},
+    Description{"willowrill_missing_state_bases_total", "Deltas of states that could not be applied", nullptr,
+                nullptr},
 };
 constexpr std::array durations{
     Description{"willowrill_first_event_wait_seconds", "From sending to the first bytes of an answer", "tier",
--- a/src/system/metrics/metrics.h
+++ b/src/system/metrics/metrics.h
@@ -26,6 +26,10 @@
     platform_calls,    // by result
     refused_sessions,  // with other processes of the system, by what the peer is and by who refused
     skipped_messages,  // of other processes that were not understood, by what the peer is
+    unknown_fields,    // of messages that were understood but for these, by what the peer is
+    held_back,         // messages not sent, as the peer has not announced their feature
+    states_sent,       // replicated states sent to core members, by whether whole or as a delta
+    missing_bases,     // deltas of states that could not be applied
 };
 
 // Histograms of times.
--- a/src/system/protocol/negotiation.cpp
+++ b/src/system/protocol/negotiation.cpp
@@ -7,8 +7,8 @@
 
 namespace willowrill::protocol {
 
-Greeting own_greeting(Version cluster_version) {
-    return {versions_in_cluster(cluster_version), supported_features()};
+Greeting own_greeting(Version cluster_version, const FeatureSet& features) {
+    return {versions_in_cluster(cluster_version), features};
 }
 
 errors::Result<Agreement> negotiate(const Greeting& own, const Greeting& peer) {
--- a/src/system/protocol/negotiation.h
+++ b/src/system/protocol/negotiation.h
@@ -27,7 +27,7 @@
 };
 
 // What this process says in a cluster of this version.
-Greeting own_greeting(Version cluster_version);
+Greeting own_greeting(Version cluster_version, const FeatureSet& features = common_features());
 
 // The highest version that both speak, and the features that both have. An error of the kind
 // `unsupported_version`, whose sentence names both ranges, where there is none.
--- a/src/system/protocol/version.h
+++ b/src/system/protocol/version.h
@@ -40,10 +40,18 @@
 
 // Reads a replicated state that names its cluster version.
 inline constexpr std::string_view cluster_version_feature = "cluster-version";
-inline const FeatureSet& supported_features() {
+// Takes in replicated states as the difference to one that it was sent before on the same connection.
+inline constexpr std::string_view state_delta_feature = "state-delta";
+// What every process of the system announces.
+inline const FeatureSet& common_features() {
     static const FeatureSet features{std::string(cluster_version_feature)};
     return features;
 }
+// What a core member announces: all that this program has.
+inline const FeatureSet& supported_features() {
+    static const FeatureSet features{std::string(cluster_version_feature), std::string(state_delta_feature)};
+    return features;
+}
 
 // What this program speaks in a cluster of that version: versions below it are spoken no more.
 constexpr VersionRange versions_in_cluster(Version cluster_version) {
--- a/src/system/replication/messages.h
+++ b/src/system/replication/messages.h
@@ -116,4 +116,16 @@
                  AcceptRequest, AcceptReply, ReplicateRequest, ReplicateReply, Heartbeat, HeartbeatReply,
                  CommitNotification, RecoveryRequest, RecoveryReply, LeadershipTransfer>;
 
+// The replicated state in a message of a kind that carries one; null in any other.
+inline const ReplicatedState* state_in(const Message& message) {
+    return std::visit(
+        [](const auto& one) -> const ReplicatedState* {
+            if constexpr (requires { one.state; })
+                return &one.state;
+            else
+                return nullptr;
+        },
+        message);
+}
+
 } // namespace willowrill::replication
--- a/src/system/simulation/cluster.cpp
+++ b/src/system/simulation/cluster.cpp
@@ -30,6 +30,7 @@
             .break_always_current = scenario.break_always_current,
             .break_no_election_backoff = scenario.break_no_election_backoff,
             .break_unchecked_upgrade = scenario.break_unchecked_upgrade,
+            .break_trusts_any_base = scenario.break_trusts_any_base,
             .trace = scenario.trace};
 }
 
--- a/src/system/simulation/history.h
+++ b/src/system/simulation/history.h
@@ -39,9 +39,11 @@
     std::size_t evacuations = 0; // acknowledged, and their ends
     std::size_t pushes = 0;      // states that schedulers took in
     std::size_t faults = 0;
-    std::size_t epochs = 0; // that came into force
-    std::size_t states = 0; // distinct ones that were committed
-    Time back_after{0};     // from the end of the last fault to the next acknowledgement
+    std::size_t epochs = 0;        // that came into force
+    std::size_t states = 0;        // distinct ones that were committed
+    std::size_t deltas = 0;        // states that went to another member as a delta
+    std::size_t missing_bases = 0; // deltas that could not be applied
+    Time back_after{0};            // from the end of the last fault to the next acknowledgement
 };
 
 class History {
--- a/src/system/simulation/member.cpp
+++ b/src/system/simulation/member.cpp
@@ -92,6 +92,7 @@
     frozen_until_.reset();
     when_awake_.clear();
     links_.clear();
+    states_ = {};
     peers_.clear();
     dialling_.clear();
     schedulers_.clear();
@@ -163,6 +164,7 @@
                     if (!environment_.find(id)->speaks_with(greeting()))
                         return environment_.network.close(connection, node_);
                     links_[id] = connection;
+                    states_.on_connected(id);
                     connection->closed_at_dialler = [this, id, incarnation = incarnation_] {
                         when_awake(incarnation, [this, id] {
                             links_.erase(id);
@@ -293,11 +295,7 @@
             later(Time{1}, [this, from = send->to, forged] { feed(Received{from, forged}); });
             if (environment_.queue.chance() < 0.5) return;
         }
-        const auto deliver = [from = id_, message = send->message](Member& to) {
-            to.feed(Received{from, message});
-        };
-        if (environment_.queue.chance() < environment_.replays) replay_later(send->to, deliver);
-        return send_to(send->to, deliver);
+        return send_replication(send->to, send->message);
     }
     if (const auto* save = std::get_if<Save>(&action)) {
         if (fails_as_primary && replica_->is_primary())
@@ -310,6 +308,34 @@
     on_committed();
 }
 
+void Member::send_replication(const MemberId& to, const replication::Message& message) {
+    const Member* other = environment_.find(to);
+    if (other == nullptr || !links_.contains(to)) return;
+    const auto agreement = protocol::negotiate(greeting(), other->greeting());
+    const bool deltas = agreement && agreement.value().has(protocol::state_delta_feature);
+    send_core_message(to, states_.prepare(to, message, deltas), true);
+}
+
+void Member::send_core_message(const MemberId& to, const messages::CoreMessage& message, bool may_replay) {
+    const auto deliver = [from = id_, serial = links_.at(to)->serial, message](Member& other) {
+        other.on_core_message(from, serial, message);
+    };
+    if (std::holds_alternative<messages::ReplicationDelta>(message)) ++environment_.history.outcome().deltas;
+    if (may_replay && environment_.queue.chance() < environment_.replays) replay_later(to, deliver);
+    send_to(to, deliver);
+}
+
+void Member::on_core_message(const MemberId& from, ConnectionSerial serial,
+                             const messages::CoreMessage& message) {
+    states_.break_trusts_any_base = environment_.break_trusts_any_base;
+    if (const auto whole = states_.receive(from, serial, message)) return feed(Received{from, *whole});
+    ++environment_.history.outcome().missing_bases;
+    send_to(from, [self = id_](Member& sender) {
+        const auto again = sender.states_.on_snapshot_request(self);
+        if (again && sender.links_.contains(self)) sender.send_core_message(self, *again, false);
+    });
+}
+
 // Members agree on what stands at a position, and none goes back within its incarnation.
 void Member::on_committed() {
     const ReplicatedState& state = replica_->committed();
--- a/src/system/simulation/member.h
+++ b/src/system/simulation/member.h
@@ -9,6 +9,7 @@
 #include "system/simulation/disk.h"
 #include "system/simulation/history.h"
 #include "system/simulation/network.h"
+#include "system/simulation/state_transfer.h"
 
 #include <deque>
 #include <functional>
@@ -39,6 +40,7 @@
     bool break_always_current = false;
     bool break_no_election_backoff = false;
     bool break_unchecked_upgrade = false;
+    bool break_trusts_any_base = false;
     bool trace = false;
     // An order to finish the upgrade was taken in: nobody puts an older program on a machine from then on.
     bool upgrade_ordered = false;
@@ -105,6 +107,9 @@
     void when_awake(std::uint64_t incarnation, std::function<void()> act);
     void carry_out(const replication::Action& action);
     void send_to(const MemberId& to, std::function<void(Member&)> deliver);
+    void send_replication(const MemberId& to, const replication::Message& message);
+    void send_core_message(const MemberId& to, const messages::CoreMessage& message, bool may_replay);
+    void on_core_message(const MemberId& from, ConnectionSerial serial, const messages::CoreMessage& message);
     void replay_later(const MemberId& to, const std::function<void(Member&)>& deliver);
     void on_committed();
     void end_if_possible();
@@ -129,6 +134,7 @@
     std::optional<Time> frozen_until_;
     std::deque<std::function<void()>> when_awake_; // what came while it was frozen, in its order
     std::map<MemberId, ConnectionPtr> links_;      // those that are up
+    StateTransfer states_;
     std::set<MemberId> peers_, dialling_;
     std::map<distribution::SessionId, SchedulerEnd> schedulers_;
     distribution::SessionId last_session_ = 0;
--- a/src/system/simulation/scenario.h
+++ b/src/system/simulation/scenario.h
@@ -41,6 +41,8 @@
     // stands again at once and hands nothing over, it is one.
     bool fails_as_primary = false;
     bool break_no_election_backoff = false;
+    // Deltas of states are applied to whatever state a member has from their sender.
+    bool break_trusts_any_base = false;
     // The upgrade is finished without a look at who could not follow.
     bool break_unchecked_upgrade = false;
 };
--- a/tests/system/control/connection_acceptor_test.cpp
+++ b/tests/system/control/connection_acceptor_test.cpp
@@ -3,6 +3,7 @@
 #include "system/control/connection_acceptor.h"
 
 #include "system/messages/codec.h"
+#include "system/messages/state_delta.h"
 
 #include "support/expect.h"
 
@@ -22,8 +23,11 @@
         members.push_back(member.id);
         return true;
     }
-    void on_core_message(const replication::MemberId&, const messages::CoreMessage&) override {
+    void on_core_message(const replication::MemberId&, const messages::CoreMessage& message) override {
         ++core_messages;
+        if (const auto* envelope = std::get_if<messages::ReplicationEnvelope>(&message))
+            if (const auto* state = replication::state_in(envelope->message))
+                contents.push_back(*state->content);
     }
     distribution::SessionId on_scheduler(const transport::FrameConnectionPtr&) override { return ++sessions; }
     void on_scheduler_message(distribution::SessionId, const messages::SchedulerMessage&) override {
@@ -33,10 +37,16 @@
     Greeting greeting() const override { return protocol::own_greeting(cluster_version); }
     void on_refused(ConnectionAcceptor::PeerKind) override { ++refused; }
     void on_unknown_message(ConnectionAcceptor::PeerKind) override { ++unknown; }
+    void on_unknown_fields(ConnectionAcceptor::PeerKind, std::size_t count) override {
+        unknown_fields += count;
+    }
+    void on_missing_state_base(const replication::MemberId&) override { ++missing_bases; }
 
     protocol::Version cluster_version = protocol::initial_cluster_version;
     std::vector<std::string> members;
-    int core_messages = 0, scheduler_messages = 0, closed = 0, refused = 0, unknown = 0;
+    std::vector<std::string> contents; // of states
+    int core_messages = 0, scheduler_messages = 0, closed = 0, refused = 0, unknown = 0, missing_bases = 0;
+    std::size_t unknown_fields = 0;
     distribution::SessionId sessions = 0;
 };
 
@@ -161,6 +171,39 @@
     cr_assert_eq(accepted.handler.core_messages, 0);
 }
 
+Test(connection_acceptor, unknown_fields_are_counted_and_the_message_is_taken) {
+    Accepted accepted;
+    accepted.say_hello(range);
+    json message = known_message;
+    message["hue"] = "green";
+    accepted.dialler->send(message);
+    cr_assert(accepted.until([&] { return accepted.handler.core_messages == 1; }));
+    cr_assert_eq(accepted.handler.unknown_fields, 1U);
+    cr_assert_eq(accepted.handler.unknown, 0);
+}
+
+Test(connection_acceptor, deltas_of_states_become_whole_or_are_reported) {
+    const auto replicate = [](std::uint64_t sequence, char last) {
+        std::string text(2000, 'a');
+        text.push_back(last);
+        const auto content = std::make_shared<const std::string>(std::move(text));
+        return replication::Message{replication::ReplicateRequest{3, {{3, sequence}, content}}};
+    };
+    messages::StateDeltaSender sender;
+    const json whole = messages::encode(sender.prepare(replicate(1, 'b'), true));
+    const json delta = messages::encode(sender.prepare(replicate(2, 'c'), true));
+    cr_assert(delta.at("type") == "replication-delta");
+    Accepted accepted;
+    accepted.say_hello(range);
+    accepted.dialler->send(delta);
+    cr_assert(accepted.until([&] { return accepted.handler.missing_bases == 1; }));
+    cr_assert_eq(accepted.handler.core_messages, 0);
+    accepted.dialler->send(whole);
+    accepted.dialler->send(delta);
+    cr_assert(accepted.until([&] { return accepted.handler.core_messages == 2; }));
+    cr_assert_eq(accepted.handler.contents.at(1).back(), 'c');
+}
+
 Test(connection_acceptor, something_else_than_a_hello_ends_the_connection) {
     Accepted accepted;
     accepted.dialler->send(known_message);
--- a/tests/system/protocol/negotiation_test.cpp
+++ b/tests/system/protocol/negotiation_test.cpp
@@ -51,6 +51,15 @@
     cr_assert_not(static_cast<bool>(negotiate(own_greeting(negotiated_version), Greeting{})));
 }
 
+Test(negotiation, core_members_announce_more_than_schedulers) {
+    const Greeting core = own_greeting(initial_cluster_version, supported_features());
+    const Greeting scheduler = own_greeting(initial_cluster_version);
+    cr_assert(negotiate(core, core).value().has(state_delta_feature));
+    cr_assert_not(negotiate(core, scheduler).value().has(state_delta_feature));
+    cr_assert_not(negotiate(core, Greeting{}).value().has(state_delta_feature));
+    cr_assert(negotiate(core, scheduler).value().has(cluster_version_feature));
+}
+
 Test(negotiation, sessions_of_one_named_version_skip_what_they_do_not_know) {
     cr_assert_not(
         negotiate(own_greeting(initial_cluster_version), Greeting{}).value().refuses_unknown_messages());
--- a/tests/system/replication/checker_test.cpp
+++ b/tests/system/replication/checker_test.cpp
@@ -70,6 +70,13 @@
     cr_assert_gt(broken(scenario, 20), 0);
 }
 
+Test(checker, sees_deltas_that_are_applied_to_another_base) {
+    simulation::Scenario scenario;
+    scenario.replays = 0.1;
+    scenario.break_trusts_any_base = true;
+    cr_assert_gt(broken(scenario, 20), 0);
+}
+
 Test(checker, sees_upgrades_that_are_finished_beside_older_members) {
     simulation::Scenario scenario;
     scenario.upgrades = true;
--- a/tests/system/replication/cluster_test.cpp
+++ b/tests/system/replication/cluster_test.cpp
@@ -40,6 +40,23 @@
 
 Test(cluster, long_cuts) { expect_kept(plan("three-long-cuts"), 1, 30); }
 
+// Late copies meet bases that have moved on: the state is had whole, and nothing else changes.
+Test(cluster, states_travel_as_deltas) {
+    simulation::Scenario scenario = plan("three");
+    scenario.replays = 0.05;
+    std::size_t deltas = 0, missing_bases = 0;
+    for (std::uint64_t seed = 1; seed < 20; ++seed) {
+        scenario.seed = seed;
+        const auto outcome = simulation::run(scenario);
+        cr_assert(outcome.violations.empty(), "seed %d: %s", static_cast<int>(seed),
+                  outcome.violations.front().c_str());
+        deltas += outcome.deltas;
+        missing_bases += outcome.missing_bases;
+    }
+    cr_assert_gt(deltas, 100U, "%zu deltas", deltas);
+    cr_assert_gt(missing_bases, 10U, "%zu missing bases", missing_bases);
+}
+
 // Rolled out and back at random, and finished in a part of the histories.
 Test(cluster, members_that_change_their_version) {
     simulation::Scenario scenario = plan("three-upgrades");
