Let one core member read the lists of all zones, in one go where they are short

Change: the roles of all zones go to one member (ownership::Placement::together); they come together again after one of them had to move. PageReader reads the pages of one list.

--- a/src/system/control/endpoint_list_service.cpp
+++ b/src/system/control/endpoint_list_service.cpp
@@ -15,7 +15,7 @@
 EndpointListService::EndpointListService(asio::io_context& loop, const settings::Settings& settings,
                                          metrics::Metrics& metrics, Callbacks callbacks)
     : self_(settings::to_text(settings.control)), callbacks_(std::move(callbacks)),
-      poller_(loop, settings.platform, metrics,
+      poller_(loop, settings.platform, settings.regions.size(), metrics,
               [this](const discovery::ZoneList& list) { on_own_list(list); }) {
     for (const auto& [zone, region] : settings.regions)
         zones_.push_back(zone);
@@ -23,7 +23,8 @@
 
 void EndpointListService::assign(std::uint64_t epoch, const std::vector<std::string>& live) {
     if (!assigner_ || assigner_epoch_ != epoch) {
-        assigner_.emplace(epoch, owner_timeout);
+        // One member reads all lists where nothing stands against it: together they take fewer calls.
+        assigner_.emplace(epoch, owner_timeout, ownership::Placement::together);
         assigner_epoch_ = epoch;
     }
     const messages::RoleAssignments roles{assigner_->assign(zones_, live, steady_now())};
--- /dev/null
+++ b/src/system/control/page_reader.cpp
@@ -0,0 +1,55 @@
+#include "system/control/page_reader.h"
+
+#include "system/logging/log.h"
+
+#include <iterator>
+#include <utility>
+
+namespace willowrill::control {
+namespace {
+
+constexpr std::chrono::milliseconds request_timeout{900};
+constexpr std::size_t max_pages = 200;
+
+} // namespace
+
+PageReader::PageReader(asio::io_context& loop, const settings::Endpoint& platform, std::string target,
+                       metrics::Metrics& metrics, Callbacks callbacks)
+    : target_(std::move(target)), metrics_(metrics), callbacks_(std::move(callbacks)),
+      client_(std::make_shared<http_client::Client>(loop, platform.host, platform.port)) {}
+
+void PageReader::start() {
+    instances_.clear();
+    pages_ = 0;
+    read_page("");
+}
+
+void PageReader::read_page(const std::string& page_token) {
+    std::string target = target_;
+    if (!page_token.empty())
+        target += (target_.find('?') == std::string::npos ? "?pageToken=" : "&pageToken=") + page_token;
+    client_->get(target, request_timeout,
+                 [this](const http_client::Response* response) { on_page(response); });
+}
+
+void PageReader::on_page(const http_client::Response* response) {
+    metrics_.add(metrics::Total::platform_calls,
+                 response == nullptr ? "none" : std::to_string(response->result_int()));
+    if (response == nullptr) return callbacks_.failed(Failure::no_answer);
+    if (response->result() != http::status::ok) return callbacks_.failed(Failure::rejected);
+    auto page = discovery::parse_page(response->body());
+    if (!page) {
+        logging::warning("instance-list-unreadable")
+            .text("target", target_)
+            .text("detail", page.error().detail);
+        return callbacks_.failed(Failure::unreadable);
+    }
+    std::vector<discovery::Instance>& found = page.value().instances;
+    const bool has_next = page.value().next && ++pages_ < max_pages;
+    if (has_next) callbacks_.full_page(found.size());
+    std::ranges::move(found, std::back_inserter(instances_));
+    if (has_next) return read_page(*page.value().next);
+    callbacks_.read(std::exchange(instances_, {}));
+}
+
+} // namespace willowrill::control
--- a/src/system/control/platform_poller.cpp
+++ b/src/system/control/platform_poller.cpp
@@ -1,7 +1,6 @@
 #include "system/control/platform_poller.h"
 
-#include "system/logging/log.h"
-
+#include <algorithm>
 #include <utility>
 
 namespace willowrill::control {
@@ -9,68 +8,86 @@
 
 constexpr std::chrono::milliseconds poll_period{500};
 constexpr std::chrono::milliseconds backoff_after_rejection{700};
-constexpr std::chrono::milliseconds request_timeout{900};
-constexpr std::size_t max_pages = 200;
+constexpr const char* list_target = "/instances";
 
 } // namespace
 
-PlatformPoller::PlatformPoller(asio::io_context& loop, settings::Endpoint platform, metrics::Metrics& metrics,
-                               OnList on_list)
-    : loop_(loop), platform_(std::move(platform)), metrics_(metrics), on_list_(std::move(on_list)) {}
+PlatformPoller::PlatformPoller(asio::io_context& loop, settings::Endpoint platform, std::size_t zone_count,
+                               metrics::Metrics& metrics, OnList on_list)
+    : loop_(loop), platform_(std::move(platform)), zone_count_(zone_count), metrics_(metrics),
+      on_list_(std::move(on_list)),
+      all_reader_(loop, platform_, list_target, metrics,
+                  {[this](std::vector<discovery::Instance> instances) { on_all(std::move(instances)); },
+                   [this](PageReader::Failure failure) { on_failure(all_due_, failure); },
+                   [this](std::size_t instances) { plan_.on_full_page(instances); }}) {}
+
+PageReader::Callbacks PlatformPoller::callbacks_for(std::string zone) {
+    return {[this, zone](std::vector<discovery::Instance> instances) { on_zone(zone, std::move(instances)); },
+            [this, zone](PageReader::Failure failure) { on_failure(zones_.at(zone).due, failure); },
+            [this](std::size_t instances) { plan_.on_full_page(instances); }};
+}
 
 void PlatformPoller::start_polling(const std::string& zone, discovery::FencingToken token) {
     Zone& owned = zones_[zone];
-    if (token <= owned.token && owned.client) return;
+    if (token <= owned.token) return;
     owned.token = token;
     owned.serial = 0;
-    if (!owned.client)
-        owned.client = std::make_shared<http_client::Client>(loop_, platform_.host, platform_.port);
+    if (!owned.reader)
+        owned.reader = std::make_unique<PageReader>(loop_, platform_, list_target + ("?zone=" + zone),
+                                                    metrics_, callbacks_for(zone));
 }
 
 void PlatformPoller::stop_polling(const std::string& zone, discovery::FencingToken token) {
     const auto owned = zones_.find(zone);
-    if (owned == zones_.end() || token <= owned->second.token) return;
-    owned->second.client->close();
-    zones_.erase(owned);
+    if (owned != zones_.end() && token > owned->second.token) zones_.erase(owned);
 }
 
-void PlatformPoller::tick(std::chrono::steady_clock::time_point now) {
-    for (auto& [name, zone] : zones_) {
-        if (zone.client->busy() || now < zone.due) continue;
-        zone.due = now + poll_period;
-        zone.instances.clear();
-        zone.pages = 0;
-        read_page(name, "");
-    }
+bool PlatformPoller::reads_all_at_once() const {
+    return zones_.size() >= zone_count_ && plan_.next(zones_.size()) == discovery::ReadPlan::Way::all_at_once;
 }
 
-void PlatformPoller::read_page(const std::string& zone, const std::string& page_token) {
-    std::string target = "/instances?zone=" + zone;
-    if (!page_token.empty()) target += "&pageToken=" + page_token;
-    zones_[zone].client->get(target, request_timeout, [this, zone](const http_client::Response* response) {
-        on_page(zone, response);
-    });
+bool PlatformPoller::reads_a_zone() const {
+    return std::ranges::any_of(zones_, [](const auto& zone) { return zone.second.reader->busy(); });
 }
 
-void PlatformPoller::on_page(const std::string& name, const http_client::Response* response) {
-    metrics_.add(metrics::Total::platform_calls,
-                 response == nullptr ? "none" : std::to_string(response->result_int()));
-    const auto found = zones_.find(name);
-    if (found == zones_.end()) return;
-    Zone& zone = found->second;
-    if (response == nullptr || response->result() != http::status::ok) {
-        if (response != nullptr) zone.due = std::chrono::steady_clock::now() + backoff_after_rejection;
-        return;
-    }
-    const auto page = discovery::parse_page(response->body());
-    if (!page) {
-        logging::warning("instance-list-unreadable").field("zone", name).text("detail", page.error().detail);
+void PlatformPoller::start_if_due(PageReader& reader, Clock::time_point& due, Clock::time_point now) {
+    if (reader.busy() || now < due) return;
+    due = now + poll_period;
+    reader.start();
+}
+
+// The one way is not begun before the other has ended, so that no older list is published after a newer one.
+void PlatformPoller::tick(Clock::time_point now) {
+    if (reads_all_at_once()) {
+        if (!reads_a_zone()) start_if_due(all_reader_, all_due_, now);
         return;
     }
-    for (const discovery::Instance& instance : page.value().instances)
-        if (instance.zone == name) zone.instances.push_back(instance);
-    if (page.value().next && ++zone.pages < max_pages) return read_page(name, *page.value().next);
-    on_list_({name, zone.token, ++zone.serial, std::move(zone.instances)});
+    if (all_reader_.busy()) return;
+    for (auto& [name, zone] : zones_)
+        start_if_due(*zone.reader, zone.due, now);
+}
+
+void PlatformPoller::on_failure(Clock::time_point& due, PageReader::Failure failure) const {
+    if (failure == PageReader::Failure::rejected) due = Clock::now() + backoff_after_rejection;
+}
+
+void PlatformPoller::on_zone(const std::string& zone, std::vector<discovery::Instance> instances) {
+    std::erase_if(instances, [&](const discovery::Instance& instance) { return instance.zone != zone; });
+    plan_.on_zone_read(zone, instances.size());
+    Zone& owned = zones_.at(zone);
+    on_list_({zone, owned.token, ++owned.serial, std::move(instances)});
+}
+
+// A zone that has gone to another member meanwhile is not published.
+void PlatformPoller::on_all(std::vector<discovery::Instance> instances) {
+    std::map<std::string, std::vector<discovery::Instance>> by_zone;
+    for (const auto& [zone, owned] : zones_)
+        by_zone[zone]; // one without workers has an empty list
+    for (discovery::Instance& instance : instances)
+        if (const auto zone = by_zone.find(instance.zone); zone != by_zone.end())
+            zone->second.push_back(std::move(instance));
+    for (auto& [zone, list] : by_zone)
+        on_zone(zone, std::move(list));
 }
 
 } // namespace willowrill::control
--- a/src/system/control/platform_poller.h
+++ b/src/system/control/platform_poller.h
@@ -1,50 +1,65 @@
-// Polls the platform for the lists of workers of the zones that this member owns: every page of a zone, again
-// and again, within the rate that all callers of the platform share. One thread.
+// Polls the platform for the lists of workers of the zones that this member owns, again and again, within the
+// rate that all callers of the platform share. A member that owns every zone asks for all of them at once
+// where that takes fewer calls. One thread.
 #pragma once
 
+#include "system/control/page_reader.h"
 #include "system/discovery/instances.h"
-#include "system/http_client/client.h"
+#include "system/discovery/read_plan.h"
 #include "system/metrics/metrics.h"
 #include "system/ownership/ownership.h"
 #include "system/settings/settings.h"
 
+#include <chrono>
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace willowrill::control {
 
 class PlatformPoller {
   public:
     using OnList = std::function<void(const discovery::ZoneList&)>;
-    PlatformPoller(asio::io_context& loop, settings::Endpoint platform, metrics::Metrics& metrics,
-                   OnList on_list);
+    using Clock = std::chrono::steady_clock;
+
+    // `zone_count`: of all zones that there are. `loop` and `metrics` outlive the poller.
+    PlatformPoller(asio::io_context& loop, settings::Endpoint platform, std::size_t zone_count,
+                   metrics::Metrics& metrics, OnList on_list);
 
     // This member polls the zone from now on, under this token. An older token than the newest is ignored.
     void start_polling(const std::string& zone, discovery::FencingToken token);
     // Another member owns the zone under this token. Ignored where it is not newer than this member's.
     void stop_polling(const std::string& zone, discovery::FencingToken token);
     // Starts the polls that are due; to be called often.
-    void tick(std::chrono::steady_clock::time_point now);
+    void tick(Clock::time_point now);
 
   private:
     struct Zone {
         discovery::FencingToken token;
-        std::shared_ptr<http_client::Client> client;
-        std::chrono::steady_clock::time_point due;
         std::uint64_t serial = 0;
-        std::vector<discovery::Instance> instances; // of the pages so far
-        std::size_t pages = 0;
+        Clock::time_point due;
+        std::unique_ptr<PageReader> reader;
     };
-    void read_page(const std::string& zone, const std::string& page_token);
-    void on_page(const std::string& zone, const http_client::Response* response);
+    bool reads_all_at_once() const;
+    bool reads_a_zone() const;
+    void start_if_due(PageReader& reader, Clock::time_point& due, Clock::time_point now);
+    PageReader::Callbacks callbacks_for(std::string zone);
+    void on_failure(Clock::time_point& due, PageReader::Failure failure) const;
+    void on_zone(const std::string& zone, std::vector<discovery::Instance> instances);
+    void on_all(std::vector<discovery::Instance> instances);
 
     asio::io_context& loop_;
     settings::Endpoint platform_;
+    std::size_t zone_count_;
     metrics::Metrics& metrics_;
     OnList on_list_;
+    discovery::ReadPlan plan_;
     std::map<std::string, Zone> zones_;
+    Clock::time_point all_due_;
+    PageReader all_reader_; // of every zone's list at once
 };
 
 } // namespace willowrill::control
--- a/src/system/ownership/ownership.cpp
+++ b/src/system/ownership/ownership.cpp
@@ -3,6 +3,12 @@
 #include <algorithm>
 
 namespace willowrill::ownership {
+namespace {
+
+// A candidate that showed no work for a key is not asked again for so long.
+constexpr Time failure_memory{5000};
+
+} // namespace
 
 std::uint64_t rendezvous_weight(std::string_view key, std::string_view candidate) {
     constexpr std::uint64_t basis = 0xcbf29ce484222325ULL, prime = 0x100000001b3ULL;
@@ -32,26 +38,52 @@
     if (role != roles_.end() && role->second.assignment.token == token) role->second.seen = now;
 }
 
+bool RoleAssigner::has_working_owner(const Role& role, const std::vector<std::string>& live, Time now) const {
+    return std::ranges::count(live, role.assignment.owner) > 0 && now - role.seen <= timeout_;
+}
+
+std::string RoleAssigner::owner_of_most(const std::vector<std::string>& live, Time now) const {
+    std::map<std::string, std::size_t> keys;
+    for (const auto& [key, role] : roles_)
+        if (has_working_owner(role, live, now)) ++keys[role.assignment.owner];
+    const auto most = std::ranges::max_element(keys, {}, [](const auto& owner) { return owner.second; });
+    return most == keys.end() ? "" : most->first;
+}
+
+std::string RoleAssigner::choose(const std::string& key, const Role& role,
+                                 const std::vector<std::string>& live, Time now) const {
+    std::vector<std::string> able;
+    for (const std::string& name : live)
+        if (!role.failed.contains(name)) able.push_back(name);
+    const std::vector<std::string>& candidates = able.empty() ? live : able;
+    if (candidates.empty()) return "";
+    if (placement_ == Placement::apart) return rendezvous_order(key, candidates).front();
+    const std::string most = owner_of_most(live, now);
+    if (std::ranges::count(candidates, most) > 0) return most;
+    return rendezvous_order("", candidates).front();
+}
+
+bool RoleAssigner::is_apart_from(const std::string& owner, const Role& role, Time now) const {
+    return placement_ == Placement::together && !owner.empty() && role.assignment.owner != owner &&
+           !role.failed.contains(owner) && now - role.assigned > failure_memory;
+}
+
 std::vector<Assignment> RoleAssigner::assign(const std::vector<std::string>& keys,
                                              const std::vector<std::string>& live, Time now) {
-    constexpr Time failure_memory{5000};
     std::vector<Assignment> out;
+    const std::string most = owner_of_most(live, now);
     for (const std::string& key : keys) {
         Role& role = roles_[key];
         std::erase_if(role.failed, [&](const auto& item) { return now - item.second > failure_memory; });
         Assignment& current = role.assignment;
-        const bool lives = std::ranges::count(live, current.owner) > 0;
-        const bool works = now - role.seen <= timeout_;
-        if (!lives || !works) {
-            if (lives) role.failed[current.owner] = now;
-            std::vector<std::string> able;
-            for (const std::string& name : live)
-                if (!role.failed.contains(name)) able.push_back(name);
-            if (able.empty()) role.failed.clear();
-            const auto order = rendezvous_order(key, able.empty() ? live : able);
-            if (order.empty()) continue;
-            current = {key, order.front(), {epoch_, ++number_}};
+        const bool works = has_working_owner(role, live, now);
+        if (!works || is_apart_from(most, role, now)) {
+            if (!works && std::ranges::count(live, current.owner) > 0) role.failed[current.owner] = now;
+            const std::string owner = choose(key, role, live, now);
+            if (owner.empty()) continue;
+            current = {key, owner, {epoch_, ++number_}};
             role.seen = now; // it has its timeout from now on
+            role.assigned = now;
         }
         out.push_back(current);
     }
--- a/src/system/ownership/ownership.h
+++ b/src/system/ownership/ownership.h
@@ -29,15 +29,19 @@
 // Candidates with the best first.
 std::vector<std::string> rendezvous_order(std::string_view key, const std::vector<std::string>& candidates);
 
+// Whether each key goes to the candidate that ranks best for it, or all keys to one candidate.
+enum class Placement { apart, together };
+
 // Run by the primary of an epoch; made anew for each epoch.
 class RoleAssigner {
   public:
-    RoleAssigner(std::uint64_t epoch, Time timeout) : epoch_(epoch), timeout_(timeout) {}
+    RoleAssigner(std::uint64_t epoch, Time timeout, Placement placement = Placement::apart)
+        : epoch_(epoch), timeout_(timeout), placement_(placement) {}
 
     // The owner's work under this token has been seen.
     void on_work_seen(const std::string& key, FencingToken token, Time now);
-    // Assigns what has no live owner, or one that shows no work. `preferred`: taken for the key if it is
-    // live.
+    // Assigns what has no live owner, or one that shows no work. Keys that are to be together and came apart,
+    // as one of them was lost, come together again once that is forgotten.
     std::vector<Assignment> assign(const std::vector<std::string>& keys, const std::vector<std::string>& live,
                                    Time now);
 
@@ -45,11 +49,21 @@
     struct Role {
         Assignment assignment;
         Time seen{0};
+        Time assigned{0};
         std::map<std::string, Time> failed; // candidates that showed no work, and when
     };
+    bool has_working_owner(const Role& role, const std::vector<std::string>& live, Time now) const;
+    // The candidate that the key is to go to now; "" where there is none.
+    std::string choose(const std::string& key, const Role& role, const std::vector<std::string>& live,
+                       Time now) const;
+    // Of all keys, the owner of the most that works; "" where there is none.
+    std::string owner_of_most(const std::vector<std::string>& live, Time now) const;
+    bool is_apart_from(const std::string& owner, const Role& role, Time now) const;
+
     std::uint64_t epoch_;
     std::uint64_t number_ = 0;
     Time timeout_;
+    Placement placement_;
     std::map<std::string, Role> roles_; // bounded by the number of zones
 };
 
--- a/tests/system/ownership/role_assigner_test.cpp
+++ b/tests/system/ownership/role_assigner_test.cpp
@@ -5,6 +5,7 @@
 
 #include <criterion/criterion.h>
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,57 @@
     cr_assert(lost > 50 && lost < 200, "%d of 1000", lost);
 }
 
+namespace {
+
+const std::vector<std::string> zones{"z1", "z2", "z3"};
+
+std::set<std::string> owners_of(const std::vector<ownership::Assignment>& assignments) {
+    std::set<std::string> out;
+    for (const ownership::Assignment& one : assignments)
+        out.insert(one.owner);
+    return out;
+}
+
+} // namespace
+
+Test(role_assigner, keys_that_are_to_be_together_have_one_owner_and_follow_it) {
+    ownership::RoleAssigner assigner(7, Time(1600), ownership::Placement::together);
+    const std::vector<std::string> live{"a", "b", "c"};
+    const auto first = assigner.assign(zones, live, Time(0));
+    cr_assert_eq(owners_of(first).size(), 1U);
+    std::vector<std::string> others = live;
+    std::erase(others, first[0].owner);
+    const auto second = assigner.assign(zones, others, Time(100));
+    cr_assert_eq(owners_of(second).size(), 1U);
+    cr_assert(second[0].token > first[2].token, "tokens rise over all keys");
+    const auto back = assigner.assign(zones, live, Time(200));
+    cr_assert(back == second, "who comes back gets nothing");
+}
+
+Test(role_assigner, keys_that_came_apart_come_together_once_the_failure_is_forgotten) {
+    ownership::RoleAssigner assigner(7, Time(1600), ownership::Placement::together);
+    const std::vector<std::string> live{"a", "b", "c"};
+    std::vector<ownership::Assignment> now = assigner.assign(zones, live, Time(0));
+    const std::string owner = now[0].owner;
+    // One zone's list cannot be read by its owner for a while; the others can, by whoever has them.
+    const auto play = [&](int from, int to) {
+        for (int at = from; at <= to; at += 250) {
+            for (const ownership::Assignment& one : now)
+                if (one.key != "z1" || one.owner != owner)
+                    assigner.on_work_seen(one.key, one.token, Time(at));
+            now = assigner.assign(zones, live, Time(at));
+        }
+    };
+    play(250, 3000);
+    cr_assert_eq(owners_of(now).size(), 2U, "the zone alone has moved");
+    for (int at = 3250; at <= 9000; at += 250) {
+        for (const ownership::Assignment& one : now)
+            assigner.on_work_seen(one.key, one.token, Time(at));
+        now = assigner.assign(zones, live, Time(at));
+    }
+    cr_assert_eq(owners_of(now).size(), 1U);
+}
+
 Test(role_assigner, an_owner_that_shows_no_work_is_replaced_under_a_higher_token) {
     ownership::RoleAssigner assigner(7, Time(1600));
     const std::vector<std::string> live{"a", "b", "c"};
