Let timers of later turns of the wheel wake the loop no more

Cause: Wheel::next named the next slot that held any timer, also one due in a later turn, so that a scheduler with many timers woke at each slot for nothing; where a round takes longer than the way to the next slot, it never waited. Change: Wheel::next names the first timer that is due, or the end of the turn.

--- a/src/scheduler/net/wheel.cpp
+++ b/src/scheduler/net/wheel.cpp
@@ -32,11 +32,17 @@
 }
 
 std::optional<Time> Wheel::next() const {
-    for (std::int64_t tick = current_ + 1; tick <= current_ + static_cast<std::int64_t>(slots_.size());
-         ++tick) {
-        if (!slots_[static_cast<std::size_t>(tick) % slots_.size()].alone()) return tick * tick_;
+    const std::int64_t end_of_turn = current_ + static_cast<std::int64_t>(slots_.size());
+    bool armed = false;
+    for (std::int64_t tick = current_ + 1; tick <= end_of_turn; ++tick) {
+        const Link& slot = slots_[static_cast<std::size_t>(tick) % slots_.size()];
+        for (const Link* link = slot.after; link != &slot; link = link->after) {
+            if (static_cast<const Timer*>(link)->due_ <= tick) return tick * tick_;
+            armed = true; // for a later turn of the wheel
+        }
     }
-    return std::nullopt;
+    if (!armed) return std::nullopt;
+    return end_of_turn * tick_;
 }
 
 } // namespace willowrill::net
--- a/src/scheduler/net/wheel.h
+++ b/src/scheduler/net/wheel.h
@@ -61,7 +61,9 @@
     // Sets off what is due. A timer goes off at the first tick that is not before its time.
     void advance(Time now);
 
-    // When to look next: no later than the first timer, though perhaps for nothing.
+    // When to look next: when the first timer is due, or at the end of this turn of the wheel where that is
+    // earlier; nothing while no timer is armed. Timers of later turns wake nobody before. Takes a time that
+    // grows with the slots and the timers, as poll(2) does with the descriptors.
     std::optional<Time> next() const;
 
   private:
--- a/tests/scheduler/net/loop_test.cpp
+++ b/tests/scheduler/net/loop_test.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <deque>
+#include <optional>
 
 namespace willowrill::testing {
 namespace {
@@ -53,6 +54,30 @@
     }
 }
 
+// They would wake the loop at each slot that holds one; on a machine where a round takes longer than the way
+// from one slot to the next, it would never wait.
+TEST_CASE("loop: timers that are due in a later turn of the wheel wake nobody") {
+    constexpr net::Time start{0};
+    net::Wheel wheel(start);
+    int fired = 0;
+    std::deque<net::Timer> timers;
+    for (int i = 0; i < 500; ++i) {
+        timers.emplace_back(wheel, [&] { ++fired; });
+        timers.back().arm(start + 5s + i * 7ms);
+    }
+    int looks = 0;
+    for (std::optional<net::Time> next = wheel.next(); next && fired == 0; next = wheel.next()) {
+        wheel.advance(*next);
+        ++looks;
+    }
+    CHECK(fired == 1);
+    CHECK(looks == 5); // four turns of the wheel, and the first timer
+    CHECK(wheel.next() == start + 5s + 7ms);
+    for (net::Timer& timer : timers)
+        timer.disarm();
+    CHECK_FALSE(wheel.next().has_value());
+}
+
 TEST_CASE("loop: a timer that is armed anew for a time long past lets the loop wait in between") {
     net::Loop loop;
     net::Time due = loop.now();
