--- a/src/system/ownership/ownership.h
+++ b/src/system/ownership/ownership.h
@@ -45,6 +45,17 @@
     std::vector<Assignment> assign(const std::vector<std::string>& keys, const std::vector<std::string>& live,
                                    Time now);
 
+    // Shows a visitor all that decides what is assigned next: `visitor(fields...)`. For searches through
+    // states (src/system/verification).
+    template <class Visitor> void visit_state(Visitor& visitor) const {
+        visitor(epoch_, number_, roles_.size());
+        for (const auto& [key, role] : roles_) {
+            const FencingToken& token = role.assignment.token;
+            visitor(key, role.assignment.owner, token.epoch, token.number, role.seen, role.assigned,
+                    role.failed);
+        }
+    }
+
   private:
     struct Role {
         Assignment assignment;
--- a/src/system/replication/durability.h
+++ b/src/system/replication/durability.h
@@ -48,6 +48,17 @@
     bool durably_complete() const { return durably_complete_; }
     void set_durably_complete(bool complete) { durably_complete_ = complete; }
 
+    // Shows a visitor all that decides what happens next: `visitor(fields...)`. For searches through states
+    // (src/system/verification); counters are shown as distances, as only these matter.
+    template <class Visitor> void visit_state(Visitor& visitor) const {
+        for (const InFlightSave& save : in_flight_)
+            visitor(last_id_ - save.id, save.complete);
+        visitor(deferred_.size());
+        for (const Deferred& deferred : deferred_)
+            visitor(last_id_ - deferred.after, deferred.action);
+        visitor(durably_complete_, progress_at_, restore_at_, restore_backoff_.count());
+    }
+
   private:
     struct InFlightSave {
         SaveId id = 0;
--- a/src/system/replication/election.h
+++ b/src/system/replication/election.h
@@ -67,6 +67,13 @@
     bool accepted_by(const MemberId& member) const { return accepted_by_.contains(member); }
     Time accept_sent_at() const { return accept_sent_at_; }
 
+    // Shows a visitor all that decides what happens next: `visitor(fields...)`. For searches through states
+    // (src/system/verification); counters are shown as distances, as only these matter.
+    template <class Visitor> void visit_state(Visitor& visitor) const {
+        visitor(epoch_, purpose_, replies_, planned_, groups_, fetch_from_, installed_, accepted_by_,
+                accept_sent_at_);
+    }
+
   private:
     Epoch epoch_ = 0;
     Purpose purpose_ = Purpose::failover;
--- a/src/system/replication/election_backoff.h
+++ b/src/system/replication/election_backoff.h
@@ -23,6 +23,12 @@
 
     bool is_over(Time now) const { return !not_before_ || now >= *not_before_; }
 
+    // Shows a visitor all that decides what happens next: `visitor(fields...)`. For searches through states
+    // (src/system/verification); counters are shown as distances, as only these matter.
+    template <class Visitor> void visit_state(Visitor& visitor) const {
+        visitor(not_before_, backoff_.count());
+    }
+
   private:
     Time first_election_;
     Time first_, max_;
--- a/src/system/replication/heartbeat_log.h
+++ b/src/system/replication/heartbeat_log.h
@@ -20,6 +20,15 @@
     // Whether a new round is due.
     bool is_due(Time now, Time period) const;
 
+    // Rounds older than `max_age` prove nothing any more. Shows a visitor all that decides what happens next:
+    // `visitor(fields...)`. For searches through states (src/system/verification); counters are shown as
+    // distances, as only these matter.
+    template <class Visitor> void visit_state(Visitor& visitor, Time now, Time max_age) const {
+        for (const Round& round : rounds_)
+            if (now - round.sent_at <= max_age) visitor(number_ - round.number, round.sent_at);
+        visitor(rounds_.empty());
+    }
+
   private:
     struct Round {
         std::uint64_t number = 0;
--- a/src/system/replication/leadership_confirmations.h
+++ b/src/system/replication/leadership_confirmations.h
@@ -26,6 +26,14 @@
     std::vector<Id> take_expired(Time now, Time timeout);
     std::vector<Id> take_all();
 
+    // `newest_heartbeat`: the round sent last. Shows a visitor all that decides what happens next:
+    // `visitor(fields...)`. For searches through states (src/system/verification); counters are shown as
+    // distances, as only these matter.
+    template <class Visitor> void visit_state(Visitor& visitor, std::uint64_t newest_heartbeat) const {
+        for (const auto& [id, one] : waiting_)
+            visitor(id, newest_heartbeat - one.heartbeat, one.since);
+    }
+
   private:
     struct Confirmation {
         std::uint64_t heartbeat = 0;
--- a/src/system/replication/peer_table.h
+++ b/src/system/replication/peer_table.h
@@ -70,6 +70,18 @@
     Entries::const_iterator begin() const { return peers_.begin(); }
     Entries::const_iterator end() const { return peers_.end(); }
 
+    // `newest_heartbeat`: the round sent last. Shows a visitor all that decides what happens next:
+    // `visitor(fields...)`. For searches through states (src/system/verification); counters are shown as
+    // distances, as only these matter.
+    template <class Visitor> void visit_state(Visitor& visitor, std::uint64_t newest_heartbeat) const {
+        for (const auto& [id, peer] : peers_) {
+            visitor(id, peer.connected, peer.heard_at, peer.steady_since, peer.heartbeat_sent_at, peer.holds,
+                    peer.voting, peer.voting_at, peer.complete, peer.shutting_down, peer.reply_sent_at == 0,
+                    Time{peer.reply_sent_at}, peer.commit_notification_sent_at);
+            visitor(peer.heartbeat == 0 ? newest_heartbeat + 1 : newest_heartbeat - peer.heartbeat);
+        }
+    }
+
   private:
     MemberId self_;
     Time member_timeout_;
--- a/src/system/replication/register_recovery.h
+++ b/src/system/replication/register_recovery.h
@@ -28,6 +28,12 @@
     std::optional<WitnessRegister> on_reply(const MemberId& self, const MemberId& from,
                                             const RecoveryReply& reply);
 
+    // Shows a visitor all that decides what happens next: `visitor(fields...)`. For searches through states
+    // (src/system/verification); counters are shown as distances, as only these matter.
+    template <class Visitor> void visit_state(Visitor& visitor) const {
+        visitor(nonce_, registers_, requested_at_);
+    }
+
   private:
     WitnessRegister highest_known() const;
 
--- a/src/system/replication/replica.h
+++ b/src/system/replication/replica.h
@@ -85,6 +85,29 @@
     // witnesses can be replaced only where a member stands by.
     bool may_end(Time now) const;
 
+    // Shows a visitor all that decides what happens next, apart from the options: `visitor(fields...)`. For
+    // searches through states (src/system/verification); counters are shown as distances, as only these
+    // matter, and rounds of heartbeats older than `max_age`, which exceeds all timeouts, are left out.
+    template <class Visitor> void visit_state(Visitor& visitor, Time now, Time max_age) const {
+        const std::uint64_t newest_heartbeat = heartbeats_.number();
+        visitor(role_, role_since_, started_at_, is_first_start_, shutting_down_, has_register_, register_,
+                register_unsaved_, state_, committed_, highest_epoch_seen_, primary_heard_at_, contact_at_,
+                quorum_reached_since_, prepare_quorum_since_, primary_since_, reconfigured_at_,
+                leadership_transfer_sent_at_);
+        if (proposal_) visitor(proposal_->id, proposal_->position, proposal_->sent_at, proposal_->stored_by);
+        std::mt19937_64 random = random_;
+        visitor(random()); // two generators that give one number alike give all alike
+        durability_.visit_state(visitor);
+        recovery_.visit_state(visitor);
+        peers_.visit_state(visitor, newest_heartbeat);
+        election_.visit_state(visitor);
+        backoff_.visit_state(visitor);
+        heartbeats_.visit_state(visitor, now, max_age);
+        confirmations_.visit_state(visitor, newest_heartbeat);
+    }
+    // The number of the newest round of heartbeats, to which the distances above are.
+    std::uint64_t newest_heartbeat() const { return heartbeats_.number(); }
+
   private:
     // Of the primary: the state that is being replicated.
     struct Proposal {
