--- a/examples/system_demo.py
+++ b/examples/system_demo.py
@@ -16,6 +16,7 @@
 import tempfile
 import threading
 import time
+import urllib.parse
 
 PORTS = {"front": 18161, "readiness": 18167, "control": 18166, "directory": 18164}
 INTERNAL = [17720, 17735]
@@ -90,8 +91,8 @@
         pass
 
     def do_GET(self):
-        zone = self.path.split("zone=")[-1].split("&")[0]
-        entries = [w.entry for w in self.server.workers if w.entry["zone"] == zone]
+        wanted = urllib.parse.parse_qs(urllib.parse.urlsplit(self.path).query).get("zone") # none: of all zones
+        entries = [w.entry for w in self.server.workers if not wanted or w.entry["zone"] in wanted]
         body = json.dumps({"instances": entries, "nextToken": None}).encode()
         self.send_response(200)
         self.send_header("Content-Length", str(len(body)))
--- a/examples/system_rollout.py
+++ b/examples/system_rollout.py
@@ -2,10 +2,12 @@
 """Rolls the whole system out and back on loopback, one zone at a time, through every mix of two versions in three zones, with
 requests, streams and an operator's orders under way; then finishes the upgrade, and checks that the older version is refused.
 
-usage: system_rollout.py OLDER_BUILD NEWER_BUILD [--same-protocol]
+usage: system_rollout.py OLDER_BUILD NEWER_BUILD [--same-protocol | --break NAME]
 
 Each build folder holds willowrill-control and willowrill-data. --same-protocol: both builds are of this version; the steps that need
-an older one are left out.
+an older one are left out. --break: plays a deliberate break in place of the roll-out, which one of its checks must see: `kill` (a zone's
+processes are killed while clients use them), `wipe` (all disks are emptied), `finish-early` (the upgrade is finished before an older
+zone comes).
 """
 import argparse
 import http.client
@@ -13,6 +15,7 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import subprocess
 import sys
@@ -64,6 +67,9 @@
                 process.kill()
             process.wait()
 
+    def wipe(self):
+        shutil.rmtree(json.loads(self.boot.read_text())["dataPath"], ignore_errors=True)
+
     def log(self):
         return "".join(path.read_text() for path in sorted(self.folder.glob(f"{self.name}-{self.lives}-*.log")))
 
@@ -214,13 +220,7 @@
 def play(folder, builds, has_older):
     zones = [Zone(folder, name) for name in ZONES]
     try:
-        for zone in zones:
-            zone.start(builds[0])
-        body = json.dumps(demo.CONFIGURATION)
-        demo.check("first configuration acknowledged", demo.operator("PUT", "/-/configuration", body, {"If-Match": "0"})[0] == 200)
-        all_ready(zones)
-        for zone in zones:
-            zone.settings_after_the_first_start()
+        start_all(zones, builds[0])
         clients, operator = Clients(), Operator(demo.CONFIGURATION["configVersion"])
         clients.start()
         operator.start()
@@ -233,7 +233,7 @@
         operator.over = True
         operator.join(30)
         demo.check(f"{operator.acknowledged} orders acknowledged, problems {operator.problems[:3]}", not operator.problems)
-        demo.check("the newest configuration is read back", demo.operator("GET", "/-/configuration")[1].decode() == operator.body)
+        check_read_back(operator)
         check_quiet(clients, "at the end")
         clients.over = True
         clients.join(10)
@@ -248,15 +248,79 @@
             zone.kill()
 
 
+def check_read_back(operator):
+    demo.check("the newest configuration is read back", demo.operator("GET", "/-/configuration")[1].decode() == operator.body)
+
+
+def start_all(zones, build):
+    for zone in zones:
+        zone.start(build)
+    body = json.dumps(demo.CONFIGURATION)
+    demo.check("first configuration acknowledged", demo.operator("PUT", "/-/configuration", body, {"If-Match": "0"})[0] == 200)
+    all_ready(zones)
+    for zone in zones:
+        zone.settings_after_the_first_start()
+
+
+def break_by_killing(zones, builds):
+    clients = Clients()
+    clients.start()
+    check_quiet(clients, "before")
+    zones[0].kill()
+    check_quiet(clients, "with a zone killed under its clients")
+
+
+def break_by_wiping(zones, builds):
+    operator = Operator(demo.CONFIGURATION["configVersion"])
+    operator.start()
+    demo.until("orders are taken", 20, lambda: operator.acknowledged > 2)
+    operator.over = True
+    operator.join(30)
+    for zone in zones:
+        zone.kill()
+        zone.wipe()
+    for zone in zones:
+        zone.start(builds[1])
+    check_read_back(operator)
+
+
+def break_by_finishing_early(zones, builds):
+    demo.until("finish", 20, lambda: demo.operator("POST", "/-/upgrade/finish")[0] == 200)
+    replace(zones[0], builds[0], Clients())
+
+
+BREAKS = {"kill": break_by_killing, "wipe": break_by_wiping, "finish-early": break_by_finishing_early}
+
+
+def play_break(folder, builds, name):
+    """True where a check of the roll-out has seen the break."""
+    zones = [Zone(folder, zone) for zone in ZONES]
+    try:
+        start_all(zones, builds[1])
+        BREAKS[name](zones, builds)
+    except SystemExit as seen:
+        print(f"seen  the break {name}: {seen}")
+        return True
+    finally:
+        for zone in zones:
+            zone.kill()
+    return False
+
+
 def main():
     arguments = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     arguments.add_argument("older")
     arguments.add_argument("newer")
     arguments.add_argument("--same-protocol", action="store_true")
+    arguments.add_argument("--break", dest="deliberate_break", choices=BREAKS)
     options = arguments.parse_args()
     platform = demo.serve(demo.QuietServer(demo.PLATFORM, demo.Platform))
     platform.workers = demo.make_workers()
     with tempfile.TemporaryDirectory() as folder:
+        if options.deliberate_break:
+            if not play_break(folder, [options.older, options.newer], options.deliberate_break):
+                raise SystemExit(f"system_rollout: no check has seen the break {options.deliberate_break}")
+            return
         play(folder, [options.older, options.newer], not options.same_protocol)
 
 
