--- a/src/system/control/platform_poller.cpp
+++ b/src/system/control/platform_poller.cpp
@@ -21,7 +21,7 @@
                    [this](PageReader::Failure failure) { on_failure(all_due_, failure); },
                    [this](std::size_t instances) { plan_.on_full_page(instances); }}) {}
 
-PageReader::Callbacks PlatformPoller::callbacks_for(std::string zone) {
+PageReader::Callbacks PlatformPoller::callbacks_for(const std::string& zone) {
     return {[this, zone](std::vector<discovery::Instance> instances) { on_zone(zone, std::move(instances)); },
             [this, zone](PageReader::Failure failure) { on_failure(zones_.at(zone).due, failure); },
             [this](std::size_t instances) { plan_.on_full_page(instances); }};
--- a/src/system/control/platform_poller.h
+++ b/src/system/control/platform_poller.h
@@ -46,7 +46,7 @@
     bool reads_all_at_once() const;
     bool reads_a_zone() const;
     void start_if_due(PageReader& reader, Clock::time_point& due, Clock::time_point now);
-    PageReader::Callbacks callbacks_for(std::string zone);
+    PageReader::Callbacks callbacks_for(const std::string& zone);
     void on_failure(Clock::time_point& due, PageReader::Failure failure) const;
     void on_zone(const std::string& zone, std::vector<discovery::Instance> instances);
     void on_all(std::vector<discovery::Instance> instances);
