--- a/src/system/ownership/ownership.cpp
+++ b/src/system/ownership/ownership.cpp
@@ -58,7 +58,7 @@
     const std::vector<std::string>& candidates = able.empty() ? live : able;
     if (candidates.empty()) return "";
     if (placement_ == Placement::apart) return rendezvous_order(key, candidates).front();
-    const std::string most = owner_of_most(live, now);
+    std::string most = owner_of_most(live, now);
     if (std::ranges::count(candidates, most) > 0) return most;
     return rendezvous_order("", candidates).front();
 }
