Tell states of different ticks apart in the search, and mend what the linter found there

The linter found a function over its limit, an unused capture and a container that could reserve. Change: the hash holds the tick; the counts of saves in flight and of confirmations stand before them; disturbances of messages and of members are two functions.

--- a/src/system/replication/durability.h
+++ b/src/system/replication/durability.h
@@ -51,6 +51,7 @@
     // Shows a visitor all that decides what happens next: `visitor(fields...)`. For searches through states
     // (src/system/verification); counters are shown as distances, as only these matter.
     template <class Visitor> void visit_state(Visitor& visitor) const {
+        visitor(in_flight_.size());
         for (const InFlightSave& save : in_flight_)
             visitor(last_id_ - save.id, save.complete);
         visitor(deferred_.size());
--- a/src/system/replication/leadership_confirmations.h
+++ b/src/system/replication/leadership_confirmations.h
@@ -30,6 +30,7 @@
     // `visitor(fields...)`. For searches through states (src/system/verification); counters are shown as
     // distances, as only these matter.
     template <class Visitor> void visit_state(Visitor& visitor, std::uint64_t newest_heartbeat) const {
+        visitor(waiting_.size());
         for (const auto& [id, one] : waiting_)
             visitor(id, newest_heartbeat - one.heartbeat, one.since);
     }
--- a/src/system/verification/cluster_model.cpp
+++ b/src/system/verification/cluster_model.cpp
@@ -30,7 +30,6 @@
 constexpr int shutdown_tick = 16;
 constexpr MemberIndex shut_down_member = 2;
 constexpr int max_ack_delay_ticks = 32; // from the last disturbance
-constexpr int grace_ticks = 28;         // after which the platform ends a process
 
 // Questions of the operator, by what they are for.
 constexpr std::uint64_t read_question = 1;
@@ -207,36 +206,41 @@
 
 std::vector<Step> ClusterModel::disturbances(const std::set<StepKind>& only_kinds) const {
     std::vector<Step> out;
-    const auto offer = [&](Step step) {
-        if (only_kinds.empty() || only_kinds.contains(step.kind)) out.push_back(step);
-    };
+    add_disturbances_of_messages(out);
+    for (MemberIndex index = 0; index < member_count; ++index)
+        if (runs(index)) add_disturbances_of_member(index, out);
+    if (!only_kinds.empty())
+        std::erase_if(out, [&](const Step& step) { return !only_kinds.contains(step.kind); });
+    return out;
+}
+
+void ClusterModel::add_disturbances_of_messages(std::vector<Step>& out) const {
     const Step expected = next();
     for (MemberIndex from = 0; from < member_count; ++from) {
         for (MemberIndex to = 0; to < member_count; ++to) {
             if (links_[from][to].empty()) continue;
-            offer({StepKind::lose, from, to});
-            offer({StepKind::deliver_later, from, to, 1});
-            offer({StepKind::deliver_later, from, to, 6});
+            out.push_back({StepKind::lose, from, to});
+            out.push_back({StepKind::deliver_later, from, to, 1});
+            out.push_back({StepKind::deliver_later, from, to, 6});
             if (expected != Step{StepKind::deliver, from, to} && !is_frozen(to))
-                offer({StepKind::overtake, from, to});
+                out.push_back({StepKind::overtake, from, to});
         }
     }
-    for (MemberIndex index = 0; index < member_count; ++index) {
-        const Member& member = members_[index];
-        if (!runs(index)) continue;
-        offer({StepKind::kill, index});
-        offer({StepKind::lose_power, index});
-        if (wiped_ < static_cast<int>(tolerated)) offer({StepKind::wipe, index});
-        if (!member.saves.empty() && !is_frozen(index)) {
-            offer({StepKind::refuse_save, index});
-            offer({StepKind::refuse_written, index});
-        }
-        if (member.disk_quick_at <= ticks_) offer({StepKind::slow_disk, index});
-        if (!is_cut(index)) offer({StepKind::cut, index});
-        if (member.speaks_at <= ticks_) offer({StepKind::mute, index});
-        if (!is_frozen(index)) offer({StepKind::freeze, index});
+}
+
+void ClusterModel::add_disturbances_of_member(MemberIndex index, std::vector<Step>& out) const {
+    const Member& member = members_[index];
+    out.push_back({StepKind::kill, index});
+    out.push_back({StepKind::lose_power, index});
+    if (wiped_ < static_cast<int>(tolerated)) out.push_back({StepKind::wipe, index});
+    if (!member.saves.empty() && !is_frozen(index)) {
+        out.push_back({StepKind::refuse_save, index});
+        out.push_back({StepKind::refuse_written, index});
     }
-    return out;
+    if (member.disk_quick_at <= ticks_) out.push_back({StepKind::slow_disk, index});
+    if (!is_cut(index)) out.push_back({StepKind::cut, index});
+    if (member.speaks_at <= ticks_) out.push_back({StepKind::mute, index});
+    if (!is_frozen(index)) out.push_back({StepKind::freeze, index});
 }
 
 // ---- Steps -----------------------------------------------------------------------------------------------
@@ -515,8 +519,9 @@
 StateHash ClusterModel::hash() const {
     StateHasher hasher(now_, horizon);
     const auto from_now = [this](int tick) { return std::max(0, tick - ticks_); };
-    // The list of the operator goes by the count of ticks, until it is through.
-    hasher(std::min(ticks_, shutdown_tick + grace_ticks), wiped_);
+    // The operator's list goes by the count of ticks, and so does the end of the history: two states of
+    // different ticks are never alike.
+    hasher(ticks_, wiped_);
     for (MemberIndex index = 0; index < member_count; ++index) {
         const Member& member = members_[index];
         hasher(runs(index), member.disk.witness_register, member.disk.state, member.saves, member.outbox,
--- a/src/system/verification/cluster_model.h
+++ b/src/system/verification/cluster_model.h
@@ -139,6 +139,8 @@
     void feed(MemberIndex index, const replication::Event& event);
 
     // ---- Steps
+    void add_disturbances_of_messages(std::vector<Step>& out) const;
+    void add_disturbances_of_member(MemberIndex index, std::vector<Step>& out) const;
     void carry_out(MemberIndex index);
     void send(MemberIndex from, const replication::Send& send);
     void forge_reply(MemberIndex to, const replication::Send& send);
--- a/src/system/verification/main.cpp
+++ b/src/system/verification/main.cpp
@@ -168,6 +168,7 @@
 
 template <class Value> std::vector<std::string> names_of(const std::map<std::string, Value>& by_name) {
     std::vector<std::string> out;
+    out.reserve(by_name.size());
     for (const auto& [name, value] : by_name)
         out.push_back(name);
     return out;
--- a/src/system/verification/state_hash.h
+++ b/src/system/verification/state_hash.h
@@ -70,7 +70,7 @@
     }
     template <class... Alternatives> void add(const std::variant<Alternatives...>& value) {
         add(value.index());
-        std::visit([this](const auto& one) { add(one); }, value);
+        std::visit([this](const auto& one) { this->add(one); }, value);
     }
 
     void add(const replication::Position& value) { (*this)(value.epoch, value.sequence); }
