--- a/src/system/configuration/control_state.cpp
+++ b/src/system/configuration/control_state.cpp
@@ -27,20 +27,13 @@
 constexpr std::string_view cluster_version_prefix = R"({"cluster_version":)";
 constexpr const char* orders_key = "orders";
 
-OrderDigest digest_of(std::string_view bytes) {
-    OrderDigest out{};
-    static_assert(out.size() == crypto_hash_sha256_BYTES);
-    crypto_hash_sha256(out.data(), reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size());
-    return out;
-}
-
 // The version ends with a colon, so that no two orders give the same bytes.
 OrderDigest digest_of(const PutConfiguration& order) {
-    return digest_of(fmt::format("{}:{}", order.based_on.value_or(0), order.body));
+    return digest::sha256(fmt::format("{}:{}", order.based_on.value_or(0), order.body));
 }
 
 OrderDigest digest_of(const PatchConfiguration& order) {
-    return digest_of(fmt::format("patch {}:{}", order.based_on.value_or(0), order.body));
+    return digest::sha256(fmt::format("patch {}:{}", order.based_on.value_or(0), order.body));
 }
 
 std::string to_hex(const OrderDigest& digest) { return fmt::format("{:02x}", fmt::join(digest, "")); }
--- a/src/system/configuration/control_state.h
+++ b/src/system/configuration/control_state.h
@@ -3,10 +3,10 @@
 #pragma once
 
 #include "system/configuration/configuration.h"
+#include "system/digest/sha256.h"
 #include "system/errors/error.h"
 #include "system/protocol/version.h"
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -20,7 +20,7 @@
 namespace willowrill::configuration {
 
 // SHA-256 of a configuration order: its kind, the version it is based on, and its body.
-using OrderDigest = std::array<unsigned char, 32>;
+using OrderDigest = digest::Sha256;
 
 // A configuration order that was taken.
 struct TakenOrder {
--- a/src/system/messages/messages.h
+++ b/src/system/messages/messages.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "system/configuration/control_state.h"
+#include "system/digest/sha256.h"
 #include "system/discovery/instances.h"
 #include "system/membership/lease_table.h"
 #include "system/ownership/ownership.h"
@@ -15,7 +16,6 @@
 #include "system/replication/messages.h"
 #include "system/replication/types.h"
 
-#include <array>
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -37,7 +37,7 @@
 inline constexpr std::size_t max_unknown_name = 64;
 
 // SHA-256 of a replicated state's content.
-using StateDigest = std::array<unsigned char, 32>;
+using StateDigest = digest::Sha256;
 
 // A core member and its location, by which schedulers choose a near one.
 struct CoreMember {
--- a/src/system/messages/state_delta.cpp
+++ b/src/system/messages/state_delta.cpp
@@ -2,8 +2,6 @@
 
 #include "system/compression/compression.h"
 
-#include <sodium.h>
-
 #include <memory>
 #include <utility>
 
@@ -18,13 +16,6 @@
 // A delta has to be so many times shorter than the content, which is compressed too when it is sent whole.
 constexpr std::size_t min_gain = 4;
 
-StateDigest digest_of(const std::string& content) {
-    StateDigest out{};
-    static_assert(out.size() == crypto_hash_sha256_BYTES);
-    crypto_hash_sha256(out.data(), reinterpret_cast<const unsigned char*>(content.data()), content.size());
-    return out;
-}
-
 // The message with this content in place of its state's.
 Message with_content(Message message, std::shared_ptr<const std::string> content) {
     std::visit(
@@ -47,7 +38,7 @@
     std::string delta = compression::compress_against(*base.content, *state->content);
     if (delta.size() > state->content->size() / min_gain) return ReplicationEnvelope{message};
     return ReplicationDelta{with_content(message, std::make_shared<const std::string>()), base.position,
-                            digest_of(*state->content), std::move(delta)};
+                            digest::sha256(*state->content), std::move(delta)};
 }
 
 std::optional<CoreMessage> StateDeltaSender::on_snapshot_request() const {
@@ -63,7 +54,7 @@
     if (!last_ || last_->position != delta.base) return std::nullopt;
     auto content =
         compression::decompress_against(*last_->content, delta.delta, configuration::max_state_bytes);
-    if (!content || digest_of(*content) != delta.digest) return std::nullopt;
+    if (!content || digest::sha256(*content) != delta.digest) return std::nullopt;
     Message whole = with_content(delta.message, std::make_shared<const std::string>(std::move(*content)));
     on_message(whole);
     return whole;
--- a/tests/ci/check_names_test.py
+++ b/tests/ci/check_names_test.py
@@ -1,15 +1,12 @@
 """What .ci/check-names finds, and what it lets pass, in a small repository."""
-import importlib.machinery
-import importlib.util
 import subprocess
 import tempfile
 import unittest
 from pathlib import Path
 
-loader = importlib.machinery.SourceFileLoader("check_names", str(Path(__file__).parents[2] / ".ci/check-names"))
-spec = importlib.util.spec_from_loader(loader.name, loader)
-check_names = importlib.util.module_from_spec(spec)
-loader.exec_module(check_names)
+import scripts
+
+check_names = scripts.load("check-names")
 
 
 class Repository(unittest.TestCase):
--- a/tests/ci/lint_files_test.py
+++ b/tests/ci/lint_files_test.py
@@ -1,16 +1,13 @@
 """Which files the linter looks at since a commit: what changed, and what reads a header that did."""
-import importlib.machinery
-import importlib.util
 import json
 import subprocess
 import tempfile
 import unittest
 from pathlib import Path
 
-loader = importlib.machinery.SourceFileLoader("lint_files", str(Path(__file__).parents[2] / ".ci/lint-files"))
-spec = importlib.util.spec_from_loader(loader.name, loader)
-lint_files = importlib.util.module_from_spec(spec)
-loader.exec_module(lint_files)
+import scripts
+
+lint_files = scripts.load("lint-files")
 
 
 class Repository(unittest.TestCase):
