Look a link up in one place, keep a session's agreement, share a message's delivery

Cause: on reading the change again: three functions of CoreMesh found a connected link by the same lines, and a link kept the features of an agreement in place of it; in the simulated member, sending and replaying a message were two copies of one delivery; one constant of the model stood for two. Change: connected_link, Link::agreement, Member::delivery, two constants.

--- a/src/system/control/core_mesh.cpp
+++ b/src/system/control/core_mesh.cpp
@@ -51,7 +51,7 @@
     Link& link = links_[member];
     link.connection = connection;
     link.greeting = {};
-    link.features = {};
+    link.agreement = {};
     link.states = {};
     connection->observe_sent_frames(callbacks_.counter(member));
     connection->start(
@@ -71,7 +71,7 @@
     if (const auto* accepted = std::get_if<messages::HelloReply>(&reply)) {
         link.greeting = accepted->greeting;
         if (auto agreement = protocol::negotiate(callbacks_.greeting(), link.greeting))
-            link.features = std::move(agreement.value().features);
+            link.agreement = std::move(agreement.value());
     }
     const auto* refusal = std::get_if<messages::HelloRefusal>(&reply);
     if (refusal == nullptr) return;
@@ -95,28 +95,31 @@
         if (link.connection && !protocol::negotiate(own, link.greeting)) link.connection->close();
 }
 
+CoreMesh::Link* CoreMesh::connected_link(const MemberId& member) {
+    const auto found = links_.find(member);
+    return found != links_.end() && found->second.connection ? &found->second : nullptr;
+}
+
 bool CoreMesh::is_understood(const Link& link, const messages::CoreMessage& message) const {
     const auto feature = messages::required_feature(message);
-    if (!feature || link.features.contains(*feature)) return true;
+    if (!feature || link.agreement.has(*feature)) return true;
     callbacks_.held_back();
     return false;
 }
 
 void CoreMesh::send(const MemberId& to, const messages::CoreMessage& message) {
-    const auto link = links_.find(to);
-    if (link == links_.end() || !link->second.connection) return;
-    if (is_understood(link->second, message)) link->second.connection->send(messages::encode(message));
+    const Link* link = connected_link(to);
+    if (link != nullptr && is_understood(*link, message)) link->connection->send(messages::encode(message));
 }
 
 void CoreMesh::send(const MemberId& to, const replication::Message& message) {
-    const auto found = links_.find(to);
-    if (found == links_.end() || !found->second.connection) return;
-    Link& link = found->second;
-    const bool understands_deltas = link.features.contains(protocol::state_delta_feature);
-    send_state(link, link.states.prepare(message, understands_deltas));
+    Link* link = connected_link(to);
+    if (link == nullptr) return;
+    const bool understands_deltas = link->agreement.has(protocol::state_delta_feature);
+    send_state(*link, link->states.prepare(message, understands_deltas));
 }
 
-void CoreMesh::send_state(Link& link, const messages::CoreMessage& message) const {
+void CoreMesh::send_state(const Link& link, const messages::CoreMessage& message) const {
     const auto* whole = std::get_if<messages::ReplicationEnvelope>(&message);
     if (whole == nullptr || replication::state_in(whole->message) != nullptr)
         callbacks_.state_sent(whole == nullptr);
@@ -124,9 +127,9 @@
 }
 
 void CoreMesh::on_state_snapshot_request(const MemberId& from) {
-    const auto link = links_.find(from);
-    if (link == links_.end() || !link->second.connection) return;
-    if (const auto message = link->second.states.on_snapshot_request()) send_state(link->second, *message);
+    const Link* link = connected_link(from);
+    if (link == nullptr) return;
+    if (const auto message = link->states.on_snapshot_request()) send_state(*link, *message);
 }
 
 void CoreMesh::broadcast(const messages::CoreMessage& message) {
--- a/src/system/control/core_mesh.h
+++ b/src/system/control/core_mesh.h
@@ -67,16 +67,18 @@
         transport::FrameConnectionPtr connection;
         bool dialling = false;
         protocol::Greeting greeting;                // on this connection; as announced, if it was
-        protocol::FeatureSet features;              // that both ends have announced on it
+        protocol::Agreement agreement;              // on it; before the reply, of the lowest version
         messages::StateDeltaSender states;          // sent on it
         std::chrono::milliseconds refused_until{0}; // steady; is not dialled before
     };
     void dial(const MemberId& member);
     void on_connected(const MemberId& member, const transport::FrameConnectionPtr& connection);
     void on_reply(const MemberId& member, const messages::DialReply& reply);
+    // Null where the member is not connected.
+    Link* connected_link(const MemberId& member);
     // Whether the message may be sent to this peer.
     bool is_understood(const Link& link, const messages::CoreMessage& message) const;
-    void send_state(Link& link, const messages::CoreMessage& message) const;
+    void send_state(const Link& link, const messages::CoreMessage& message) const;
 
     asio::io_context& loop_;
     messages::CoreMember self_;
--- a/src/system/simulation/member.cpp
+++ b/src/system/simulation/member.cpp
@@ -190,16 +190,20 @@
         });
 }
 
+// What happens when a message of this program, as it is now, comes to the other member.
+std::function<void()> Member::delivery(Member& other, std::function<void(Member&)> deliver) const {
+    return [&other, greeting = greeting(), deliver = std::move(deliver)] {
+        other.when_running([&other, greeting, deliver] {
+            if (other.speaks_with(greeting)) deliver(other);
+        });
+    };
+}
+
 void Member::send_to(const MemberId& to, std::function<void(Member&)> deliver) {
     const auto link = links_.find(to);
     Member* other = environment_.find(to);
     if (link == links_.end() || other == nullptr) return;
-    environment_.network.send(link->second, node_,
-                              [other, greeting = greeting(), deliver = std::move(deliver)] {
-                                  other->when_running([other, greeting, deliver] {
-                                      if (other->speaks_with(greeting)) deliver(*other);
-                                  });
-                              });
+    environment_.network.send(link->second, node_, delivery(*other, std::move(deliver)));
 }
 
 // ---- Versions of the program -----------------------------------------------------------------------------
@@ -264,12 +268,7 @@
 void Member::replay_later(const MemberId& to, const std::function<void(Member&)>& deliver) {
     Member* other = environment_.find(to);
     if (other == nullptr) return;
-    environment_.queue.after(Time(environment_.queue.uniform(max_replay_delay)),
-                             [other, greeting = greeting(), deliver] {
-                                 other->when_running([other, greeting, deliver] {
-                                     if (other->speaks_with(greeting)) deliver(*other);
-                                 });
-                             });
+    environment_.queue.after(Time(environment_.queue.uniform(max_replay_delay)), delivery(*other, deliver));
 }
 
 void Member::trace_role(Role before) const {
--- a/src/system/simulation/member.h
+++ b/src/system/simulation/member.h
@@ -106,6 +106,7 @@
     void later(Time delay, std::function<void()> act);
     void when_awake(std::uint64_t incarnation, std::function<void()> act);
     void carry_out(const replication::Action& action);
+    std::function<void()> delivery(Member& other, std::function<void(Member&)> deliver) const;
     void send_to(const MemberId& to, std::function<void(Member&)> deliver);
     void send_replication(const MemberId& to, const replication::Message& message);
     void send_core_message(const MemberId& to, const messages::CoreMessage& message, bool may_replay);
--- a/src/system/verification/cluster_model.cpp
+++ b/src/system/verification/cluster_model.cpp
@@ -29,7 +29,8 @@
 constexpr std::array<int, 3> order_ticks{4, 9, 18};
 constexpr int shutdown_tick = 16;
 constexpr MemberIndex shut_down_member = 2;
-constexpr int max_ack_delay_ticks = 32; // from the last disturbance
+constexpr int max_read_age_ticks = 8; // at the end: the state was read so lately
+constexpr int read_age_horizon = 32;  // ticks; older reads are alike to the hash
 
 // Questions of the operator, by what they are for.
 constexpr std::uint64_t read_question = 1;
@@ -510,7 +511,7 @@
 std::string ClusterModel::missing_progress() const {
     for (int order = 1; order <= static_cast<int>(order_ticks.size()); ++order)
         if (!acknowledged_.contains(order)) return fmt::format("order {} was not acknowledged", order);
-    if (ticks_ - read_back_at_ > max_ack_delay_ticks / 4) return "the state cannot be read";
+    if (ticks_ - read_back_at_ > max_read_age_ticks) return "the state cannot be read";
     if (!members_[shut_down_member].ended)
         return fmt::format("{} shuts down and cannot end", ids[shut_down_member]);
     return "";
@@ -558,7 +559,7 @@
         hasher(from_now(copy.at), copy.from, copy.to);
         add_message(copy.from, copy.to, copy.message);
     }
-    hasher(primaries_, committed_, read_back_, std::min(ticks_ - read_back_at_, max_ack_delay_ticks),
+    hasher(primaries_, committed_, read_back_, std::min(ticks_ - read_back_at_, read_age_horizon),
            acknowledged_.size());
     for (const auto& [order, at] : acknowledged_)
         hasher(order, std::min(ticks_ - at, disturbance_ticks));
--- a/src/system/verification/cluster_model.h
+++ b/src/system/verification/cluster_model.h
@@ -59,7 +59,7 @@
     bool operator==(const Step&) const = default;
 };
 
-// "20 ticks: b crashes", for a trace.
+// "b:1 loses power", for a trace.
 std::string to_text(const Step& step);
 
 // Deliberate breaks, each of which the search must find.
