--- a/examples/embed.cpp
+++ b/examples/embed.cpp
@@ -15,7 +15,7 @@
     settings.tick = 2ms;
     ws::Dispatcher dispatcher(settings);
 
-    ws::ListNews list{ws::ListNews::Kind::complete, {}};
+    ws::EndpointListUpdate list{ws::EndpointListUpdate::Kind::complete, {}};
     for (ws::WorkerId worker = 0; worker < 2; ++worker) {
         list.entries.push_back({.worker = worker, .key = worker});
     }
--- a/fuzz/datagram_fuzz.cpp
+++ b/fuzz/datagram_fuzz.cpp
@@ -17,7 +17,7 @@
     const auto frame = gossip::decode(bytes);
     if (!frame) return 0;
     gossip::NodeSettings settings;
-    settings.members = {.period = 1s, .timeout = 100ms, .forget_after = 60s, .most_members = 20};
+    settings.members = {.period = 1s, .timeout = 100ms, .forget_after = 60s, .max_members = 20};
     settings.counts = true;
     settings.limits = {.tenants = 20, .classes = 4, .lives = 10, .fold_after = 60s, .raises = 10};
     settings.interval = 100ms;
--- a/include/willowrill/dispatcher.h
+++ b/include/willowrill/dispatcher.h
@@ -152,7 +152,7 @@
 
 // The list of workers: changes, a complete list, the complete list as last held before a restart, or word
 // that a request for the list failed or the subscription broke.
-struct ListNews {
+struct EndpointListUpdate {
     enum class Kind { changes, complete, remembered, broken } kind = Kind::changes;
     std::vector<WorkerEntry> entries{};
 };
@@ -214,10 +214,10 @@
 };
 
 // The time of an earlier `Wake` has come.
-struct Woken {};
+struct TimerExpired {};
 
-using Event = std::variant<ListNews, JobArrived, JobLeft, AttemptStarted, AttemptProgress, AnswerBegun,
-                           AttemptEnded, Probed, Woken>;
+using Event = std::variant<EndpointListUpdate, JobArrived, JobLeft, AttemptStarted, AttemptProgress,
+                           AnswerBegun, AttemptEnded, Probed, TimerExpired>;
 
 // ---- Actions -------------------------------------------------------------------------------------------
 
@@ -253,7 +253,7 @@
     WorkerId worker = 0;
 };
 
-// Send a `Woken` at this time. Only the earliest wish counts; a later one need not be remembered.
+// Send a `TimerExpired` at this time. Only the earliest wish counts; a later one need not be remembered.
 struct Wake {
     Time at{0};
 };
--- a/src/lab/counts_experiment.cpp
+++ b/src/lab/counts_experiment.cpp
@@ -141,7 +141,7 @@
     options.link = {
         .loss = one.loss, .delay_least = span(one.delay_least_ms), .delay_most = span(one.delay_most_ms)};
     options.node.members = {
-        .period = 1s, .timeout = 300ms, .forget_after = 24h, .most_members = one.instances + 10};
+        .period = 1s, .timeout = 300ms, .forget_after = 24h, .max_members = one.instances + 10};
     options.node.counts = true;
     options.node.limits = {.tenants = one.tenants + 1, .lives = one.instances + 10, .fold_after = 1h};
     options.node.interval = span(one.interval_ms);
--- a/src/lab/spread/experiment.cpp
+++ b/src/lab/spread/experiment.cpp
@@ -15,7 +15,7 @@
 namespace willowrill::lab::spread {
 namespace {
 
-constexpr std::size_t most_bytes = 1U << 20U;
+constexpr std::size_t max_bytes = 1U << 20U;
 constexpr std::array<const char*, 11> fault_names{"kill",   "stop",      "cut",  "replace", "slow", "fail",
                                                   "freeze", "late_list", "hush", "restart", "burst"};
 
@@ -136,7 +136,7 @@
 
 Experiment read_experiment_file(const std::string& path) {
     std::string why;
-    const auto text = net::read_file(path, most_bytes, why);
+    const auto text = net::read_file(path, max_bytes, why);
     if (!text) throw BadExperiment(path + " " + why);
     return read_experiment(*text, path);
 }
--- a/src/lab/spread/live_schedulers.cpp
+++ b/src/lab/spread/live_schedulers.cpp
@@ -143,7 +143,7 @@
         if (fault.what == late_list) one.late = from_seconds(fault.size);
         if (fault.what == hush) {
             one.watches.clear(); // nobody answers them, and they stay open
-            one.told_by = now() + counts_as_told;
+            one.notified_by = now() + counts_as_told;
         }
     }
     faults_.begin(fault);
@@ -192,7 +192,7 @@
     for (std::size_t i = 0; i < schedulers_.size(); ++i) {
         const Time heard =
             now() + from_seconds(chance_.uniform() * seconds(experiment_.list_late)) + schedulers_[i].late;
-        last = std::max({last, heard, schedulers_[i].told_by});
+        last = std::max({last, heard, schedulers_[i].notified_by});
         at(heard, [this, i, id, fresh] {
             Scheduler& one = schedulers_[i];
             one.listed.resize(std::max(one.listed.size(), workers_.size()));
--- a/src/lab/spread/live_world.h
+++ b/src/lab/spread/live_world.h
@@ -52,7 +52,7 @@
         bool up = false;
         Time ending_from{-1}; // it was told to end then; negative: it was not
         Time late{0};
-        Time told_by{0};            // what happens before counts as told then, as a watch has fallen silent
+        Time notified_by{0};        // what happens before counts as told then, as a watch has fallen silent
         std::vector<bool> listed{}; // by worker, as discovery has told it
         std::uint64_t version = 1;
         std::vector<Server::Call> watches{};
--- a/src/lab/spread/world.cpp
+++ b/src/lab/spread/world.cpp
@@ -12,7 +12,7 @@
 
 constexpr Time connect_timeout = 250ms, answer_slack = 20ms;
 const discovery_client::WatchTimes watch = discovery_client::watch_times(10s, 1s); // as the program has them
-constexpr std::size_t most_open = 20000, most_bytes = 1U << 30U;
+constexpr std::size_t most_open = 20000, max_bytes = 1U << 30U;
 
 } // namespace
 
@@ -196,7 +196,7 @@
                 if (to.listed.size() <= entry.worker) to.listed.resize(entry.worker + 1);
                 to.listed[entry.worker] = entry.condition == Condition::ready;
             }
-            if (to.host) to.host->list_news({ListNews::Kind::changes, entries});
+            if (to.host) to.host->list_news({EndpointListUpdate::Kind::changes, entries});
             pump(i);
         });
     }
@@ -204,8 +204,8 @@
         if (entry.condition == Condition::gone) truth_.drained_by(entry.worker, last);
 }
 
-ListNews SpreadWorld::whole_list() const {
-    ListNews out{ListNews::Kind::complete, {}};
+EndpointListUpdate SpreadWorld::whole_list() const {
+    EndpointListUpdate out{EndpointListUpdate::Kind::complete, {}};
     for (const Worker& one : workers_)
         if (!one.post.gone) out.entries.push_back(one.entry);
     return out;
@@ -220,7 +220,7 @@
     for (const Worker& worker : workers_)
         one.listed.push_back(!worker.post.gone);
     if (way_ != Way::module) return;
-    one.host = std::make_unique<core::Host>(settings_of(at), most_open, most_bytes, one, one);
+    one.host = std::make_unique<core::Host>(settings_of(at), most_open, max_bytes, one, one);
     one.host->list_news(whole_list());
     pump(at);
 }
--- a/src/lab/spread/world.h
+++ b/src/lab/spread/world.h
@@ -50,7 +50,7 @@
     void replace(std::size_t worker);
     void announce(const std::vector<WorkerEntry>& entries);
     void start(std::size_t scheduler);
-    ListNews whole_list() const;
+    EndpointListUpdate whole_list() const;
 
     // ---- clients
     void load(std::size_t scheduler, double per_s);
--- a/src/scheduler/atomic_file/store.cpp
+++ b/src/scheduler/atomic_file/store.cpp
@@ -175,7 +175,7 @@
     disk_.tidy(folder_, name_ + std::string(mark), writer_is_gone);
     Loaded out;
     Bytes file;
-    if (const int error = disk_.read(path_, file, most_bytes)) {
+    if (const int error = disk_.read(path_, file, max_bytes)) {
         out.found = error == ENOENT ? Found::none : Found::unread;
         if (error != ENOENT) out.note = path_ + " cannot be read: " + std::strerror(error);
         return out;
--- a/src/scheduler/atomic_file/store.h
+++ b/src/scheduler/atomic_file/store.h
@@ -46,7 +46,7 @@
 
 class Store {
   public:
-    static constexpr std::size_t most_bytes = 1U << 30U;
+    static constexpr std::size_t max_bytes = 1U << 30U;
 
     Store(std::string folder, std::string name, std::uint32_t format, Disk& disk);
 
--- a/src/scheduler/config/settings.cpp
+++ b/src/scheduler/config/settings.cpp
@@ -23,7 +23,7 @@
 using willowrill::Report;
 
 // The remembered list is in it: some hundred bytes a worker.
-constexpr std::size_t most_bytes = 16U << 20U;
+constexpr std::size_t max_bytes = 16U << 20U;
 
 [[noreturn]] void bad(std::string_view key, std::string_view wanted) {
     throw ConfigError("'" + std::string(key) + "' must be " + std::string(wanted));
@@ -368,7 +368,7 @@
     const char* path = environment("PROXY_CONFIG");
     if (path == nullptr || *path == '\0') throw ConfigError("PROXY_CONFIG names no configuration file");
     std::string why;
-    const auto content = net::read_file(path, most_bytes, why);
+    const auto content = net::read_file(path, max_bytes, why);
     if (!content) throw ConfigError("the configuration '" + std::string(path) + "' " + why);
     return parse(*content, environment);
 }
--- a/src/scheduler/core/host.cpp
+++ b/src/scheduler/core/host.cpp
@@ -28,11 +28,11 @@
 
 } // namespace
 
-Host::Host(const willowrill::Settings& settings, std::size_t max_open, std::size_t most_bytes,
+Host::Host(const willowrill::Settings& settings, std::size_t max_open, std::size_t max_bytes,
            Upstream& upstream, Inventory& inventory)
     : dispatcher_(settings), tick_(settings.tick),
       stay_away_(settings.takes_advice ? settings.max_stay_away : Duration(0)), max_open_(max_open),
-      most_bytes_(most_bytes), upstream_(upstream), inventory_(inventory) {
+      max_bytes_(max_bytes), upstream_(upstream), inventory_(inventory) {
     for (const willowrill::JobClass& job_class : settings.classes)
         usual_.push_back(job_class.aim);
     tallies_.resize(settings.classes.size());
@@ -40,7 +40,7 @@
 
 bool Host::take_in(Message message, Client& client, JobId& job) {
     const std::size_t bytes = small_parts + copies * message.body.size();
-    if (open_ >= max_open_ || bytes_ + bytes > most_bytes_ || holds(message.id) ||
+    if (open_ >= max_open_ || bytes_ + bytes > max_bytes_ || holds(message.id) ||
         !ids_.insert(message.id).second) {
         ++counters_.turned_away;
         turn_away(message.job_class, message.tenant);
@@ -205,8 +205,8 @@
     }
 }
 
-void Host::list_news(willowrill::ListNews news) {
-    ++(news.kind == willowrill::ListNews::Kind::broken ? counters_.lists_broken : counters_.lists);
+void Host::list_news(willowrill::EndpointListUpdate news) {
+    ++(news.kind == willowrill::EndpointListUpdate::Kind::broken ? counters_.lists_broken : counters_.lists);
     events_.emplace_back(std::move(news));
 }
 
@@ -226,7 +226,7 @@
     last_batch_ = now;
     if (wake_ && *wake_ <= now) {
         wake_.reset();
-        events_.emplace_back(willowrill::Woken{});
+        events_.emplace_back(willowrill::TimerExpired{});
     }
     // What is told while the actions are carried out belongs to the next batch.
     std::vector<willowrill::Event> events = std::exchange(events_, {});
--- a/src/scheduler/core/host.h
+++ b/src/scheduler/core/host.h
@@ -99,8 +99,8 @@
 
 class Host {
   public:
-    // `most_bytes` is for the messages held, with their copies on the way to a worker and back.
-    Host(const willowrill::Settings& settings, std::size_t max_open, std::size_t most_bytes,
+    // `max_bytes` is for the messages held, with their copies on the way to a worker and back.
+    Host(const willowrill::Settings& settings, std::size_t max_open, std::size_t max_bytes,
          Upstream& upstream, Inventory& inventory);
 
     // False: the id is in use, or no message more can be held. The client must outlive the message or call
@@ -112,7 +112,7 @@
     const std::unordered_set<std::string>& ids() const { return ids_; } // not free yet
     void set_neighbour(Neighbour& neighbour) { neighbour_ = &neighbour; }
     void set_ledger(Ledger& ledger) { ledger_ = &ledger; }
-    void limit(std::size_t most_bytes) { most_bytes_ = most_bytes; }
+    void limit(std::size_t max_bytes) { max_bytes_ = max_bytes; }
     // A message that was never taken in is answered with a refusal.
     void turn_away(Index job_class, Index tenant);
     // What such a refusal tells its client, as the module's do: when to come back, if clients are told at
@@ -132,7 +132,7 @@
                        const std::optional<willowrill::Report>& report = {}, std::string_view result = {});
     void probed(WorkerId worker, willowrill::Outcome outcome, Duration latency,
                 const std::optional<willowrill::Report>& report);
-    void list_news(willowrill::ListNews news);
+    void list_news(willowrill::EndpointListUpdate news);
 
     // When `batch` is due: at the next tick if there is news, else when the module wants to wake.
     std::optional<Time> next_batch() const;
@@ -172,7 +172,7 @@
     willowrill::Dispatcher dispatcher_;
     Duration tick_, stay_away_;
     std::vector<Duration> usual_; // by class
-    std::size_t max_open_, most_bytes_, bytes_ = 0;
+    std::size_t max_open_, max_bytes_, bytes_ = 0;
     Upstream& upstream_;
     Inventory& inventory_;
     Neighbour* neighbour_ = nullptr;
--- a/src/scheduler/counts/book.cpp
+++ b/src/scheduler/counts/book.cpp
@@ -123,7 +123,7 @@
 }
 
 // NOLINTNEXTLINE(readability-function-size,readability-function-cognitive-complexity): see ROADMAP
-std::vector<Delta> Book::deltas(const std::vector<Want>& wants, std::size_t most_bytes,
+std::vector<Delta> Book::deltas(const std::vector<Want>& wants, std::size_t max_bytes,
                                 std::size_t most) const {
     std::vector<Delta> out;
     Delta part;
@@ -139,7 +139,7 @@
             if (!introduced) head += cost::introduction + life.identity().instance.size();
             constexpr std::size_t least =
                 256; // a section with less room than that waits for the next message
-            if (size + head + least > most_bytes && size > cost::message) {
+            if (size + head + least > max_bytes && size > cost::message) {
                 out.push_back(std::exchange(part, {}));
                 size = cost::message;
                 if (out.size() == most) return out;
@@ -156,7 +156,7 @@
                                               ? cost::series + name->tenant.size() + name->job_class.size()
                                               : cost::cell;
                 const std::uint64_t after = change.version - from;
-                if (size + takes > most_bytes || after > 0xffffffffU) {
+                if (size + takes > max_bytes || after > 0xffffffffU) {
                     cut = true;
                     return false;
                 }
@@ -620,12 +620,12 @@
     return out;
 }
 
-std::vector<Delta> Book::save(std::size_t most_bytes) const {
+std::vector<Delta> Book::save(std::size_t max_bytes) const {
     std::vector<Want> all;
     all.reserve(by_key_.size());
     for (const auto& [key, index] : by_key_)
         all.push_back({key, 0, true});
-    return deltas(all, most_bytes, ~std::size_t{0});
+    return deltas(all, max_bytes, ~std::size_t{0});
 }
 
 } // namespace willowrill::counts
--- a/src/scheduler/counts/book.h
+++ b/src/scheduler/counts/book.h
@@ -74,9 +74,9 @@
     // --- exchange: A's digest, B's answer (what A lacks, and what B wants), A's deltas for what B wants.
     std::vector<Digest> digest(std::size_t most_entries) const;
     std::vector<Want> answer(const Digest& digest, std::vector<Want>& lacking, Time now);
-    // Sections for what the other side has according to `wants`, in messages of at most `most_bytes` as
+    // Sections for what the other side has according to `wants`, in messages of at most `max_bytes` as
     // `wire.h` costs them, at most `most` of them. What is left out is wanted again in the next exchange.
-    std::vector<Delta> deltas(const std::vector<Want>& wants, std::size_t most_bytes, std::size_t most) const;
+    std::vector<Delta> deltas(const std::vector<Want>& wants, std::size_t max_bytes, std::size_t most) const;
     void apply(const Delta& delta, Time now);
 
     // --- lives
@@ -102,7 +102,7 @@
     std::uint64_t fingerprint() const; // the same in two books that agree on every total
 
     // --- what survives a restart: everything, as deltas from nothing.
-    std::vector<Delta> save(std::size_t most_bytes) const;
+    std::vector<Delta> save(std::size_t max_bytes) const;
     // Former lives of this instance among it are lives that have ended, if `self` is numbered above them.
     void load(const Delta& delta, Time now) { apply(delta, now); }
 
--- a/src/scheduler/discovery_client/list.cpp
+++ b/src/scheduler/discovery_client/list.cpp
@@ -56,7 +56,7 @@
            static_cast<std::size_t>(std::ranges::count(workers_, Condition::gone, &Worker::condition));
 }
 
-std::optional<willowrill::ListNews> List::read(std::string_view json) {
+std::optional<willowrill::EndpointListUpdate> List::read(std::string_view json) {
     std::vector<Entry> entries;
     config::Names names = names_; // new kinds and zones are kept once the whole list is good
     bool full = false;
@@ -73,8 +73,8 @@
         return std::nullopt;
     }
     names_ = std::move(names);
-    using Kind = willowrill::ListNews::Kind;
-    willowrill::ListNews news{.kind = full ? Kind::complete : Kind::changes};
+    using Kind = willowrill::EndpointListUpdate::Kind;
+    willowrill::EndpointListUpdate news{.kind = full ? Kind::complete : Kind::changes};
     if (full) { // what is not in a whole list is gone
         for (Worker& worker : workers_)
             worker.condition = Condition::gone;
--- a/src/scheduler/discovery_client/list.h
+++ b/src/scheduler/discovery_client/list.h
@@ -20,7 +20,7 @@
     explicit List(config::Names names) : names_(std::move(names)) {}
 
     // Takes in an answer of discovery. Nonsense changes nothing and gives nothing.
-    std::optional<willowrill::ListNews> read(std::string_view json);
+    std::optional<willowrill::EndpointListUpdate> read(std::string_view json);
 
     std::uint64_t version() const { return version_; }
     bool empty() const { return workers_.empty(); }
--- a/src/scheduler/discovery_client/watch.cpp
+++ b/src/scheduler/discovery_client/watch.cpp
@@ -169,7 +169,7 @@
     silence_.disarm();
     watching_ = silent_ = false;
     spdlog::warn("inventory: a call to discovery failed: {}", why);
-    news_({willowrill::ListNews::Kind::broken, {}});
+    news_({willowrill::EndpointListUpdate::Kind::broken, {}});
 }
 
 } // namespace willowrill::discovery_client
--- a/src/scheduler/discovery_client/watch.h
+++ b/src/scheduler/discovery_client/watch.h
@@ -18,7 +18,7 @@
 
 class Watch final : public core::Inventory {
   public:
-    using News = std::function<void(willowrill::ListNews)>;
+    using News = std::function<void(willowrill::EndpointListUpdate)>;
 
     // `seed`: for the spread of holds, so that many schedulers don't all ask at one moment.
     Watch(net::Loop& loop, net::Endpoint discovery, WatchTimes times, std::uint64_t seed, List& list,
--- a/src/scheduler/discovery_client/watch_times.h
+++ b/src/scheduler/discovery_client/watch_times.h
@@ -13,8 +13,8 @@
 
 // STANDING.md: what a silent watch misses counts as told 6 s after it fell silent or, for a call that may
 // wait, 2 s after that wait, if that is later.
-inline constexpr Duration told_after = std::chrono::seconds(6);
-inline constexpr Duration told_after_hold = std::chrono::seconds(2);
+inline constexpr Duration notified_after = std::chrono::seconds(6);
+inline constexpr Duration notified_after_hold = std::chrono::seconds(2);
 
 struct WatchTimes {
     Duration hold{0};       // the longest wait that a call asks for
@@ -45,10 +45,10 @@
     Duration heard_from_agent(Duration answer, Duration tick) const { return reopen + answer + tick; }
     // By then nothing more may be sent to a worker that began to drain in the silence.
     Duration allowed(Duration drain_grace) const {
-        return std::max(told_after, hold + told_after_hold) + drain_grace;
+        return std::max(notified_after, hold + notified_after_hold) + drain_grace;
     }
     // The same after a call that failed, whatever else is allowed then.
-    static Duration allowed_after_failure(Duration drain_grace) { return told_after + drain_grace; }
+    static Duration allowed_after_failure(Duration drain_grace) { return notified_after + drain_grace; }
 };
 
 // `list_valid`: how long a list counts without a watch, 0 for no such time; `drain_grace`: within which sends
@@ -63,7 +63,7 @@
     out.open = 1s;
     out.lost = 4s; // discovery may make its callers wait, and one that gives up and asks anew lengthens that
     // What remains of the 6 s pays for being late and for two calls with all their answers' time.
-    out.hold = told_after - told_after_hold - out.late - out.open;
+    out.hold = notified_after - notified_after_hold - out.late - out.open;
     // A list that is valid for less is looked at more often. A hold beyond its validity gains nothing.
     if (list_valid > 0ns) out.hold = std::clamp<Duration>(list_valid / 2, 250ms, out.hold);
     return out;
--- a/src/scheduler/dispatcher/rules.cpp
+++ b/src/scheduler/dispatcher/rules.cpp
@@ -75,11 +75,12 @@
 
     // ---- 1. Events -------------------------------------------------------------------------------------
 
-    void on(const ListNews& news) {
-        list.told(news.kind == ListNews::Kind::broken, news.kind == ListNews::Kind::remembered);
-        if (news.kind == ListNews::Kind::broken) return;
+    void on(const EndpointListUpdate& news) {
+        list.told(news.kind == EndpointListUpdate::Kind::broken,
+                  news.kind == EndpointListUpdate::Kind::remembered);
+        if (news.kind == EndpointListUpdate::Kind::broken) return;
         for (Worker& w : workers)
-            w.ready = w.ready && news.kind == ListNews::Kind::changes;
+            w.ready = w.ready && news.kind == EndpointListUpdate::Kind::changes;
         for (const WorkerEntry& entry : news.entries) {
             if (workers.size() <= entry.worker) workers.resize(entry.worker + 1);
             kind_slots.know(entry.kind);
@@ -206,7 +207,7 @@
         wait(ended.job);
     }
 
-    void on(const Woken&) {} // nothing to learn from it
+    void on(const TimerExpired&) {} // nothing to learn from it
 
     void on(const Probed& answer) {
         if (answer.worker >= workers.size() || !std::exchange(workers[answer.worker].asked, false)) return;
@@ -471,8 +472,8 @@
             const bool shunned = shuns_zone(job, w), rest = rests(w, job);
             if (!shunned) ++able;
             if (!shunned && rest) ++resting;
-            const double told_load = load_of(w, job.in.slots, w.degradation) + queue(w, job); // L + X
-            const double score = policy::plud_score(told_load, increment(w, job));
+            const double reported_load = load_of(w, job.in.slots, w.degradation) + queue(w, job); // L + X
+            const double score = policy::plud_score(reported_load, increment(w, job));
             best[shunned ? 2 : rest ? 1 : 0].offer(id, score, [&] { return uniform(); });
         }
         if (able == 0) return best[2].id;
--- a/src/scheduler/gossip/mesh.cpp
+++ b/src/scheduler/gossip/mesh.cpp
@@ -42,7 +42,7 @@
                    .indirect = mesh.indirect,
                    .suspicion = mesh.suspicion,
                    .forget_after = mesh.forget_after,
-                   .most_members = mesh.most_members,
+                   .max_members = mesh.max_members,
                    .seeds = {}};
     for (const net::Endpoint& seed : mesh.seeds)
         out.members.seeds.push_back(address_of(seed));
@@ -53,8 +53,8 @@
     out.interval = counts.interval;
     out.rate = counts.rate;
     out.burst = counts.burst;
-    out.limits = {.tenants = counts.most_tenants,
-                  .lives = counts.most_lives,
+    out.limits = {.tenants = counts.max_tenants,
+                  .lives = counts.max_lives,
                   .max_skew = counts.max_skew,
                   .fold_after = counts.fold_after};
     return out;
@@ -79,7 +79,7 @@
 Mesh::Mesh(net::Loop& loop, const operator_config::Site& site, const std::string& instance, bool wait)
     : loop_(loop), settings_(*site.mesh),
       snapshot_every_(site.counts ? site.counts->snapshot_every : Time(0)), sealer_(keys_of(settings_)),
-      replay_(4 * settings_.most_members), timer_(loop.wheel(), [this] { on_timer(); }),
+      replay_(4 * settings_.max_members), timer_(loop.wheel(), [this] { on_timer(); }),
       save_timer_(loop.wheel(), [this] { save(); }), gone_timer_(loop.wheel(),
                                                                  [this] {
                                                                      if (gone_) gone_();
--- a/src/scheduler/hot_restart/succession.cpp
+++ b/src/scheduler/hot_restart/succession.cpp
@@ -107,9 +107,9 @@
     return path;
 }
 
-std::optional<Inheritance> inherit(const std::string& path, const net::Endpoint& listen,
-                                   net::Duration at_most) {
-    Inheritance out;
+std::optional<InheritedListener> inherit(const std::string& path, const net::Endpoint& listen,
+                                         net::Duration at_most) {
+    InheritedListener out;
     out.link = unix_socket();
     const sockaddr_un address = address_of(path);
     // Refused by a stale file, which the door of this run will replace.
@@ -132,7 +132,7 @@
 }
 
 Succession::Succession(net::Loop& loop, std::optional<std::string> path,
-                       std::optional<Inheritance> inheritance, Run& run)
+                       std::optional<InheritedListener> inheritance, Run& run)
     : loop_(loop), path_(std::move(path)), run_(run), tell_(loop.wheel(), [this] { tell_held(); }) {
     door_.action = [this] { on_knock(); };
     before_.action = [this] { on_news_from_predecessor(); };
@@ -210,9 +210,9 @@
     after_.fd = std::move(fd);
     watch(after_);
     run_.on_neighbour(); // gives up what it can first
-    told_ = run_.held();
-    spdlog::info("upgrade: handing the listener to a successor, keeping {} descriptors", told_);
-    const Word held{.value = told_, .kind = Kind::held};
+    reported_ = run_.held();
+    spdlog::info("upgrade: handing the listener to a successor, keeping {} descriptors", reported_);
+    const Word held{.value = reported_, .kind = Kind::held};
     if (!send_words(after_.fd, {&held, 1}, run_.listener().get()))
         spdlog::warn("upgrade: the listener could not be handed over: errno {}", errno);
     for (const std::string& id : run_.ids())
@@ -257,7 +257,7 @@
     run_.on_neighbour();
     const std::size_t held = run_.held();
     const Word word{.value = held, .kind = Kind::held};
-    if (held != told_ && send_words(after_.fd, {&word, 1})) told_ = held;
+    if (held != reported_ && send_words(after_.fd, {&word, 1})) reported_ = held;
     tell_.arm(loop_.now() + tell_pause);
 }
 
--- a/src/scheduler/hot_restart/succession.h
+++ b/src/scheduler/hot_restart/succession.h
@@ -20,14 +20,14 @@
 std::optional<std::string> door_path(const char* folder, const net::Endpoint& listen);
 
 // What a predecessor hands over.
-struct Inheritance {
+struct InheritedListener {
     net::Fd listener, link;
     std::size_t held = 0; // descriptors that it keeps for itself
 };
 
 // Asks the run that waits there. One that has died or does not answer within `at_most` hands over nothing.
-std::optional<Inheritance> inherit(const std::string& path, const net::Endpoint& listen,
-                                   net::Duration at_most);
+std::optional<InheritedListener> inherit(const std::string& path, const net::Endpoint& listen,
+                                         net::Duration at_most);
 
 class Succession final : public core::Neighbour {
   public:
@@ -42,7 +42,7 @@
         virtual void on_successor(bool serves) = 0; // it accepts from now on, or is gone
     };
 
-    Succession(net::Loop& loop, std::optional<std::string> path, std::optional<Inheritance> inheritance,
+    Succession(net::Loop& loop, std::optional<std::string> path, std::optional<InheritedListener> inheritance,
                Run& run);
     ~Succession() override;
 
@@ -88,7 +88,7 @@
     End door_, before_, after_;
     ino_t door_inode_ = 0;
     bool after_serves_ = false;
-    std::size_t neighbour_holds_ = 0, told_ = 0;
+    std::size_t neighbour_holds_ = 0, reported_ = 0;
     net::Timer tell_;
 };
 
--- a/src/scheduler/log/log.cpp
+++ b/src/scheduler/log/log.cpp
@@ -77,13 +77,13 @@
 
   protected:
     void sink_it_(const spdlog::details::log_msg& message) override {
-        if (outlet_.dropped() > told_ && outlet_.has_room()) {
+        if (outlet_.dropped() > reported_ && outlet_.has_room()) {
             const std::string text =
-                fmt::format("log: {} lines were dropped, as nobody read them", outlet_.dropped() - told_);
+                fmt::format("log: {} lines were dropped, as nobody read them", outlet_.dropped() - reported_);
             const std::uint64_t before = outlet_.dropped();
             const Event* const about = std::exchange(current, nullptr);
             const spdlog::details::log_msg notice(message.logger_name, spdlog::level::warn, text);
-            if (put(notice)) told_ = before;
+            if (put(notice)) reported_ = before;
             current = about;
         }
         put(message);
@@ -98,7 +98,7 @@
     }
 
     Outlet outlet_{STDERR_FILENO};
-    std::uint64_t told_ = 0; // of those dropped
+    std::uint64_t reported_ = 0; // of those dropped
 };
 std::shared_ptr<StandardError> sink; // of the process's logger
 
--- a/src/scheduler/main.cpp
+++ b/src/scheduler/main.cpp
@@ -51,7 +51,7 @@
 class Program final : private admin::Service, private hot_restart::Succession::Run {
   public:
     Program(config::Settings settings, operator_config::Site at_site, std::optional<std::string> door,
-            std::optional<hot_restart::Inheritance> inheritance)
+            std::optional<hot_restart::InheritedListener> inheritance)
         : settings_(std::move(settings)), settings_in_file_(settings_), site_(std::move(at_site)),
           list_(settings_.names), pool_(loop_, list_, settings_.report_fields,
                                         {.connections = per_side(settings_),
@@ -79,7 +79,7 @@
         if (settings_.mgmt) admin_.emplace(loop_, *settings_.mgmt, static_cast<admin::Service&>(*this));
         if (!settings_.known.empty()) {
             if (auto news = list_.read(settings_.known)) {
-                news->kind = willowrill::ListNews::Kind::remembered;
+                news->kind = willowrill::EndpointListUpdate::Kind::remembered;
                 log_entries(*news);
                 remembered_ = std::move(news);
             } else {
@@ -161,9 +161,9 @@
         if (remembered_) host_.list_news(*std::exchange(remembered_, std::nullopt));
     }
 
-    void on_list(willowrill::ListNews news) {
+    void on_list(willowrill::EndpointListUpdate news) {
         // Where the module counts on news that come by themselves, it will not ask again.
-        const bool broken = news.kind == willowrill::ListNews::Kind::broken;
+        const bool broken = news.kind == willowrill::EndpointListUpdate::Kind::broken;
         if (!broken) fresh_.disarm();
         use_remembered();
         if (broken && !settings_.decisions.list_on_request)
@@ -176,7 +176,7 @@
     }
 
     // Numbers of workers differ from one scheduler to the next: whoever joins their logs needs the names.
-    void log_entries(const willowrill::ListNews& news) const {
+    void log_entries(const willowrill::EndpointListUpdate& news) const {
         if (!log::wanted(spdlog::level::debug)) return;
         constexpr std::array<std::string_view, 3> conditions{"ready", "draining", "gone"};
         for (const willowrill::WorkerEntry& entry : news.entries) {
@@ -344,8 +344,8 @@
     core::Host host_;
     frontend::Front front_;
     net::Timer next_batch_, watch_again_, leave_, finish_, fresh_, confirm_;
-    std::optional<willowrill::ListNews> remembered_; // until discovery's first word
-    net::Time end_{0};                               // of what is taken in late
+    std::optional<willowrill::EndpointListUpdate> remembered_; // until discovery's first word
+    net::Time end_{0};                                         // of what is taken in late
     net::Signals signals_;
     hot_restart::Succession succession_;
     std::optional<fleet::Fleet> fleet_;
@@ -391,7 +391,7 @@
                                                  : options.log_format == "json";
     if (json) willowrill::log::set_up(true, at_site.instance.empty() ? settings.name : at_site.instance);
     auto door = willowrill::hot_restart::door_path(std::getenv("TMPDIR"), settings.listen);
-    std::optional<willowrill::hot_restart::Inheritance> inheritance;
+    std::optional<willowrill::hot_restart::InheritedListener> inheritance;
     if (door)
         inheritance = willowrill::hot_restart::inherit(*door, settings.listen, willowrill::handover_time);
     willowrill::Program program(std::move(settings), std::move(at_site), std::move(door),
--- a/src/scheduler/net/file.cpp
+++ b/src/scheduler/net/file.cpp
@@ -12,7 +12,7 @@
 
 namespace willowrill::net {
 
-std::optional<std::string> read_file(const std::string& path, std::size_t most_bytes, std::string& why) {
+std::optional<std::string> read_file(const std::string& path, std::size_t max_bytes, std::string& why) {
     const Fd fd(::open(path.c_str(), O_RDONLY | O_CLOEXEC | O_NONBLOCK)); // a pipe must not hold the open
     struct stat about {};
     if (!fd.valid() || ::fstat(fd.get(), &about) != 0) {
@@ -24,8 +24,8 @@
         return std::nullopt;
     }
     std::string out;
-    std::array<char, 16384> bytes;     // NOLINT: filled by read
-    while (out.size() <= most_bytes) { // by what comes: the file may grow meanwhile
+    std::array<char, 16384> bytes;    // NOLINT: filled by read
+    while (out.size() <= max_bytes) { // by what comes: the file may grow meanwhile
         const auto got = ::read(fd.get(), bytes.data(), bytes.size());
         if (got < 0 && errno == EINTR) continue;
         if (got < 0) {
@@ -35,8 +35,8 @@
         if (got == 0) break;
         out.append(bytes.data(), static_cast<std::size_t>(got));
     }
-    if (out.size() > most_bytes) {
-        why = "holds more than " + std::to_string(most_bytes) + " bytes";
+    if (out.size() > max_bytes) {
+        why = "holds more than " + std::to_string(max_bytes) + " bytes";
         return std::nullopt;
     }
     if (out.empty()) {
--- a/src/scheduler/net/file.h
+++ b/src/scheduler/net/file.h
@@ -9,6 +9,6 @@
 namespace willowrill::net {
 
 // Nothing: `why` says in a few words what was wrong.
-std::optional<std::string> read_file(const std::string& path, std::size_t most_bytes, std::string& why);
+std::optional<std::string> read_file(const std::string& path, std::size_t max_bytes, std::string& why);
 
 } // namespace willowrill::net
--- a/src/scheduler/operator_config/site.cpp
+++ b/src/scheduler/operator_config/site.cpp
@@ -17,7 +17,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::size_t most_bytes = 1U << 20U; // of a file: an operators' file is no data file
+constexpr std::size_t max_bytes = 1U << 20U; // of a file: an operators' file is no data file
 
 std::string join(const std::vector<Problem>& problems) {
     if (problems.empty()) return "no problem";
@@ -48,7 +48,7 @@
         return "'" + file + "' can be used by others than its owner; allowed: mode 600 or 400 (chmod 600)";
     }
     std::string why;
-    const auto text = net::read_file(file, most_bytes, why);
+    const auto text = net::read_file(file, max_bytes, why);
     if (!text) return "'" + file + "' " + why;
     std::size_t size = 0;
     const char* end = nullptr;
@@ -137,8 +137,8 @@
     section.span("forget_after", mesh.forget_after, 1s, 24h * 30);
     mesh.max_age = 30s;
     section.span("max_age", mesh.max_age, 1s, 1h);
-    mesh.most_members = 1000;
-    section.whole("most_members", mesh.most_members, 2, 10'000);
+    mesh.max_members = 1000;
+    section.whole("most_members", mesh.max_members, 2, 10'000);
     read_keys(file, section, mesh, problems);
     return mesh;
 }
@@ -150,8 +150,8 @@
                   .max_skew = 100ms,
                   .fold_after = 1h,
                   .snapshot_every = 5s,
-                  .most_tenants = 1000,
-                  .most_lives = 2000};
+                  .max_tenants = 1000,
+                  .max_lives = 2000};
     section.needed("rate");
     section.span("interval", counts.interval, 20ms, 60s);
     section.whole("rate", counts.rate, 1, 10'000'000);
@@ -160,8 +160,8 @@
     section.span("max_skew", counts.max_skew, 0s, 60s);
     section.span("fold_after", counts.fold_after, 1s, 24h * 30);
     section.span("snapshot_every", counts.snapshot_every, 100ms, 1h);
-    section.whole("most_tenants", counts.most_tenants, 1, 100'000);
-    section.whole("most_lives", counts.most_lives, 2, 100'000);
+    section.whole("most_tenants", counts.max_tenants, 1, 100'000);
+    section.whole("most_lives", counts.max_lives, 2, 100'000);
     return counts;
 }
 
@@ -176,7 +176,7 @@
     std::vector<Problem> problems;
     Site site;
     site.file = file;
-    if (text.size() > most_bytes)
+    if (text.size() > max_bytes)
         throw SiteError({{file, 0, "", "found " + std::to_string(text.size()) + " bytes, allowed: 1 MiB"}});
     try {
         const std::vector<YAML::Node> documents = YAML::LoadAll(text);
@@ -210,7 +210,7 @@
 
 Site read(const std::string& file) {
     std::string why;
-    const auto text = net::read_file(file, most_bytes, why);
+    const auto text = net::read_file(file, max_bytes, why);
     if (!text) throw SiteError({{file, 0, "", why}});
     // Read while it is written, a file may still be YAML: its last line shows that something is missing.
     if (text->back() != '\n')
@@ -225,11 +225,11 @@
     if (before.mesh.has_value() != now.mesh.has_value()) out.emplace_back("mesh");
     if (before.counts.has_value() != now.counts.has_value()) out.emplace_back("counts");
     if (before.mesh && now.mesh && !same_place(*before.mesh, *now.mesh)) out.emplace_back("mesh.listen");
-    if (before.mesh && now.mesh && before.mesh->most_members != now.mesh->most_members)
+    if (before.mesh && now.mesh && before.mesh->max_members != now.mesh->max_members)
         out.emplace_back("mesh.most_members");
     if (before.counts && now.counts) {
-        if (before.counts->most_tenants != now.counts->most_tenants) out.emplace_back("counts.most_tenants");
-        if (before.counts->most_lives != now.counts->most_lives) out.emplace_back("counts.most_lives");
+        if (before.counts->max_tenants != now.counts->max_tenants) out.emplace_back("counts.most_tenants");
+        if (before.counts->max_lives != now.counts->max_lives) out.emplace_back("counts.most_lives");
         // What peers were told must not turn out to have been too little.
         if (before.counts->rate != now.counts->rate) out.emplace_back("counts.rate");
         if (before.counts->burst != now.counts->burst) out.emplace_back("counts.burst");
--- a/src/scheduler/operator_config/site.h
+++ b/src/scheduler/operator_config/site.h
@@ -47,7 +47,7 @@
     std::uint64_t suspicion = 0; // periods, times the logarithm of the fleet's size
     Span forget_after{0};        // a dead member is known that long
     Span max_age{0};             // a datagram sent longer ago, by the two clocks, is dropped
-    std::uint64_t most_members = 0;
+    std::uint64_t max_members = 0;
 };
 
 struct Counts {
@@ -56,7 +56,7 @@
     Span max_skew{0};                  // by which two clocks of the fleet may differ at most
     Span fold_after{0};                // a life not heard of for that long has ended
     Span snapshot_every{0};
-    std::uint64_t most_tenants = 0, most_lives = 0;
+    std::uint64_t max_tenants = 0, max_lives = 0;
 };
 
 struct Site {
--- a/src/scheduler/simulator_adapter/wire.cpp
+++ b/src/scheduler/simulator_adapter/wire.cpp
@@ -318,7 +318,7 @@
     void release_if_done(JobId job);
     WorkerId worker_id(std::string_view address);
     std::optional<Report> read_report(const Json& event) const;
-    ListNews read_list(const Json& event);
+    EndpointListUpdate read_list(const Json& event);
     JobArrived read_job(const Json& event);
 
     Names names_;
@@ -380,14 +380,14 @@
     return report;
 }
 
-ListNews Instance::read_list(const Json& event) {
-    ListNews news;
-    news.kind = translate<ListNews::Kind>(need_text(event, "how"),
-                                          {{"patch", ListNews::Kind::changes},
-                                           {"whole", ListNews::Kind::complete},
-                                           {"stale_copy", ListNews::Kind::remembered},
-                                           {"broken", ListNews::Kind::broken}},
-                                          "how");
+EndpointListUpdate Instance::read_list(const Json& event) {
+    EndpointListUpdate news;
+    news.kind = translate<EndpointListUpdate::Kind>(need_text(event, "how"),
+                                                    {{"patch", EndpointListUpdate::Kind::changes},
+                                                     {"whole", EndpointListUpdate::Kind::complete},
+                                                     {"stale_copy", EndpointListUpdate::Kind::remembered},
+                                                     {"broken", EndpointListUpdate::Kind::broken}},
+                                                    "how");
     const Json* entries = find(event, "entries");
     if (entries == nullptr) return news;
     if (!entries->IsArray()) bad_field("entries", "an array");
@@ -458,7 +458,7 @@
             events_.emplace_back(AttemptProgress{*job, attempt(), worker(), number_or(event, "x", 0)});
         }
     } else if (kind == "bell") {
-        events_.emplace_back(Woken{});
+        events_.emplace_back(TimerExpired{});
     } else if (kind == "discovery") {
         events_.emplace_back(read_list(event));
     } else if (kind == "withdrawn") {
--- a/src/scheduler/swim/members.cpp
+++ b/src/scheduler/swim/members.cpp
@@ -160,7 +160,7 @@
 }
 
 void Swim::take_in(Time now, const Member& news, Actions& out) {
-    if (view_.size() + 1 >= settings_.most_members) {
+    if (view_.size() + 1 >= settings_.max_members) {
         ++statistics_.over_limit;
         return;
     }
--- a/src/scheduler/swim/members.h
+++ b/src/scheduler/swim/members.h
@@ -71,7 +71,7 @@
     std::size_t indirect = 3;
     std::size_t suspicion = 4; // periods, times log10 of the number of members
     Duration forget_after{0};
-    std::size_t most_members = 1000;
+    std::size_t max_members = 1000;
     std::size_t news_bytes = 900; // of a message, with `cost` for each member
     std::size_t sync_periods = 30;
     std::vector<Address> seeds{};
--- a/tests/scheduler/core/host_test.cpp
+++ b/tests/scheduler/core/host_test.cpp
@@ -136,9 +136,9 @@
         }
     }
 
-    using Kind = willowrill::ListNews::Kind;
+    using Kind = willowrill::EndpointListUpdate::Kind;
     void list(Kind kind = Kind::complete) {
-        willowrill::ListNews news{.kind = kind, .entries = {}};
+        willowrill::EndpointListUpdate news{.kind = kind, .entries = {}};
         for (core::WorkerId worker = 0; worker < 6; ++worker) {
             const bool up = pick(4) > 0;
             news.entries.push_back(
--- a/tests/scheduler/dispatcher/decisions_test.cpp
+++ b/tests/scheduler/dispatcher/decisions_test.cpp
@@ -33,7 +33,7 @@
     Fleet(const Settings& settings, WorkerId count) { begin(settings, count, 0); }
     void begin(const Settings& settings, WorkerId count, Index zone) {
         dispatcher.emplace(settings);
-        ListNews list{ListNews::Kind::complete, {}};
+        EndpointListUpdate list{EndpointListUpdate::Kind::complete, {}};
         for (WorkerId id = 0; id < count; ++id)
             list.entries.push_back({.worker = id, .key = id, .zone = zone, .cell = id / 2});
         at(0s, {list});
@@ -60,7 +60,7 @@
             if (!wake) break;
             now = *wake;
             wake.reset();
-            at(now, {Woken{}});
+            at(now, {TimerExpired{}});
         }
         return Time(-1);
     }
@@ -139,7 +139,7 @@
     REQUIRE(fleet.at(40ms, {Fleet::job(3, 4)}) == 0); // three are free
     std::size_t sent = 0;
     for (Time now = 100ms; now < 3s; now += 100ms)
-        sent += fleet.at(now, {Woken{}});
+        sent += fleet.at(now, {TimerExpired{}});
     CHECK(sent == 1);
 }
 
@@ -152,7 +152,7 @@
     REQUIRE(fleet.at(30ms, {Fleet::job(1, 4)}) == 1);
     REQUIRE(fleet.at(40ms, {Fleet::job(2, 2)}) == 0); // held
     REQUIRE(fleet.at(50ms, {fleet.served(1, 0, 5)}) == 1);
-    fleet.at(2s, {Woken{}});
+    fleet.at(2s, {TimerExpired{}});
     CHECK(fleet.at(2010ms, {Fleet::job(3)}) == 1);
 }
 
@@ -193,7 +193,7 @@
 TEST_CASE("workers that drain, rest or were full are told as excluded, those gone from the list are not") {
     Fleet fleet(4);
     CHECK(fleet.dispatcher->excluded(0s) == 0);
-    ListNews news{ListNews::Kind::changes, {{.worker = 2}, {.worker = 3}}};
+    EndpointListUpdate news{EndpointListUpdate::Kind::changes, {{.worker = 2}, {.worker = 3}}};
     news.entries[0].condition = Condition::draining;
     news.entries[1].condition = Condition::gone;
     REQUIRE(fleet.at(10ms, {news, Fleet::job(0)}) == 1);
@@ -241,7 +241,8 @@
     KeyedFleet fleet;
     const auto [first, other] = fleet.cell();
     REQUIRE(fleet.at(15ms, {Fleet::job(1), Fleet::job(2), Fleet::job(3)}) == 3);
-    ListNews news{ListNews::Kind::changes, {{.worker = other, .key = other, .cell = other / 2}}};
+    EndpointListUpdate news{EndpointListUpdate::Kind::changes,
+                            {{.worker = other, .key = other, .cell = other / 2}}};
     news.entries[0].condition = Condition::draining;
     REQUIRE(fleet.at(20ms, {news}) == 0);
     fleet.at(30ms, {Fleet::lost(0, first)});
@@ -304,7 +305,7 @@
     REQUIRE(fleet.at(500ms, {Fleet::job(30, 40)}) == 0);
     std::size_t sent = 0;
     for (Time now = 600ms; now < 6s && sent == 0; now += 100ms)
-        sent = fleet.at(now, {Woken{}});
+        sent = fleet.at(now, {TimerExpired{}});
     REQUIRE(sent == 1); // with ever fewer slots free
     fleet.at(6100ms, {Fleet::lost(30, 0, Outcome::full)});
     CHECK(fleet.at(6110ms, {Fleet::job(31)}) == 1);
--- a/tests/scheduler/dispatcher/instances_test.cpp
+++ b/tests/scheduler/dispatcher/instances_test.cpp
@@ -55,7 +55,7 @@
 
 Batches batches() {
     Batches out;
-    ListNews list{ListNews::Kind::complete, {}};
+    EndpointListUpdate list{EndpointListUpdate::Kind::complete, {}};
     for (WorkerId id = 0; id < 8; ++id)
         list.entries.push_back({.worker = id,
                                 .key = std::uint64_t{id} * 77,
@@ -81,7 +81,7 @@
             WorkerEntry entry = list.entries[a % 8];
             entry.condition = b % 2 == 0 ? Condition::ready : Condition::draining;
             entry.up_since = b % 3 == 0 ? now : Time(0);
-            out.push_back({now, {ListNews{ListNews::Kind::changes, {entry}}}});
+            out.push_back({now, {EndpointListUpdate{EndpointListUpdate::Kind::changes, {entry}}}});
         }
     }
     return out;
--- a/tests/scheduler/dispatcher/probing_test.cpp
+++ b/tests/scheduler/dispatcher/probing_test.cpp
@@ -46,7 +46,7 @@
 class Fleet {
   public:
     Fleet(const Settings& settings, WorkerId workers) : dispatcher_(settings), free_(workers, 6.0) {
-        ListNews list{ListNews::Kind::complete, {}};
+        EndpointListUpdate list{EndpointListUpdate::Kind::complete, {}};
         for (WorkerId id = 0; id < workers; ++id)
             list.entries.push_back({.worker = id, .key = load_estimates::mixed(id + 1), .zone = id % 5});
         step({list});
@@ -364,7 +364,8 @@
     fleet.answers = false;
     fleet.run(1s);
     REQUIRE(fleet.all_probes() == 1);
-    fleet.step({ListNews{ListNews::Kind::changes, {{.worker = 0, .key = 7, .up_since = 2s}}}});
+    fleet.step(
+        {EndpointListUpdate{EndpointListUpdate::Kind::changes, {{.worker = 0, .key = 7, .up_since = 2s}}}});
     fleet.run(1s);
     CHECK(fleet.all_probes() == 1);
 }
--- a/tests/scheduler/dispatcher/property_test.cpp
+++ b/tests/scheduler/dispatcher/property_test.cpp
@@ -68,7 +68,7 @@
         for (Index self = 0; self < dispatchers; ++self)
             nodes_.emplace_back(*this, settings_for(self, dispatchers, variant));
         for (Node& node : nodes_)
-            tell(node, {ListNews::Kind::complete, workers_});
+            tell(node, {EndpointListUpdate::Kind::complete, workers_});
         pass(50ms);
     }
 
@@ -97,7 +97,7 @@
             if (Requester* one = any_open(step.a)) leave(*one);
             return;
         case 5: // nothing more is told until the list is asked for again
-            if (std::exchange(node.watching, false)) tell(node, {ListNews::Kind::broken, {}});
+            if (std::exchange(node.watching, false)) tell(node, {EndpointListUpdate::Kind::broken, {}});
             return;
         case 6:
         case 9:
@@ -301,7 +301,7 @@
 
     // Discovery's word comes to each scheduler in its own time.
     void change(unsigned which, unsigned how, unsigned late) {
-        ListNews news{ListNews::Kind::changes, {}};
+        EndpointListUpdate news{EndpointListUpdate::Kind::changes, {}};
         WorkerEntry& entry = workers_[which % workers_.size()];
         switch (how % 6) {
         case 0:
@@ -331,13 +331,13 @@
         for (Node& node : nodes_)
             news_.emplace(now + std::chrono::milliseconds(node.self * late % 97), std::pair(&node, news));
     }
-    ListNews whole_list() const {
-        ListNews news{ListNews::Kind::complete, {}};
+    EndpointListUpdate whole_list() const {
+        EndpointListUpdate news{EndpointListUpdate::Kind::complete, {}};
         std::ranges::copy_if(workers_, std::back_inserter(news.entries),
                              [](const WorkerEntry& one) { return one.condition != Condition::gone; });
         return news;
     }
-    void tell(Node& node, const ListNews& news) {
+    void tell(Node& node, const EndpointListUpdate& news) {
         ledger.told(node.self, now, news);
         node.host.list_news(news);
     }
@@ -405,7 +405,7 @@
     std::map<Asked, Time> probed_; // when each comes back
     unsigned probes_answered_ = 0;
     std::map<std::string, std::string> given_; // by message: the result that its worker gave last
-    std::multimap<Time, std::pair<Node*, ListNews>> news_;
+    std::multimap<Time, std::pair<Node*, EndpointListUpdate>> news_;
 };
 
 rc::Gen<std::vector<Step>> events() {
@@ -473,7 +473,7 @@
         }
         return sends;
     };
-    ListNews list{ListNews::Kind::complete, {}};
+    EndpointListUpdate list{EndpointListUpdate::Kind::complete, {}};
     for (WorkerId id = 0; id < count; ++id)
         list.entries.push_back({.worker = id, .key = id});
     handle({list});
--- a/tests/scheduler/dispatcher/random_test.cpp
+++ b/tests/scheduler/dispatcher/random_test.cpp
@@ -22,11 +22,11 @@
             add_outcomes(events);
             if (chance(0.01)) events.emplace_back(list(chance(0.3)));
             if (settings_.list_on_request && chance(0.003)) {
-                ledger_.told(0, now_, {ListNews::Kind::broken, {}});
-                events.emplace_back(ListNews{ListNews::Kind::broken, {}});
+                ledger_.told(0, now_, {EndpointListUpdate::Kind::broken, {}});
+                events.emplace_back(EndpointListUpdate{EndpointListUpdate::Kind::broken, {}});
             }
             if (woken_ && *woken_ <= now_) {
-                events.emplace_back(Woken{});
+                events.emplace_back(TimerExpired{});
                 woken_.reset();
             }
             if (events.empty()) continue;
@@ -55,8 +55,9 @@
     bool chance(double p) { return static_cast<double>(random_() >> 11U) * 0x1.0p-53 < p; }
     std::uint64_t below(std::uint64_t n) { return random_() % n; }
 
-    ListNews list(bool complete) {
-        ListNews news{complete ? ListNews::Kind::complete : ListNews::Kind::changes, {}};
+    EndpointListUpdate list(bool complete) {
+        EndpointListUpdate news{
+            complete ? EndpointListUpdate::Kind::complete : EndpointListUpdate::Kind::changes, {}};
         for (WorkerId id = 0; id < 12; ++id) {
             if (!complete && !chance(0.2)) continue;
             WorkerEntry entry = worker(id, static_cast<Condition>(chance(0.7) ? 0 : 1 + below(2)));
--- a/tests/scheduler/dispatcher/rules_test.cpp
+++ b/tests/scheduler/dispatcher/rules_test.cpp
@@ -24,7 +24,7 @@
     Stand stand;
     stand.at(0s, {whole_list(1), job(0)});
     stand.at(1s, {ended(0, 0, 0, Outcome::served, report(0, 10))});
-    ListNews second{ListNews::Kind::changes, {worker(1)}};
+    EndpointListUpdate second{EndpointListUpdate::Kind::changes, {worker(1)}};
     stand.at(1s, {second, job(1), job(2), job(3), job(4)});
     const auto to_first = std::count_if(stand.sends.begin() + 1, stand.sends.end(),
                                         [](const Send& send) { return send.worker == 0; });
@@ -33,7 +33,7 @@
 
 TEST(Plud, AReportThatLeftBeforeTheLastSendsDoesNotHideThem) {
     Stand stand;
-    ListNews list = whole_list(2);
+    EndpointListUpdate list = whole_list(2);
     std::vector<Event> events{list};
     for (JobId id = 0; id < 8; ++id) {
         events.emplace_back(job(id));
@@ -83,7 +83,7 @@
     Stand stand;
     stand.at(0s, {whole_list(1), job(0)});
     stand.at(1s, {ended(0, 0, 0, Outcome::served, report(1, 0))});
-    ListNews second{ListNews::Kind::changes, {worker(1)}};
+    EndpointListUpdate second{EndpointListUpdate::Kind::changes, {worker(1)}};
     stand.at(1s, {second});
     std::set<WorkerId> chosen;
     for (JobId id = 1; id < 40; ++id) {
@@ -111,7 +111,7 @@
     Stand stand(s);
     stand.at(0s, {whole_list(2), job(0, 2, 4)});
     const WorkerId blocked = stand.last_worker();
-    stand.at(1s, {Woken{}});
+    stand.at(1s, {TimerExpired{}});
     // Free slots, says the report, but the job of four slots waits at the head of the queue.
     stand.at(1s, {job(1)});
     EXPECT_NE(stand.last_worker(), blocked);
@@ -129,7 +129,7 @@
     const WorkerId slow = stand.sends[0].worker, other = stand.sends[1].worker;
     ASSERT_NE(slow, other);
     stand.at(5ms, {AttemptStarted{1, 0, other}});
-    const auto actions = stand.at(300ms, {Woken{}, AttemptStarted{0, 0, slow}});
+    const auto actions = stand.at(300ms, {TimerExpired{}, AttemptStarted{0, 0, slow}});
     // Nothing was called off to move: that there is room elsewhere is not known.
     EXPECT_TRUE(all<Cancel>(actions).empty());
     stand.at(400ms, {ended(0, 0, slow, Outcome::served), ended(1, 0, other, Outcome::served)});
@@ -145,7 +145,7 @@
     s.kinds = 2;
     s.classes[2].kind = 1;
     Stand stand(s);
-    ListNews list = whole_list(6);
+    EndpointListUpdate list = whole_list(6);
     list.entries[4].kind = 1;
     stand.at(0s, {list, job(0, 2), job(1, 2)});
     for (const Send& send : stand.sends) {
@@ -200,7 +200,7 @@
     stand.at(0s, {job(0, 2)}); // no worker is known
     std::vector<Action> actions;
     for (Time t = 0s; t <= 5s; t += 5ms) {
-        const auto more = stand.at(t, {Woken{}});
+        const auto more = stand.at(t, {TimerExpired{}});
         actions.insert(actions.end(), more.begin(), more.end());
     }
     EXPECT_EQ(all<Refuse>(actions).size() + all<Fail>(actions).size(), 1U);
@@ -211,7 +211,7 @@
     stand.at(0s, {whole_list(2), job(0, 2)});
     std::vector<Action> actions;
     for (Time t = 5ms; t <= 5s; t += 5ms) {
-        const auto more = stand.at(t, {Woken{}});
+        const auto more = stand.at(t, {TimerExpired{}});
         actions.insert(actions.end(), more.begin(), more.end());
     }
     EXPECT_EQ(all<Fail>(actions).size(), 1U);
@@ -231,7 +231,7 @@
     Stand stand;
     stand.at(0s, {whole_list(2), job(0)});
     stand.at(1s, {AnswerBegun{0, 0, stand.last_worker(), 1s}});
-    const auto actions = stand.at(20s, {Woken{}});
+    const auto actions = stand.at(20s, {TimerExpired{}});
     EXPECT_TRUE(all<Fail>(actions).empty() && all<Refuse>(actions).empty());
 }
 
@@ -289,10 +289,11 @@
     Stand stand(s);
     stand.at(0s, {whole_list(2), job(0, 1)});
     const WorkerId first = stand.last_worker(), other = 1 - first;
-    stand.at(10ms, {ListNews{ListNews::Kind::changes, {worker(other, Condition::draining)}},
-                    ended(0, 0, first, Outcome::error)});
-    const ListNews back{ListNews::Kind::changes, {worker(other)}};
-    EXPECT_TRUE(all<Send>(stand.at(2s, {back, Woken{}})).empty());
+    stand.at(10ms,
+             {EndpointListUpdate{EndpointListUpdate::Kind::changes, {worker(other, Condition::draining)}},
+              ended(0, 0, first, Outcome::error)});
+    const EndpointListUpdate back{EndpointListUpdate::Kind::changes, {worker(other)}};
+    EXPECT_TRUE(all<Send>(stand.at(2s, {back, TimerExpired{}})).empty());
 }
 
 TEST(RuleTwo, ATurnedAwayJobInTwoListsIsSentOnce) {
@@ -300,7 +301,7 @@
     stand.at(0s, {job(0, 2)}); // held: no worker is known
     stand.at(60ms, {whole_list(1)});
     ASSERT_EQ(stand.sends.size(), 1U);
-    ListNews more{ListNews::Kind::changes, {worker(1), worker(2)}};
+    EndpointListUpdate more{EndpointListUpdate::Kind::changes, {worker(1), worker(2)}};
     EXPECT_EQ(all<Send>(stand.at(70ms, {more, ended(0, 0, 0, Outcome::full), job(1)})).size(), 2U);
 }
 
@@ -312,7 +313,7 @@
     stand.at(0s, {whole_list(4), job(0)});
     std::vector<Action> actions;
     for (Time t = 5ms; t < 400ms; t += 5ms) {
-        const auto more = stand.at(t, {Woken{}});
+        const auto more = stand.at(t, {TimerExpired{}});
         actions.insert(actions.end(), more.begin(), more.end());
     }
     EXPECT_EQ(all<Cancel>(actions).size(), 1U);
@@ -326,7 +327,8 @@
     for (const Condition condition : {Condition::draining, Condition::gone}) {
         Stand stand;
         stand.at(0s, {whole_list(3)});
-        stand.at(1s, {ListNews{ListNews::Kind::changes, {worker(0, condition), worker(1, condition)}}});
+        stand.at(1s, {EndpointListUpdate{EndpointListUpdate::Kind::changes,
+                                         {worker(0, condition), worker(1, condition)}}});
         for (JobId id = 0; id < 10; ++id) {
             stand.at(2s, {job(id)});
             EXPECT_EQ(stand.last_worker(), 2U);
@@ -348,7 +350,7 @@
     Stand stand;
     stand.at(0s, {whole_list(2), job(0)});
     const WorkerId first = stand.last_worker(), other = 1 - first;
-    stand.at(1s, {ListNews{ListNews::Kind::changes, {worker(other, Condition::draining)}},
+    stand.at(1s, {EndpointListUpdate{EndpointListUpdate::Kind::changes, {worker(other, Condition::draining)}},
                   ended(0, 0, first, Outcome::full)});
     EXPECT_EQ(stand.sends.size(), 1U);
 }
@@ -359,12 +361,12 @@
     Stand stand(s);
     stand.at(0s, {whole_list(2)});
     Time last_asked = 0s;
-    stand.at(1ms, {ListNews{ListNews::Kind::broken, {}}});
+    stand.at(1ms, {EndpointListUpdate{EndpointListUpdate::Kind::broken, {}}});
     for (Time t = 5ms; t < 120s; t += 5ms) {
-        if (all<WatchList>(stand.at(t, {Woken{}})).empty()) continue;
+        if (all<WatchList>(stand.at(t, {TimerExpired{}})).empty()) continue;
         EXPECT_LT(t - last_asked, s.list_valid);
         last_asked = t;
-        stand.at(t + 1ms, {ListNews{ListNews::Kind::broken, {}}});
+        stand.at(t + 1ms, {EndpointListUpdate{EndpointListUpdate::Kind::broken, {}}});
     }
     EXPECT_GT(last_asked, 100s);
 }
@@ -377,14 +379,14 @@
         Stand stand(s);
         stand.at(0s, {whole_list(2)});
         if (at_once) {
-            stand.at(1ms, {ListNews{ListNews::Kind::broken, {}}, whole_list(2)});
+            stand.at(1ms, {EndpointListUpdate{EndpointListUpdate::Kind::broken, {}}, whole_list(2)});
         } else {
-            stand.at(1ms, {ListNews{ListNews::Kind::broken, {}}});
+            stand.at(1ms, {EndpointListUpdate{EndpointListUpdate::Kind::broken, {}}});
             stand.at(2ms, {whole_list(2)});
         }
         bool asked = false;
         for (Time t = 5ms; t < s.list_valid; t += 5ms)
-            asked = asked || !all<WatchList>(stand.at(t, {Woken{}})).empty();
+            asked = asked || !all<WatchList>(stand.at(t, {TimerExpired{}})).empty();
         EXPECT_TRUE(asked);
     }
 }
@@ -396,9 +398,9 @@
         s.seed = seed;
         s.list_on_request = true;
         Stand stand(s);
-        stand.at(0s, {ListNews{ListNews::Kind::remembered, {worker(0)}}});
+        stand.at(0s, {EndpointListUpdate{EndpointListUpdate::Kind::remembered, {worker(0)}}});
         for (Time t = 0s; t < 10s; t += 5ms) {
-            if (!all<WatchList>(stand.at(t, {Woken{}})).empty()) {
+            if (!all<WatchList>(stand.at(t, {TimerExpired{}})).empty()) {
                 asked.insert(t);
                 break;
             }
@@ -419,7 +421,9 @@
         s.dispatchers = dispatchers;
         s.classes[0].aim = 1s; // the running time assumed at first
         Stand stand(s);
-        stand.at(100s, {ListNews{ListNews::Kind::complete, {worker(0, Condition::ready, 100s)}}, job(0)});
+        stand.at(100s,
+                 {EndpointListUpdate{EndpointListUpdate::Kind::complete, {worker(0, Condition::ready, 100s)}},
+                  job(0)});
         sent += static_cast<int>(stand.sends.size());
     }
     // Present capacity is 0.3 of one slot or more, the multiple 3, the window 3 s: 2.7 jobs of a second.
@@ -434,7 +438,7 @@
     s.dispatchers = 50;
     s.overload_time = 1s;
     Stand stand(s);
-    ListNews list = whole_list(10);
+    EndpointListUpdate list = whole_list(10);
     for (WorkerId id = 0; id < 5; ++id)
         list.entries[id].up_since = 96s; // half warm by 100 s
     stand.at(100s, {list});
@@ -454,7 +458,9 @@
 
 TEST(RuleFour, AWarmWorkerHasNoBudget) {
     Stand stand;
-    stand.at(100s, {ListNews{ListNews::Kind::complete, {worker(0, Condition::ready, 90s)}}, job(0), job(1)});
+    stand.at(100s,
+             {EndpointListUpdate{EndpointListUpdate::Kind::complete, {worker(0, Condition::ready, 90s)}},
+              job(0), job(1)});
     EXPECT_EQ(stand.sends.size(), 2U);
 }
 
@@ -465,7 +471,7 @@
     stand.at(0s, {job(0, 2)});
     std::vector<Action> actions;
     for (Time t = 5ms; t <= 2s; t += 5ms) {
-        const auto more = stand.at(t, {Woken{}});
+        const auto more = stand.at(t, {TimerExpired{}});
         actions.insert(actions.end(), more.begin(), more.end());
     }
     ASSERT_EQ(all<Refuse>(actions).size(), 1U);
@@ -484,7 +490,7 @@
         stand.at(5ms, {AttemptStarted{1, 0, 0}});
         std::vector<Action> actions;
         for (Time t = 10ms; t <= 2s; t += 5ms) {
-            const auto more = stand.at(t, {Woken{}});
+            const auto more = stand.at(t, {TimerExpired{}});
             actions.insert(actions.end(), more.begin(), more.end());
         }
         // The class's aim is 400 ms and twice its run, and its clients wait for 5 s.
@@ -531,7 +537,7 @@
     Stand stand(s);
     stand.at(0s, {whole_list(4), job(0)});
     const WorkerId first = stand.last_worker();
-    const auto actions = stand.at(200ms, {Woken{}});
+    const auto actions = stand.at(200ms, {TimerExpired{}});
     EXPECT_EQ(all<Cancel>(actions).size(), 1U);
     ASSERT_EQ(all<Send>(actions).size(), 1U);
     EXPECT_NE(stand.last_worker(), first);
@@ -543,7 +549,7 @@
     Stand stand(s);
     stand.at(0s, {whole_list(4), job(0)});
     stand.at(10ms, {AttemptStarted{0, 0, stand.last_worker()}});
-    EXPECT_TRUE(all<Cancel>(stand.at(1s, {Woken{}})).empty());
+    EXPECT_TRUE(all<Cancel>(stand.at(1s, {TimerExpired{}})).empty());
 }
 
 TEST(Retries, TroubleDoesNotMultiplyTraffic) {
--- a/tests/scheduler/dispatcher/scale_test.cpp
+++ b/tests/scheduler/dispatcher/scale_test.cpp
@@ -67,19 +67,19 @@
             nodes_.push_back({Dispatcher(settings_for(dispatchers, self, handshake_price)), {}, {}, {}});
         for (const WorkerEntry& entry : entries)
             workers.push_back({.entry = entry});
-        tell(ListNews::Kind::complete, entries);
+        tell(EndpointListUpdate::Kind::complete, entries);
     }
 
-    void tell(ListNews::Kind kind, const std::vector<WorkerEntry>& entries) {
+    void tell(EndpointListUpdate::Kind kind, const std::vector<WorkerEntry>& entries) {
         for (Node& node : nodes_)
-            node.events.emplace_back(ListNews{kind, entries});
+            node.events.emplace_back(EndpointListUpdate{kind, entries});
     }
 
     // A new life of the same scheduler: it knows the list, and nothing of what it has sent.
     void restart(Index self, const std::vector<WorkerEntry>& list) {
         Node& node = nodes_[self];
         node.dispatcher = Dispatcher(settings_for(static_cast<Index>(nodes_.size()), self, 0.02));
-        node.events = {ListNews{ListNews::Kind::remembered, list}};
+        node.events = {EndpointListUpdate{EndpointListUpdate::Kind::remembered, list}};
     }
 
     // Jobs a second of each class over the whole fleet, with running times of 0.2 and 1 s on average.
@@ -127,7 +127,7 @@
     void decide(Index self) {
         Node& node = nodes_[self];
         std::vector<Action> actions;
-        node.events.emplace_back(Woken{});
+        node.events.emplace_back(TimerExpired{});
         node.dispatcher.handle(now, std::exchange(node.events, {}), actions);
         for (const Action& action : actions) {
             if (const auto* send = std::get_if<Send>(&action)) start(self, *send);
@@ -275,7 +275,7 @@
         const auto cold = fleet_of(12, 12, 5s);
         for (const WorkerEntry& entry : cold)
             world.workers.push_back({.entry = entry});
-        world.tell(ListNews::Kind::changes, cold);
+        world.tell(EndpointListUpdate::Kind::changes, cold);
         world.run_until(14s, 60, 14);
         // They can do 12 * 4 * 0.7 slot-seconds a second on average; 26 are asked for, of 24 workers.
         CHECK(work_in(world, 12, 5s, 14s) > 0.08 * 33 * 9);
@@ -296,7 +296,7 @@
         world.run_until(5s, 60, 4);
         list.push_back({.worker = 6, .key = load_estimates::mixed(7), .up_since = 5s, .kind = 0, .cell = 1});
         world.workers.push_back({.entry = list.back()});
-        world.tell(ListNews::Kind::changes, {list.back()});
+        world.tell(EndpointListUpdate::Kind::changes, {list.back()});
         for (Time at = 5s; at < 11s; at += 300ms) {
             for (Index self = 0; self < n; ++self)
                 world.restart(self, list);
@@ -354,7 +354,7 @@
         gone.condition = Condition::gone;
         changes.push_back(gone);
     }
-    world.tell(ListNews::Kind::changes, changes);
+    world.tell(EndpointListUpdate::Kind::changes, changes);
     world.run_until(40s, 100, 20);
     CHECK(mean_touched() < at_first + 4);
 }
@@ -400,14 +400,14 @@
         odd[3].kind = 7, odd[3].zone = 9; // beyond what the settings name
         for (const WorkerEntry& entry : odd)
             world.workers[entry.worker].entry.kind = entry.kind;
-        world.tell(ListNews::Kind::changes, odd);
-        world.tell(ListNews::Kind::remembered, {}); // empty: nobody is left
+        world.tell(EndpointListUpdate::Kind::changes, odd);
+        world.tell(EndpointListUpdate::Kind::remembered, {}); // empty: nobody is left
         world.run_until(2500ms, 60, 10);
         const std::size_t sent = world.sends.size();
         world.run_until(4s, 60, 10);
         CHECK(world.sends.size() == sent); // what was listed before is not used
-        world.tell(ListNews::Kind::complete, odd);
-        world.tell(ListNews::Kind::changes, fleet_of(8, 4));
+        world.tell(EndpointListUpdate::Kind::complete, odd);
+        world.tell(EndpointListUpdate::Kind::changes, fleet_of(8, 4));
         world.run_until(12s, 60, 10);
         CHECK(world.sends.size() > sent + 300);
         world.run_until(42s, 0, 0); // every deadline passes
--- a/tests/scheduler/gossip/mesh_test.cpp
+++ b/tests/scheduler/gossip/mesh_test.cpp
@@ -33,14 +33,14 @@
         site.mesh->probe_timeout = 1s;
         site.mesh->forget_after = 1h;
         site.mesh->max_age = 30s;
-        site.mesh->most_members = 10;
+        site.mesh->max_members = 10;
         site.counts.emplace();
         site.counts->interval = 1h;
         site.counts->rate = 10;
         site.counts->fold_after = 1h;
         site.counts->snapshot_every = 50ms;
-        site.counts->most_tenants = 10;
-        site.counts->most_lives = 10;
+        site.counts->max_tenants = 10;
+        site.counts->max_lives = 10;
     }
     ~Rig() { std::filesystem::remove_all(folder); }
     static operator_config::Secret secret(unsigned char fill) {
--- a/tests/scheduler/hot_restart/upgrade_test.cpp
+++ b/tests/scheduler/hot_restart/upgrade_test.cpp
@@ -18,7 +18,7 @@
 using lab::Folder, hot_restart::Succession;
 
 struct FakeRun final : Succession::Run {
-    FakeRun(net::Loop& loop, const std::string& door, std::optional<hot_restart::Inheritance> from)
+    FakeRun(net::Loop& loop, const std::string& door, std::optional<hot_restart::InheritedListener> from)
         : fd(from ? std::move(from->listener) : net::listen_on(*net::Endpoint::parse("127.0.0.1:0"), true)),
           succession(loop, door, std::move(from), *this) {}
     const net::Fd& listener() const override { return fd; }
@@ -35,8 +35,8 @@
     Succession succession;
 };
 
-std::optional<hot_restart::Inheritance> ask(net::Loop& loop, const std::string& door,
-                                            const net::Endpoint& address) {
+std::optional<hot_restart::InheritedListener> ask(net::Loop& loop, const std::string& door,
+                                                  const net::Endpoint& address) {
     auto answer = std::async(std::launch::async, [&] { return hot_restart::inherit(door, address, 10s); });
     CHECK(settle(loop, [&] { return answer.wait_for(0s) == std::future_status::ready; }));
     return answer.get();
--- a/tests/scheduler/program/parts_test.cpp
+++ b/tests/scheduler/program/parts_test.cpp
@@ -20,7 +20,7 @@
 
 using namespace std::chrono_literals;
 using willowrill::Condition;
-using willowrill::ListNews;
+using willowrill::EndpointListUpdate;
 using willowrill::Outcome;
 
 const std::string config_text = R"({"name":"n3","listen":"127.0.0.1:0","discovery":"127.0.0.1:2",
@@ -205,7 +205,7 @@
             RC_ASSERT(settings.self < settings.dispatchers);
             willowrill::Dispatcher dispatcher(settings);
             std::vector<willowrill::Event> events{
-                ListNews{ListNews::Kind::complete, {{.worker = 0, .key = 1}}}};
+                EndpointListUpdate{EndpointListUpdate::Kind::complete, {{.worker = 0, .key = 1}}}};
             for (willowrill::Index c = 0; c < settings.classes.size(); ++c)
                 events.emplace_back(willowrill::JobArrived{.job = c, .job_class = c, .left = 1s});
             std::vector<willowrill::Action> actions;
@@ -276,7 +276,7 @@
     CHECK(list.empty());
     auto news = read(41, true, entry("s1", "up") + "," + entry("s2", "draining"));
     REQUIRE(news);
-    CHECK(news->kind == ListNews::Kind::complete);
+    CHECK(news->kind == EndpointListUpdate::Kind::complete);
     REQUIRE(news->entries.size() == 2);
     CHECK(news->entries[0].up_since == 1700000000123ms);
     CHECK(news->entries[0].kind == 1);
@@ -306,7 +306,7 @@
 
     news = read(43, false, entry("s1", "draining", "5001") + R"(,{"id":"s2","state":"removed"})");
     REQUIRE(news);
-    CHECK(news->kind == ListNews::Kind::changes);
+    CHECK(news->kind == EndpointListUpdate::Kind::changes);
     CHECK(news->entries[1].condition == Condition::gone);
     CHECK(list.condition(0) == Condition::draining);
     CHECK(list.address(0).text() == "127.0.0.1:5001");
--- a/tests/scheduler/program/program_test.cpp
+++ b/tests/scheduler/program/program_test.cpp
@@ -22,7 +22,7 @@
     int broken = 0;
     discovery_client::Watch watch(rig.loop, nobody, discovery_client::watch_times(10s, 1s), 1, rig.list,
                                   [&](const auto& news) {
-                                      CHECK(news.kind == willowrill::ListNews::Kind::broken);
+                                      CHECK(news.kind == willowrill::EndpointListUpdate::Kind::broken);
                                       ++broken;
                                   });
     watch.watch(true);
@@ -41,7 +41,7 @@
     times.hold = 4ms;
     times.late = 10ms;
     discovery_client::Watch watch(rig.loop, rig.discovery.address, times, 1, rig.list, [&](const auto& news) {
-        broken += news.kind == willowrill::ListNews::Kind::broken ? 1 : 0;
+        broken += news.kind == willowrill::EndpointListUpdate::Kind::broken ? 1 : 0;
         for (const auto& entry : news.entries)
             news_of_drain += entry.condition == willowrill::Condition::draining ? 1 : 0;
     });
--- a/tests/scheduler/support/bench.h
+++ b/tests/scheduler/support/bench.h
@@ -47,8 +47,8 @@
     return {.worker = id, .key = id, .up_since = up_since, .cell = id / 2, .condition = condition};
 }
 
-inline ListNews whole_list(WorkerId count) {
-    ListNews list{ListNews::Kind::complete, {}};
+inline EndpointListUpdate whole_list(WorkerId count) {
+    EndpointListUpdate list{EndpointListUpdate::Kind::complete, {}};
     for (WorkerId id = 0; id < count; ++id) {
         list.entries.push_back(worker(id));
     }
--- a/tests/scheduler/support/ledger.h
+++ b/tests/scheduler/support/ledger.h
@@ -51,13 +51,13 @@
 
     // ---- What a dispatcher is told -----------------------------------------------------------------------
 
-    void told(Index self, Time now, const ListNews& news) {
+    void told(Index self, Time now, const EndpointListUpdate& news) {
         View& view = views_[self];
-        if (news.kind == ListNews::Kind::broken) {
+        if (news.kind == EndpointListUpdate::Kind::broken) {
             view.asked_for_list_by = now + settings_.list_valid;
             return;
         }
-        if (news.kind != ListNews::Kind::changes) {
+        if (news.kind != EndpointListUpdate::Kind::changes) {
             for (auto& [id, listed] : view.listed)
                 listed.off_since = listed.off_since.value_or(now);
         }
--- a/tests/scheduler/support/rig.h
+++ b/tests/scheduler/support/rig.h
@@ -29,7 +29,7 @@
         pool.set_host(host);
         front.accept(true);
         auto news = list.read(list_text(41));
-        news->kind = willowrill::ListNews::Kind::remembered;
+        news->kind = willowrill::EndpointListUpdate::Kind::remembered;
         host.list_news(std::move(*news));
         loop.at_round_end([this] {
             if (const auto next = host.next_batch(); next && *next <= loop.now()) host.batch(loop.now());
--- a/tests/scheduler/swim/members_test.cpp
+++ b/tests/scheduler/swim/members_test.cpp
@@ -148,7 +148,7 @@
 }
 
 TEST_CASE("news from outside cannot grow the view past its bound, nor be against the rules") {
-    Swim swim({.period = 1s, .timeout = 100ms, .most_members = 10, .seeds = {}}, {"self", 1}, {1, 1}, 1, 0s);
+    Swim swim({.period = 1s, .timeout = 100ms, .max_members = 10, .seeds = {}}, {"self", 1}, {1, 1}, 1, 0s);
     Message message{.kind = Kind::sync};
     for (std::uint32_t i = 0; i < 100; ++i)
         message.news.push_back({{"m" + std::to_string(i), i + 1}, {i + 2, 1}});
