Count worker responses that belong to no attempt; log requests unanswered at the end

Cause: nothing distinguished the incident's first two hypotheses. A scheduler said neither that it had discarded a response as of an earlier request or as unusable, nor how many requests were under way when its process ended.

Change: willowrill_discarded_responses_total{reason} and the key unanswered of event=counters. No decision is changed.

--- a/src/system/data/data_plane.cpp
+++ b/src/system/data/data_plane.cpp
@@ -277,6 +277,7 @@
         .field("failed", counters.failed)
         .field("bad", counters.bad)
         .field("client_left", counters.client_left)
+        .field("unanswered", client_listener_ ? client_listener_->active_requests() : 0)
         .field("attempts", counters.attempts)
         .field("not_executed", counters.not_executed)
         .field("broken", counters.broken)
--- a/src/system/data/upstream_attempt.cpp
+++ b/src/system/data/upstream_attempt.cpp
@@ -15,6 +15,12 @@
 constexpr unsigned lowest_priority = 9;
 constexpr std::size_t min_connections = 4; // to one worker, whatever this scheduler's share
 
+// The label of the metric for responses that say nothing of this attempt; null for one that does.
+const char* discard_reason(ResponseKind kind) {
+    if (kind == ResponseKind::earlier) return "earlier_request";
+    return kind == ResponseKind::unusable ? "unusable" : nullptr;
+}
+
 } // namespace
 
 UpstreamAttempt::UpstreamAttempt(RequestContext& request, ResponseWriter& writer,
@@ -133,6 +139,8 @@
         const ResponseKind kind = classify_response(response.head(), facts());
         if (kind == ResponseKind::stream) co_return co_await relay_stream(response);
         if (kind == ResponseKind::complete) co_return co_await relay_response(response);
+        if (const char* const reason = discard_reason(kind))
+            context_.metrics.add(metrics::Total::discarded_responses, reason);
         if (kind == ResponseKind::unusable) break;
         const bool complete = co_await response.discard_body();
         if (kind != ResponseKind::earlier) {
--- a/src/system/metrics/metrics.cpp
+++ b/src/system/metrics/metrics.cpp
@@ -43,6 +43,8 @@
     Description{"willowrill_states_sent_total", "Replicated states sent to core members", "form", nullptr},
     Description{"willowrill_missing_state_bases_total", "Deltas of states that could not be applied", nullptr,
                 nullptr},
+    Description{"willowrill_discarded_responses_total", "Responses of workers that were not passed on",
+                "reason", nullptr},
 };
 constexpr std::array durations{
     Description{"willowrill_first_event_wait_seconds", "From sending to the first bytes of an answer", "tier",
--- a/src/system/metrics/metrics.h
+++ b/src/system/metrics/metrics.h
@@ -12,24 +12,25 @@
 
 // Counters.
 enum class Total {
-    requests,          // of clients, by outcome
-    attempts,          // requests sent to workers, by outcome
-    refusals,          // answers that nothing has run, by reason
-    choices,           // of a worker, by its tier
-    passed_over,       // workers that were not considered for a choice, by reason
-    shared_tokens,     // of prompts sent, by whether to the worker that is to hold their parts
-    probes,            // by kind
-    connections,       // to workers, opened
-    internal_bytes,    // sent to other processes of the system, by kind and by what they cross
-    internal_messages, // likewise
-    orders,            // of operators, by kind and status
-    platform_calls,    // by result
-    refused_sessions,  // with other processes of the system, by what the peer is and by who refused
-    skipped_messages,  // of other processes that were not understood, by what the peer is
-    unknown_fields,    // of messages that were understood but for these, by what the peer is
-    held_back,         // messages not sent, as the peer has not announced their feature
-    states_sent,       // replicated states sent to core members, by whether whole or as a delta
-    missing_bases,     // deltas of states that could not be applied
+    requests,            // of clients, by outcome
+    attempts,            // requests sent to workers, by outcome
+    refusals,            // answers that nothing has run, by reason
+    choices,             // of a worker, by its tier
+    passed_over,         // workers that were not considered for a choice, by reason
+    shared_tokens,       // of prompts sent, by whether to the worker that is to hold their parts
+    probes,              // by kind
+    connections,         // to workers, opened
+    internal_bytes,      // sent to other processes of the system, by kind and by what they cross
+    internal_messages,   // likewise
+    orders,              // of operators, by kind and status
+    platform_calls,      // by result
+    refused_sessions,    // with other processes of the system, by what the peer is and by who refused
+    skipped_messages,    // of other processes that were not understood, by what the peer is
+    unknown_fields,      // of messages that were understood but for these, by what the peer is
+    held_back,           // messages not sent, as the peer has not announced their feature
+    states_sent,         // replicated states sent to core members, by whether whole or as a delta
+    missing_bases,       // deltas of states that could not be applied
+    discarded_responses, // of workers, that were not passed on to a client, by reason
 };
 
 // Histograms of times.
--- a/tests/system/data/kept_connections_test.cpp
+++ b/tests/system/data/kept_connections_test.cpp
@@ -22,3 +22,21 @@
     cr_assert_eq(status_of(next), 200);
     cr_assert_eq(proxy.first.connections, 2U, "such a connection is not kept");
 }
+
+Test(proxied_request, responses_that_say_nothing_of_the_attempt_are_counted) {
+    ProxyFixture proxy("safe", false, 1);
+    proxy.serve("0b");
+    proxy.first.expect({ReadAmount::all, Reaction::respond,
+                        worker_response("503 Service Unavailable", other_id + promise) +
+                            worker_response("200 OK", id + seal, "mine")});
+    cr_assert(contains(proxy.serve("0c"), "mine"));
+    proxy.first.expect(
+        {ReadAmount::all, Reaction::respond, worker_response("503 Service Unavailable", promise)});
+    cr_assert_eq(status_of(proxy.serve("0d")), 502);
+    const std::string metrics = proxy.context->metrics.text();
+    for (const char* const reason : {"earlier_request", "unusable"}) {
+        const std::string line =
+            fmt::format("willowrill_discarded_responses_total{{reason=\"{}\"}} 1", reason);
+        cr_assert(contains(metrics, line), "%s", line.c_str());
+    }
+}
