Answer what is given up at the end of the grace period instead of closing its connection

What callers saw: a connection that ended without a byte of an answer, though a worker had run the request. On real sockets that looks like a connection that was never read; who sends again then has the request run twice.

Cause: 0.7 s before the platform's kill a scheduler stopped its loop with requests under way, and connections that had been idle since before SIGTERM could still bring new ones until then. Class: an outcome that is known here is told by a closed connection, which means several things.

Change: once clients have gone elsewhere (3.3 s) idle connections are closed; one whose request has been read in part is served. At 0.7 s before the end what is under way is given up and answered: 502 where a worker may have run it, 503 with Retry-After where none has it. A session closes without a shutdown before it, so that a request left unread sees a reset and no orderly end.

--- a/src/system/data/client_listener.cpp
+++ b/src/system/data/client_listener.cpp
@@ -4,6 +4,7 @@
 #include "system/logging/log.h"
 #include "system/transport/socket_options.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace willowrill::data {
@@ -28,6 +29,7 @@
     Context& context;
     Tcp::acceptor acceptor;
     std::shared_ptr<ClientCounts> counts = std::make_shared<ClientCounts>();
+    ClientSessionList sessions;
 };
 
 ClientListener::ClientListener(Context& context, const std::string& host, std::uint16_t port)
@@ -54,6 +56,7 @@
 void ClientListener::start_session(const std::shared_ptr<Shared>& shared, Tcp::socket socket) {
     transport::configure_socket(socket, unacknowledged_timeout);
     const auto session = std::make_shared<ClientSession>(shared->context, shared->counts, std::move(socket));
+    shared->sessions.push_back(*session);
     asio::co_spawn(shared->context.loop, ClientSession::run(session), log_failure);
 }
 
@@ -62,6 +65,21 @@
     shared_->acceptor.close(ignored);
 }
 
+void ClientListener::close_idle_connections() {
+    for (ClientSession& session : shared_->sessions)
+        session.close_if_idle();
+}
+
+void ClientListener::give_up_requests() {
+    for (ClientSession& session : shared_->sessions)
+        session.give_up_request();
+}
+
+bool ClientListener::is_busy() const {
+    return !std::ranges::all_of(shared_->sessions,
+                                [](const ClientSession& session) { return session.is_idle(); });
+}
+
 std::size_t ClientListener::active_requests() const { return shared_->counts->active_requests; }
 
 } // namespace willowrill::data
--- a/src/system/data/client_listener.h
+++ b/src/system/data/client_listener.h
@@ -21,6 +21,12 @@
 
     // Accepts nobody more; open connections are served on.
     void stop_accepting();
+    // Ends the connections on which no request has begun.
+    void close_idle_connections();
+    // Answers all requests under way that they were given up.
+    void give_up_requests();
+    // Some connection has a request that is being read or answered.
+    bool is_busy() const;
     // Requests that are being answered.
     std::size_t active_requests() const;
 
--- a/src/system/data/client_session.cpp
+++ b/src/system/data/client_session.cpp
@@ -46,6 +46,14 @@
     self->close();
 }
 
+void ClientSession::close_if_idle() {
+    if (is_idle()) stream_.cancel();
+}
+
+void ClientSession::give_up_request() {
+    if (proxied_ != nullptr) proxied_->give_up();
+}
+
 asio::awaitable<bool> ClientSession::serve_request() {
     const ActiveConfigurationPtr active_configuration = context_.active_configuration;
     const configuration::Limits& limits = active_configuration->configuration.limits;
@@ -53,7 +61,9 @@
     parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
     parser.body_limit(limits.max_body_bytes);
     ErrorCode error;
+    parser_ = &parser;
     co_await read_request(parser, requests_read_ == 0 ? limits.header_timeout : limits.idle_timeout, error);
+    parser_ = nullptr;
     if (error) co_return co_await reject_unreadable(error, parser.got_some());
     ++requests_read_;
     const ClientRequest request = parser.release();
@@ -104,7 +114,9 @@
     const ScopedCount active_request(counts_->active_requests);
     ProxiedRequest proxied(context_, stream_, request, configuration, route, arrived);
     const ClientWatch watch(stream_.socket(), [&proxied] { proxied.client_gone(); });
+    proxied_ = &proxied;
     co_await proxied.run();
+    proxied_ = nullptr;
     co_return proxied.reusable() && !context_.shutting_down;
 }
 
@@ -142,9 +154,10 @@
     co_return !error;
 }
 
+// Without a shutdown before it: a client whose next request stays unread is to see a reset, and no orderly
+// end.
 void ClientSession::close() {
     ErrorCode ignored;
-    stream_.socket().shutdown(Tcp::socket::shutdown_send, ignored);
     stream_.socket().close(ignored);
 }
 
--- a/src/system/data/client_session.h
+++ b/src/system/data/client_session.h
@@ -8,6 +8,8 @@
 #include "system/errors/error.h"
 #include "system/transport/asio.h"
 
+#include <boost/intrusive/list.hpp>
+
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -33,7 +35,11 @@
     std::size_t& counter_;
 };
 
-class ClientSession : public std::enable_shared_from_this<ClientSession> {
+// Lets a session stand in the list of its listener until it is destroyed.
+using ClientSessionHook =
+    boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+
+class ClientSession : public std::enable_shared_from_this<ClientSession>, public ClientSessionHook {
   public:
     ClientSession(Context& context, std::shared_ptr<ClientCounts> counts, Tcp::socket socket);
     ClientSession(const ClientSession&) = delete;
@@ -42,6 +48,14 @@
     // Serves the connection to its end; keeps the session alive meanwhile.
     static asio::awaitable<void> run(std::shared_ptr<ClientSession> self);
 
+    // It waits for a request, of which no byte has been read.
+    bool is_idle() const { return parser_ != nullptr && !parser_->got_some(); }
+    // Ends the connection if it is idle. A request whose bytes have been read by then is still served; one
+    // that crosses the end stays unread, and its client sees a reset.
+    void close_if_idle();
+    // Answers the request under way, if there is one, that it was given up.
+    void give_up_request();
+
   private:
     using Parser = http::request_parser<http::string_body>;
 
@@ -64,7 +78,12 @@
     ScopedCount connection_count_;
     beast::tcp_stream stream_;
     beast::flat_buffer buffer_;
+    const Parser* parser_ = nullptr;    // of the request that is being read
+    ProxiedRequest* proxied_ = nullptr; // the one under way
     std::uint64_t requests_read_ = 0;
 };
 
+// Owns nothing. At most as many as the listener accepts.
+using ClientSessionList = boost::intrusive::list<ClientSession, boost::intrusive::constant_time_size<false>>;
+
 } // namespace willowrill::data
--- a/src/system/data/data_plane.cpp
+++ b/src/system/data/data_plane.cpp
@@ -25,8 +25,10 @@
 constexpr auto client_redirect_timeout = 3300ms;
 // Between the end of accepting and the end of the process, at least.
 constexpr auto drain_margin = 200ms;
-// The process ends this long before the platform ends it.
-constexpr auto grace_margin = 700ms;
+// So long before the platform ends the process, what is still under way is given up, and answered so.
+constexpr auto give_up_margin = 700ms;
+// So long before it, the process ends whatever is under way.
+constexpr auto grace_margin = 150ms;
 // How late the platform's list may tell that a worker turned cold.
 constexpr routing::Time cold_unknown{1500};
 constexpr int load_report_port_offset = 1; // from the first internal port
@@ -129,8 +131,8 @@
     if (schedule_.is_due(sweep_period)) sweep();
     if (phase_ == Phase::leaving) {
         const Clock::duration leaving_for = now - shutdown_began_;
-        if (leaving_for >= client_redirect_timeout) client_listener_->stop_accepting();
         if (may_end(leaving_for)) return end();
+        drain(leaving_for);
     }
     timer_.expires_after(tick_period);
     timer_.async_wait([this](ErrorCode error) {
@@ -148,9 +150,17 @@
     context_.cold.remove_idle_workers(steady_now());
 }
 
+// First clients go elsewhere, then whoever has no request under way, and last whoever still has one.
+void DataPlane::drain(Clock::duration leaving_for) {
+    if (leaving_for < client_redirect_timeout) return;
+    client_listener_->stop_accepting();
+    client_listener_->close_idle_connections();
+    if (leaving_for >= settings_.timers.grace - give_up_margin) client_listener_->give_up_requests();
+}
+
 // Nobody is served any more and nobody comes, or the platform would end the process.
 bool DataPlane::may_end(Clock::duration leaving_for) const {
-    const bool idle = client_listener_->active_requests() == 0;
+    const bool idle = !client_listener_->is_busy();
     if (idle && leaving_for >= client_redirect_timeout + drain_margin) return true;
     return leaving_for >= settings_.timers.grace - grace_margin;
 }
--- a/src/system/data/data_plane.h
+++ b/src/system/data/data_plane.h
@@ -45,6 +45,7 @@
     void tick();
     void start_serving();
     void sweep();
+    void drain(Clock::duration leaving_for);
     bool may_end(Clock::duration leaving_for) const;
     void end();
 
--- a/src/system/data/proxied_request.cpp
+++ b/src/system/data/proxied_request.cpp
@@ -46,6 +46,11 @@
     if (attempt_) attempt_->abort();
 }
 
+void ProxiedRequest::give_up() {
+    given_up_ = true;
+    if (attempt_) attempt_->abort();
+}
+
 asio::awaitable<void> ProxiedRequest::run() {
     ++context_.counters.requests;
     context_.retries(request_.service.name).record_request(steady_now());
@@ -54,7 +59,7 @@
 }
 
 asio::awaitable<void> ProxiedRequest::make_attempts() {
-    while (!writer_.client_gone() && !request_.deadline.is_due(steady_now())) {
+    while (!ended_early() && !request_.deadline.is_due(steady_now())) {
         const routing::Selection selection = select_worker();
         if (selection.worker == nullptr) {
             if (!may_wait_for_worker()) co_return;
@@ -62,7 +67,7 @@
             continue;
         }
         const AttemptResult result = co_await make_attempt(selection);
-        if (writer_.client_gone() || result == AttemptResult::answered) co_return;
+        if (ended_early() || result == AttemptResult::answered) co_return;
         if (!retry_allowed(result)) co_return;
     }
 }
@@ -105,7 +110,7 @@
     request_.retry.note_result(result);
     routing_request_.tried_workers.insert(worker_id);
     const auto found = context_.workers.find(worker_id); // it may have left the list meanwhile
-    if (found != context_.workers.end() && !writer_.client_gone()) note_result(found->second, result);
+    if (found != context_.workers.end() && !ended_early()) note_result(found->second, result);
     co_return result;
 }
 
@@ -189,7 +194,8 @@
 }
 
 asio::awaitable<void> ProxiedRequest::reject() {
-    const errors::Error error = request_.retry.final_error(steady_now());
+    const errors::Error error =
+        given_up_ ? request_.retry.shutdown_error() : request_.retry.final_error(steady_now());
     const errors::Answer answer = errors::answer_to(error.kind);
     if (answer.retry_after) context_.metrics.add(metrics::Total::refusals, answer.reason);
     constexpr unsigned service_unavailable = 503;
--- a/src/system/data/proxied_request.h
+++ b/src/system/data/proxied_request.h
@@ -30,6 +30,9 @@
     bool reusable() const { return writer_.reusable(); }
     // The client is gone: ends whatever is under way.
     void client_gone();
+    // The process ends: ends whatever is under way and answers the client, where no part of a response has
+    // gone out: a connection that ends without one can't be told from one that was never read.
+    void give_up();
 
   private:
     asio::awaitable<void> make_attempts();
@@ -42,6 +45,8 @@
     void note_selection(const routing::Selection& selection);
     void note_result(routing::Worker& worker, AttemptResult result);
 
+    // Nothing more is attempted, for a reason other than the attempts so far.
+    bool ended_early() const { return writer_.client_gone() || given_up_; }
     const char* outcome() const;
     asio::awaitable<void> finish();
     asio::awaitable<void> reject();
@@ -53,6 +58,7 @@
     routing::RoutingRequest routing_request_;
     ResponseWriter writer_;
     std::optional<UpstreamAttempt> attempt_; // the one under way
+    bool given_up_ = false;
 };
 
 } // namespace willowrill::data
--- a/src/system/data/retry_state.cpp
+++ b/src/system/data/retry_state.cpp
@@ -40,4 +40,9 @@
                 : Error{ErrorKind::worker_failed, "the worker broke off"};
 }
 
+Error RetryState::shutdown_error() const {
+    if (may_have_run_) return {ErrorKind::shutting_down, "the scheduler ends while a worker has the request"};
+    return {ErrorKind::shutting_down_unsent, "the scheduler ends before a worker has the request"};
+}
+
 } // namespace willowrill::data
--- a/src/system/data/retry_state.h
+++ b/src/system/data/retry_state.h
@@ -58,6 +58,8 @@
     bool may_have_run() const { return may_have_run_; }
     // Why the request failed, for a client that has no part of a response.
     errors::Error final_error(routing::Time now) const;
+    // Likewise, where this process ends before the request has its response.
+    errors::Error shutdown_error() const;
 
   private:
     bool has_sends_left() const { return sends_ < route_.max_attempts; }
--- a/src/system/data/upstream_attempt.cpp
+++ b/src/system/data/upstream_attempt.cpp
@@ -68,7 +68,7 @@
 
 asio::awaitable<AttemptResult> UpstreamAttempt::run() {
     co_await obtain_connection();
-    if (connection_ && writer_.client_gone()) drop_connection();
+    if (connection_ && aborted_) drop_connection();
     if (!connection_) co_return AttemptResult::unreachable;
     request_.retry.note_sent();
     ++context_.counters.attempts;
@@ -81,6 +81,7 @@
 }
 
 void UpstreamAttempt::abort() {
+    aborted_ = true;
     timer_.cancel();
     ErrorCode ignored;
     if (connection_) connection_->socket.close(ignored);
--- a/src/system/data/upstream_attempt.h
+++ b/src/system/data/upstream_attempt.h
@@ -27,7 +27,7 @@
 
     // Runs to the end of the attempt. Called once.
     asio::awaitable<AttemptResult> run();
-    // Ends the attempt early: its connection is closed.
+    // Ends the attempt early: its connection is closed, or not used where it is still coming up.
     void abort();
 
   private:
@@ -66,6 +66,7 @@
     WorkerConnectionPtr connection_;       // null while there is none, and once it is given back
     std::optional<routing::Time> sent_at_; // until the response begins
     bool timed_out_ = false;
+    bool aborted_ = false;
     DeadlineTimer timer_;
 };
 
--- a/src/system/errors/error.h
+++ b/src/system/errors/error.h
@@ -26,6 +26,8 @@
     worker_failed,          // the request may have been executed
     deadline_passed_unsent, // the deadline passed before the request was executed
     deadline_passed,        // the deadline passed; the request may have been executed
+    shutting_down_unsent,   // this process ends before the request was executed
+    shutting_down,          // this process ends; the request may have been executed
     storage_failed,         // a record could not be written to disk
     upgrade_blocked,        // some process does not support the requested cluster version
     unsupported_version,    // the two ends of a session have no protocol version in common
@@ -75,6 +77,10 @@
         return {503, "deadline passed, not run", true};
     case ErrorKind::deadline_passed:
         return {504, "deadline passed", false};
+    case ErrorKind::shutting_down_unsent:
+        return {503, "shutting down, not run", true};
+    case ErrorKind::shutting_down:
+        return {502, "shutting down", false};
     case ErrorKind::storage_failed:
         return {503, "storage failed", true};
     case ErrorKind::upgrade_blocked:
--- a/tests/system/data/client_session_test.cpp
+++ b/tests/system/data/client_session_test.cpp
@@ -20,13 +20,17 @@
 // A session on loopback with the client's end of its connection.
 class SessionFixture {
   public:
-    SessionFixture() : proxy("safe", false, 1), client_(proxy.loop) {
+    explicit SessionFixture(const char* route_class = "safe")
+        : proxy(route_class, false, 1), client_(proxy.loop) {
         Tcp::acceptor acceptor(proxy.loop, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
         client_.connect(acceptor.local_endpoint());
         auto session = std::make_shared<ClientSession>(*proxy.context, counts, acceptor.accept());
+        sessions.push_back(*session);
         asio::co_spawn(proxy.loop, ClientSession::run(std::move(session)), asio::detached);
     }
 
+    ClientSession& session() { return sessions.front(); }
+
     void send(const std::string& bytes) { asio::write(client_, asio::buffer(bytes)); }
 
     void run_until(const std::function<bool()>& condition) {
@@ -46,16 +50,20 @@
         return response;
     }
 
-    bool session_ended() {
+    bool session_ended() { return end_of_session() == asio::error::eof; }
+
+    // What the client sees once the session is over and all responses are read.
+    ErrorCode end_of_session() {
         run_until([&] { return counts->connections == 0; });
         ErrorCode error;
         char byte = 0;
         client_.read_some(asio::buffer(&byte, 1), error);
-        return error == asio::error::eof;
+        return error;
     }
 
     ProxyFixture proxy;
     std::shared_ptr<ClientCounts> counts = std::make_shared<ClientCounts>();
+    ClientSessionList sessions;
 
   private:
     Tcp::socket client_;
@@ -137,6 +145,68 @@
     cr_assert_eq(session.proxy.context->workers.at("w1").in_flight, 1U);
 }
 
+// Guards against rule TWICE: a connection that ends without a byte of an answer is taken for one that was not
+// read, and what a worker has run is sent again.
+Test(client_session, a_request_that_a_worker_has_at_shutdown_is_answered_as_maybe_executed) {
+    for (const char* const route_class : {"non_idempotent", "streaming", "safe"}) {
+        SessionFixture session(route_class);
+        session.proxy.context->shutting_down = true;
+        session.proxy.first.expect({ReadAmount::all, Reaction::stay_silent, ""});
+        session.send(complete_request);
+        session.run_until([&] { return !session.proxy.first.requests.empty(); });
+        session.session().give_up_request();
+        const auto response = session.receive();
+        cr_assert_eq(response.result_int(), 502U);
+        expect_text(std::string(response["Attempt-Id"]), "0b");
+        cr_assert_not(response.keep_alive());
+        cr_assert(session.session_ended());
+        cr_assert(session.proxy.second.requests.empty(), "nothing is attempted any more");
+    }
+}
+
+// Guards against REFUSED and a lost request: what no worker has is answered with the promise, not with a
+// close.
+Test(client_session, a_request_that_no_worker_has_at_shutdown_is_answered_with_the_promise) {
+    SessionFixture session("non_idempotent");
+    session.proxy.context->shutting_down = true;
+    for (auto& [id, worker] : session.proxy.context->workers)
+        worker.replaced = true; // none can be chosen, and the request waits for one
+    session.send(complete_request);
+    session.run_until([&] { return session.counts->active_requests == 1; });
+    session.session().give_up_request();
+    const auto response = session.receive();
+    cr_assert_eq(response.result_int(), 503U);
+    cr_assert(response.find(http::field::retry_after) != response.end());
+    cr_assert(session.session_ended());
+    cr_assert(session.proxy.first.requests.empty() && session.proxy.second.requests.empty());
+}
+
+Test(client_session, an_idle_connection_is_closed_in_order) {
+    SessionFixture session;
+    session.send(complete_request);
+    cr_assert_eq(session.receive().result_int(), 200U);
+    session.run_until([&] { return session.session().is_idle(); });
+    session.session().close_if_idle();
+    cr_assert(session.session_ended());
+}
+
+// Guards against rule TWICE and a lost request: what was read is served, what was not is reset.
+Test(client_session, a_request_that_crosses_the_close_is_either_served_or_reset) {
+    SessionFixture crossing;
+    crossing.run_until([&] { return crossing.session().is_idle(); });
+    crossing.session().close_if_idle();
+    crossing.send(complete_request); // before the session has seen that its read was ended
+    cr_assert(crossing.end_of_session() == asio::error::connection_reset);
+    cr_assert(crossing.proxy.first.requests.empty(), "it was not read");
+
+    SessionFixture reading;
+    reading.send("GET /a/x HTTP/1.1\r\nHost: h.exa");
+    reading.run_until([&] { return !reading.session().is_idle(); });
+    reading.session().close_if_idle();
+    reading.send("mple\r\nAttempt-Id: 0b\r\n\r\n");
+    cr_assert_eq(reading.receive().result_int(), 200U);
+}
+
 // The loop destroys what is suspended in it at its own end, after the context and the workers.
 Test(client_session, a_request_under_way_may_be_destroyed_with_the_loop) {
     const auto counts = [] {
--- a/tests/system/data/retry_state_test.cpp
+++ b/tests/system/data/retry_state_test.cpp
@@ -164,6 +164,15 @@
     cr_assert(ran.state.final_error(late).kind == ErrorKind::deadline_passed);
 }
 
+Test(retry_state, the_error_at_shutdown_says_whether_it_may_have_run) {
+    Request not_run(route_of(RouteClass::non_idempotent, 1));
+    not_run.send_and_decide(AttemptResult::not_executed);
+    cr_assert(not_run.state.shutdown_error().kind == ErrorKind::shutting_down_unsent);
+    Request ran(route_of(RouteClass::non_idempotent, 1));
+    ran.send_and_decide(AttemptResult::broken);
+    cr_assert(ran.state.shutdown_error().kind == ErrorKind::shutting_down);
+}
+
 Test(retry_state, that_it_may_have_run_is_not_forgotten_by_a_later_attempt) {
     Request request(route_of(RouteClass::safe, 3));
     request.send_and_decide(AttemptResult::broken);
