Take SIGHUP and SIGTERM from the start of a process on

Cause: the handlers stood only once the settings were read and the plane was made; until then the default action ends the process.

Change: the signals are taken before the settings are read, kept, and handed to the plane when its loop runs.

What is left is the time in which the system loads the program's libraries, before any of its code runs: no program can take a signal then.

--- a/src/system/control/main.cpp
+++ b/src/system/control/main.cpp
@@ -33,10 +33,10 @@
     return 1;
 }
 
-int serve(const settings::Settings& settings, const std::string& path, std::uint16_t metrics_port) {
-    asio::io_context loop(1);
+int serve(asio::io_context& loop, transport::ProcessSignals& signals, const settings::Settings& settings,
+          const std::string& path, std::uint16_t metrics_port) {
     control::ControlPlane plane(loop, settings, path, metrics_port);
-    transport::run_until_shutdown(loop, plane);
+    signals.run_until_shutdown(loop, plane);
     return 0;
 }
 
@@ -56,6 +56,8 @@
     CLI11_PARSE(app, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
     if (!configuration_path.empty()) return check_configuration(configuration_path);
+    asio::io_context loop(1);
+    transport::ProcessSignals signals(loop);
     const auto settings = settings::load(settings_path);
     if (!settings || settings.value().control.port == 0) {
         logging::error("settings-unusable")
@@ -65,7 +67,7 @@
     }
     if (check_only) return 0;
     try {
-        return serve(settings.value(), settings_path, metrics_port);
+        return serve(loop, signals, settings.value(), settings_path, metrics_port);
     } catch (const std::exception& error) {
         logging::error("ended").text("detail", error.what());
         return 1;
--- a/src/system/data/main.cpp
+++ b/src/system/data/main.cpp
@@ -15,10 +15,10 @@
 using namespace willowrill;
 
 // Returns once the process has left in order; throws where it cannot start.
-void serve(const settings::Settings& settings, const std::string& path, std::uint16_t metrics_port) {
-    asio::io_context loop(1);
+void serve(asio::io_context& loop, transport::ProcessSignals& signals, const settings::Settings& settings,
+           const std::string& path, std::uint16_t metrics_port) {
     data::DataPlane data_plane(loop, settings, path, metrics_port);
-    transport::run_until_shutdown(loop, data_plane);
+    signals.run_until_shutdown(loop, data_plane);
 }
 
 } // namespace
@@ -34,6 +34,8 @@
     app.add_flag("--check", check, "read the settings, say what is wrong with them, and end");
     CLI11_PARSE(app, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
+    asio::io_context loop(1);
+    transport::ProcessSignals signals(loop);
     const auto settings = settings::load(settings_path);
     if (!settings || settings.value().front.port == 0 || settings.value().readiness.port == 0) {
         const std::string reason =
@@ -43,7 +45,7 @@
     }
     if (check) return EXIT_SUCCESS;
     try {
-        serve(settings.value(), settings_path, metrics_port);
+        serve(loop, signals, settings.value(), settings_path, metrics_port);
     } catch (const std::exception& error) {
         logging::error("ended").text("detail", error.what());
         return EXIT_FAILURE;
--- a/src/system/transport/process.h
+++ b/src/system/transport/process.h
@@ -17,23 +17,33 @@
 
 namespace transport {
 
-// Runs the loop on this thread until the plane stops it. SIGHUP calls the plane's `reload_settings`, SIGTERM
-// and SIGINT its `leave`, both from the loop.
-template <class Plane> void run_until_shutdown(asio::io_context& loop, Plane& plane) {
-    asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
-    std::function<void()> wait_for_signal = [&] {
-        signals.async_wait([&](ErrorCode error, int signal) {
-            if (error) return;
-            if (signal == SIGHUP)
-                plane.reload_settings();
-            else
-                plane.leave();
-            wait_for_signal();
-        });
-    };
-    wait_for_signal();
-    loop.run();
-}
+// SIGTERM, SIGINT and SIGHUP, from its construction on: a process makes one before it reads its settings, so
+// that none of them ends it while it starts, and none is lost. One thread, the loop's.
+class ProcessSignals {
+  public:
+    explicit ProcessSignals(asio::io_context& loop) : signals_(loop, SIGTERM, SIGINT, SIGHUP) {}
+
+    // Runs the loop on this thread until the plane stops it. SIGHUP calls the plane's `reload_settings`, the
+    // others its `leave`, all from the loop; also for signals that came before.
+    template <class Plane> void run_until_shutdown(asio::io_context& loop, Plane& plane) {
+        std::function<void()> wait_for_signal = [&] {
+            signals_.async_wait([&](ErrorCode error, int signal) {
+                if (error) return;
+                if (signal == SIGHUP)
+                    plane.reload_settings();
+                else
+                    plane.leave();
+                wait_for_signal();
+            });
+        };
+        wait_for_signal();
+        loop.run();
+        signals_.cancel();
+    }
+
+  private:
+    asio::signal_set signals_;
+};
 
 } // namespace transport
 } // namespace willowrill
