Never send a request twice over one connection to a worker

What callers saw: by the test, a request that must run once ran at two instances. Whether real workers do what it needs isn't known.

Cause: what arrives on a kept connection is told apart by its Attempt-Id. A request that got 421 may go out again, where another instance is listed at the same address over the same kept connection; a surplus copy of the 421 then carries the id that is waited for, and the request went to a third while the second ran it. Class: an answer is attributed by an identity that isn't unique there.

Change: a request remembers the connections that it was sent on, and takes none of them again.

--- a/src/system/data/request_context.h
+++ b/src/system/data/request_context.h
@@ -25,6 +25,7 @@
     std::string attempt_id;
     RequestDeadline deadline;
     RetryState retry;
+    UsedConnections used_connections;
     stream::EventSplitter events; // of the stream that the client gets, over all attempts
 
     routing::Time remaining_time() const { return deadline.remaining_time(steady_now()); }
--- a/src/system/data/upstream_attempt.cpp
+++ b/src/system/data/upstream_attempt.cpp
@@ -60,7 +60,7 @@
 
 asio::awaitable<void> UpstreamAttempt::obtain_connection() {
     const std::size_t max_open = max_open_connections();
-    connection_ = context_.pool.take_idle(address_);
+    connection_ = context_.pool.take_idle(address_, request_.used_connections);
     if (connection_) co_return;
     const Time timeout = std::min(connect_timeout, request_.remaining_time());
     connection_ = co_await context_.pool.connect(address_, timeout, max_open);
@@ -71,6 +71,7 @@
     if (connection_ && aborted_) drop_connection();
     if (!connection_) co_return AttemptResult::unreachable;
     request_.retry.note_sent();
+    request_.used_connections.push_back(connection_);
     ++context_.counters.attempts;
     sent_at_ = steady_now();
     start_timer(request_.retry.may_repeat(), request_.route.target);
--- a/src/system/data/worker_pool.cpp
+++ b/src/system/data/worker_pool.cpp
@@ -3,6 +3,8 @@
 #include "system/settings/settings.h"
 #include "system/transport/socket_options.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace willowrill::data {
@@ -11,6 +13,10 @@
 constexpr std::chrono::milliseconds unacknowledged_timeout{1500};
 constexpr std::size_t max_idle = 16; // to one worker
 
+bool contains(const UsedConnections& used, const WorkerConnectionPtr& connection) {
+    return std::ranges::any_of(used, [&](const auto& one) { return one.lock() == connection; });
+}
+
 } // namespace
 
 void OutgoingRequest::finish(ErrorCode error, std::size_t written) {
@@ -19,12 +25,16 @@
     std::string().swap(bytes); // the connection may be idle for long
 }
 
-WorkerConnectionPtr WorkerPool::take_idle(const std::string& address) {
+WorkerConnectionPtr WorkerPool::take_idle(const std::string& address, const UsedConnections& used) {
     const auto found = idle_.find(address);
     if (found == idle_.end()) return nullptr;
-    while (!found->second.empty()) {
-        WorkerConnectionPtr connection = found->second.back();
-        found->second.pop_back();
+    std::deque<WorkerConnectionPtr>& idle_here = found->second;
+    while (true) {
+        const auto newest = std::find_if(idle_here.rbegin(), idle_here.rend(),
+                                         [&](const auto& connection) { return !contains(used, connection); });
+        if (newest == idle_here.rend()) return nullptr;
+        WorkerConnectionPtr connection = *newest;
+        idle_here.erase(std::next(newest).base());
         ++connection->idle_period;
         ErrorCode ignored;
         connection->socket.cancel(ignored);
@@ -34,7 +44,6 @@
         }
         drop(address, connection);
     }
-    return nullptr;
 }
 
 asio::awaitable<WorkerConnectionPtr>
--- a/src/system/data/worker_pool.h
+++ b/src/system/data/worker_pool.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace willowrill::data {
 
@@ -38,12 +39,16 @@
 };
 using WorkerConnectionPtr = std::shared_ptr<WorkerConnection>;
 
+// The connections that one request was sent on. As many as it had attempts, so bounded by its route.
+using UsedConnections = std::vector<std::weak_ptr<WorkerConnection>>;
+
 class WorkerPool {
   public:
     explicit WorkerPool(asio::io_context& loop) : loop_(loop) {}
 
-    // An idle connection, or null.
-    WorkerConnectionPtr take_idle(const std::string& address);
+    // An idle connection that is none of `used`, or null. A second response on a connection that has carried
+    // the same request before could not be told from the one that is waited for: both have its id.
+    WorkerConnectionPtr take_idle(const std::string& address, const UsedConnections& used);
     // A new one: null where it does not come up in time, or where `max_open` are open already.
     asio::awaitable<WorkerConnectionPtr> connect(const std::string& address,
                                                  std::chrono::milliseconds timeout, std::size_t max_open);
--- a/tests/system/data/kept_connections_test.cpp
+++ b/tests/system/data/kept_connections_test.cpp
@@ -40,3 +40,16 @@
         cr_assert(contains(metrics, line), "%s", line.c_str());
     }
 }
+
+// Guards against rule TWICE: a worker's second "misdirected" was taken for its response to the same request,
+// sent again to another instance at that address over the same connection, while that instance ran it.
+Test(proxied_request, a_request_is_not_sent_twice_over_one_connection) {
+    ProxyFixture proxy("non_idempotent", false, 3);
+    proxy.context->workers.at("w2").instance.address = proxy.first.address();
+    const std::string misdirected = worker_response("421 Misdirected Request", id + promise);
+    proxy.first.expect({ReadAmount::all, Reaction::respond, misdirected});
+    const std::string answer = worker_response("200 OK", id + seal, "mine");
+    proxy.first.expect({ReadAmount::all, Reaction::respond, answer, misdirected});
+    cr_assert(contains(proxy.serve("0b"), "mine"));
+    cr_assert_eq(proxy.first.requests.size(), 2U, "rejected once, run once");
+}
--- a/tests/system/data/scripted_worker.h
+++ b/tests/system/data/scripted_worker.h
@@ -4,6 +4,7 @@
 
 #include "system/transport/asio.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <deque>
 #include <functional>
@@ -22,7 +23,8 @@
 struct Step {
     ReadAmount reads = ReadAmount::all;
     Reaction reaction = Reaction::respond;
-    std::string response; // "ID" stands for the request's Attempt-Id
+    std::string response;  // "ID" stands for the request's Attempt-Id
+    std::string surplus{}; // sent before it, where this connection has carried the same request before
 };
 
 class ScriptedWorker {
@@ -46,6 +48,7 @@
         explicit Peer(Tcp::socket s) : socket(std::move(s)) {}
         Tcp::socket socket;
         std::string got;
+        std::vector<std::string> ids; // of the requests before
         std::vector<char> buffer = std::vector<char>(65536);
     };
     using PeerPtr = std::shared_ptr<Peer>;
@@ -99,11 +102,13 @@
     void react(const PeerPtr& peer, const Step& step) {
         if (!steps_.empty()) steps_.pop_front();
         requests.push_back(std::exchange(peer->got, {}));
-        std::string response = step.response;
         const std::string& request = requests.back();
         const std::size_t id = request.find("Attempt-Id: ");
         const std::string value =
             id == std::string::npos ? "" : request.substr(id + 12, request.find("\r\n", id) - id - 12);
+        const bool sent_before = std::ranges::count(peer->ids, value) > 0;
+        peer->ids.push_back(value);
+        std::string response = (sent_before ? step.surplus : "") + step.response;
         for (std::size_t at = response.find("ID\r\n"); at != std::string::npos;
              at = response.find("ID\r\n", at + 1))
             response.replace(at, 2, value);
