Repeat a request only where the newest configuration still allows it

What callers saw: by the test, a request on a route that had become non-idempotent went to a second worker.

Cause: whether a request may run again was decided by the configuration that it began with, for as long as it lasted.

Change: a retry needs both the request's own configuration and the active one to call it repeatable; a worker's silence ends an attempt early only where another may still follow.

--- a/src/system/data/client_session.cpp
+++ b/src/system/data/client_session.cpp
@@ -28,11 +28,6 @@
     return Error{ErrorKind::malformed_request, error.message()};
 }
 
-std::string path_of(const ClientRequest& request) {
-    const std::string target = text(request.target());
-    return target.substr(0, target.find('?'));
-}
-
 } // namespace
 
 ClientSession::ClientSession(Context& context, std::shared_ptr<ClientCounts> counts, Tcp::socket socket)
--- a/src/system/data/proxied_request.cpp
+++ b/src/system/data/proxied_request.cpp
@@ -119,6 +119,7 @@
     conditions.now = steady_now();
     conditions.schedulers = context_.schedulers;
     conditions.has_resume_position = !request_.events.last_event_id().empty();
+    conditions.newest_route = request_.newest_route();
     budget::RetryBudget& budget = context_.retries(request_.service.name);
     return request_.retry.decide(result, conditions, budget) == RetryDecision::allowed;
 }
--- a/src/system/data/request_context.h
+++ b/src/system/data/request_context.h
@@ -28,6 +28,11 @@
     UsedConnections used_connections;
     stream::EventSplitter events; // of the stream that the client gets, over all attempts
 
+    // Its route in the configuration that is active now; null where that has none.
+    const configuration::Route* newest_route() const {
+        return data_plane.active_configuration->routes.find(text(request[http::field::host]),
+                                                            path_of(request));
+    }
     routing::Time remaining_time() const { return deadline.remaining_time(steady_now()); }
 };
 
--- a/src/system/data/retry_state.cpp
+++ b/src/system/data/retry_state.cpp
@@ -24,7 +24,8 @@
     // attempt counts for the budget all the same.
     if (result == AttemptResult::misdirected) --sends_;
     if (!has_sends_left()) return RetryDecision::attempts_exhausted;
-    if (may_have_run_after(result) && !route_.repeatable()) return RetryDecision::not_repeatable;
+    if (may_have_run_after(result) && !still_repeatable(conditions.newest_route))
+        return RetryDecision::not_repeatable;
     if (result == AttemptResult::broken_midway && !conditions.has_resume_position)
         return RetryDecision::stream_not_resumable;
     if (!budget.try_acquire(conditions.now, conditions.schedulers)) return RetryDecision::budget_exhausted;
--- a/src/system/data/retry_state.h
+++ b/src/system/data/retry_state.h
@@ -29,6 +29,8 @@
     routing::Time now{0};
     std::size_t schedulers = 1;       // that share the retry budget
     bool has_resume_position = false; // an event with an id was relayed
+    // The request's route as of now; null where the active configuration has none.
+    const configuration::Route* newest_route = nullptr;
 };
 
 class RetryState {
@@ -53,6 +55,11 @@
     // Likewise, after one that broke off within its stream.
     bool may_resume() const { return route_.resumable && has_sends_left(); }
 
+    // What was repeatable when the request began may have become non-idempotent since.
+    bool still_repeatable(const configuration::Route* newest_route) const {
+        return route_.repeatable() && (newest_route == nullptr || newest_route->repeatable());
+    }
+
     bool nothing_sent() const { return sends_ == 0; }
     bool first_send() const { return sends_ == 1; }
     bool may_have_run() const { return may_have_run_; }
--- a/src/system/data/upstream_attempt.cpp
+++ b/src/system/data/upstream_attempt.cpp
@@ -97,10 +97,14 @@
 }
 
 void UpstreamAttempt::on_timeout() {
+    const bool deadline_due = request_.deadline.is_due(steady_now());
+    // No other attempt may follow any more, so that this one goes on.
+    if (!deadline_due && !request_.retry.still_repeatable(request_.newest_route()))
+        return start_timer(false, Time(0));
     timed_out_ = true;
     ErrorCode ignored;
     if (connection_) connection_->socket.close(ignored);
-    if (request_.deadline.is_due(steady_now())) writer_.cancel_write();
+    if (deadline_due) writer_.cancel_write();
 }
 
 // The request goes out while the response is read: a worker may answer before it has read a long body. Then
--- a/src/system/data/upstream_request.cpp
+++ b/src/system/data/upstream_request.cpp
@@ -18,6 +18,11 @@
 
 std::string text(boost::beast::string_view view) { return {view.data(), view.size()}; }
 
+std::string path_of(const ClientRequest& request) {
+    const std::string target = text(request.target());
+    return target.substr(0, target.find('?'));
+}
+
 std::optional<std::int64_t> whole_number(boost::beast::string_view view) {
     std::int64_t out = 0;
     const auto [stop, error] = std::from_chars(view.data(), view.data() + view.size(), out);
--- a/src/system/data/upstream_request.h
+++ b/src/system/data/upstream_request.h
@@ -16,6 +16,9 @@
 // Copies out of Beast's views.
 std::string text(boost::beast::string_view view);
 
+// The target without its query.
+std::string path_of(const ClientRequest& request);
+
 // A whole number; a fraction behind it is cut off.
 std::optional<std::int64_t> whole_number(boost::beast::string_view view);
 
--- a/tests/system/data/proxy_fixture.h
+++ b/tests/system/data/proxy_fixture.h
@@ -50,10 +50,8 @@
         settings.regions = {{"z", "g"}};
         settings.node_name = "n";
         context.emplace(loop, settings, 7);
-        auto parsed = configuration::parse(configuration_text(route_class, resumable, attempts, timeout_ms));
-        cr_assert(static_cast<bool>(parsed), "%s", parsed ? "" : parsed.error().detail.c_str());
-        context->active_configuration = std::make_shared<const ActiveConfiguration>(
-            replication::Position{1, 1}, std::move(parsed.value()), std::set<std::string>{});
+        activate(route_class, resumable, attempts, timeout_ms);
+        begun_on = context->active_configuration;
         add_worker("w1", first, 0);
         add_worker("w2", second, 20);
         Tcp::acceptor acceptor(loop, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
@@ -63,6 +61,14 @@
         client.emplace(std::move(proxy_end));
     }
 
+    // For what is decided from now on; requests still begin with the first configuration.
+    void activate(const std::string& route_class, bool resumable, int attempts, int timeout_ms = 10000) {
+        auto parsed = configuration::parse(configuration_text(route_class, resumable, attempts, timeout_ms));
+        cr_assert(static_cast<bool>(parsed), "%s", parsed ? "" : parsed.error().detail.c_str());
+        context->active_configuration = std::make_shared<const ActiveConfiguration>(
+            replication::Position{1, 1}, std::move(parsed.value()), std::set<std::string>{});
+    }
+
     // Has one request proxied; returns the bytes that the client got.
     std::string serve(const std::string& id, std::size_t body_bytes = 10) {
         ClientRequest request(http::verb::post, "/a/x?y=1", 11);
@@ -72,7 +78,7 @@
         request.set("Time-Remaining", "5000");
         request.body() = std::string(body_bytes, 'b');
         request.prepare_payload();
-        const ActiveConfigurationPtr active_configuration = context->active_configuration;
+        const ActiveConfigurationPtr active_configuration = begun_on;
         const configuration::Route* route = active_configuration->routes.find("h.example", "/a/x");
         cr_assert_not_null(route);
         ProxiedRequest proxied(*context, *client, request, active_configuration, *route, steady_now());
@@ -98,6 +104,7 @@
     settings::Settings settings;
     std::optional<Context> context;
     ScriptedWorker first, second;
+    ActiveConfigurationPtr begun_on;
     bool reusable = false;
 
   private:
--- a/tests/system/data/retries_test.cpp
+++ b/tests/system/data/retries_test.cpp
@@ -37,3 +37,23 @@
     cr_assert_eq(status_of(proxy.serve("0b")), 502);
     cr_assert(proxy.second.requests.empty());
 }
+
+// Guards against rule TWICE: the class of a route is tightened while a request is under way.
+Test(proxied_request, a_request_is_not_repeated_once_its_route_is_non_idempotent) {
+    ProxyFixture proxy("safe", false, 2);
+    proxy.activate("non_idempotent", false, 2);
+    proxy.first.expect({ReadAmount::all, Reaction::close, ""});
+    cr_assert_eq(status_of(proxy.serve("0b")), 502);
+    cr_assert(proxy.second.requests.empty());
+}
+
+// Its worker is silent for longer than a repeatable request would wait for it.
+Test(proxied_request, a_request_whose_route_is_non_idempotent_by_now_waits_for_its_worker) {
+    ProxyFixture proxy("safe", false, 2, 1200);
+    proxy.activate("non_idempotent", false, 2, 1200);
+    proxy.first.expect({ReadAmount::all, Reaction::stay_silent, ""});
+    const routing::Time began = steady_now();
+    cr_assert_eq(status_of(proxy.serve("0b")), 504);
+    cr_assert_geq((steady_now() - began).count(), 1100);
+    cr_assert(proxy.second.requests.empty());
+}
--- a/tests/system/data/retry_state_test.cpp
+++ b/tests/system/data/retry_state_test.cpp
@@ -75,6 +75,28 @@
     }
 }
 
+// Guards against rule TWICE: a decision by the configuration that the request began with, after a newer one
+// said that it may run once only.
+Test(retry_state, what_a_newer_configuration_calls_non_idempotent_is_not_sent_again) {
+    const configuration::Route once = route_of(RouteClass::non_idempotent, 2);
+    Request safe(route_of(RouteClass::safe, 2));
+    safe.conditions.newest_route = &once;
+    cr_assert(safe.send_and_decide(AttemptResult::broken) == RetryDecision::not_repeatable);
+    const configuration::Route not_resumable = route_of(RouteClass::streaming, 2);
+    Request stream(route_of(RouteClass::streaming, 2, true));
+    stream.conditions.newest_route = &not_resumable;
+    stream.conditions.has_resume_position = true;
+    cr_assert(stream.send_and_decide(AttemptResult::broken_midway) == RetryDecision::not_repeatable);
+    // What has not run may go on, and a newer class allows nothing that the request's own did not.
+    Request rejected(route_of(RouteClass::safe, 2));
+    rejected.conditions.newest_route = &once;
+    cr_assert(rejected.send_and_decide(AttemptResult::not_executed) == RetryDecision::allowed);
+    const configuration::Route now_safe = route_of(RouteClass::safe, 2);
+    Request began_as_once(route_of(RouteClass::non_idempotent, 2));
+    began_as_once.conditions.newest_route = &now_safe;
+    cr_assert(began_as_once.send_and_decide(AttemptResult::broken) == RetryDecision::not_repeatable);
+}
+
 Test(retry_state, a_resumable_stream_that_has_begun_needs_an_event_with_an_id) {
     Request request(route_of(RouteClass::streaming, 3, true));
     cr_assert(request.send_and_decide(AttemptResult::broken_midway) == RetryDecision::stream_not_resumable);
