--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -2,7 +2,8 @@
 """Plays both programs as real processes on loopback while signals, restarts and configuration changes come in series and overlap, and
 judges from what clients saw and workers ran whether anything that must run once ran twice.
 
-usage: soak.py BUILD [--seed N] [--seeds COUNT] [--seconds S] [--clients N] [--workers N] [--faults NAME,...] [--keep]
+usage: soak.py BUILD [--seed N] [--seeds COUNT] [--seconds S] [--clients N] [--workers N] [--schedulers N]
+               [--faults NAME,...] [--think S] [--worker-faults JSON] [--keep]
 
 Clients use open connections until the process at the other end is gone, and send again as the operators' pages say: what may not run
 twice after a promise (408, 421, 429, 503), or where its connection was reset before a byte of an answer.
@@ -32,6 +33,7 @@
 MIX = {ONCE: 5, SAFE: 1, STREAM: 3, RESUME: 1}
 MAX_TRIES = 3
 LIST_LAG_S = 0.5
+FIRST_FURTHER_HOST = 10  # of the network, for machines without a core member; workers begin at 100
 GRACE_S = harness.TIMERS["graceS"]
 LOADED_WITHIN_S = 0.05  # before a program's own code runs, a signal ends it whatever it does
 
@@ -70,6 +72,14 @@
 
 
 class SoakMachine(harness.Machine):
+    """A machine of a zone: the first one runs both programs, further ones a scheduler alone."""
+
+    def __init__(self, deployment, zone, ip, number=1):
+        super().__init__(deployment, zone, ip)
+        self.name, self.folder = f"edge-{zone}-{number}", pathlib.Path(deployment.folder, f"{zone}-{number}")
+        self.roles = ("control", "data") if number == 1 else ("data",)
+        self.started, self.ending = {}, {}
+
     def start(self, role):
         log = open(self.folder / f"{role}.log", "ab")
         environment = {"PATH": os.environ.get("PATH", ""), "HOME": str(self.folder), "LANG": "C.UTF-8",
@@ -77,18 +87,22 @@
         self.processes[role] = subprocess.Popen([str(self.deployment.build / f"willowrill-{role}")], cwd=self.folder,
                                                 env=environment, stdin=subprocess.DEVNULL, stdout=log, stderr=log)
         log.close()
-        self.started = getattr(self, "started", {})
         self.started[role] = time.monotonic()
 
 
 class Soak(harness.Deployment):
-    def __init__(self, record, build, seed, workers):
+    def __init__(self, record, build, seed, workers, schedulers_per_zone=1):
         super().__init__(record, None, workers_per_zone=0)
         self.build, self.random = pathlib.Path(build).resolve(), random.Random(seed)
         self.folder = pathlib.Path(self.folder)
         self.workers = [WorkerProcess(self, number, list(harness.ZONES)[number % 3]) for number in range(workers)]
         self.platform.workers = self.workers
         self.machines = [SoakMachine(self, zone, f"{self.net}.{index + 1}") for index, zone in enumerate(harness.ZONES)]
+        self.schedulers = [*self.machines]  # all machines; those of the list above have a core member too
+        for number in range(2, schedulers_per_zone + 1):
+            for zone in harness.ZONES:
+                ip = f"{self.net}.{FIRST_FURTHER_HOST + len(self.schedulers)}"
+                self.schedulers.append(SoakMachine(self, zone, ip, number))
         self.tries, self.kills, self.own_ends = [], [], []
         self.clients = []
         self.version = self.applied = 1
@@ -99,7 +113,6 @@
 
     async def keep_alive(self, machine, role):
         """Starts the process again whenever it has ended, as the platform does."""
-        machine.ending = getattr(machine, "ending", {})
         while not self.stopping:
             process = machine.processes[role]
             if process.poll() is not None:
@@ -140,7 +153,7 @@
     # ---- Faults --------------------------------------------------------------------------------------------------------
 
     async def fault_term(self, role="data"):
-        machine = self.random.choice(self.machines)
+        machine = self.random.choice(self.machines if role == "control" else self.schedulers)
         tasks = [self.term(machine, role)]
         if self.random.random() < 0.4:  # signals in series
             tasks.append(self.series(machine, role, [signal.SIGHUP, signal.SIGTERM, signal.SIGHUP]))
@@ -152,10 +165,10 @@
             self.send(machine, role, number)
 
     async def fault_kill(self, role="data"):
-        self.send(self.random.choice(self.machines), role, signal.SIGKILL)
+        self.send(self.random.choice(self.machines if role == "control" else self.schedulers), role, signal.SIGKILL)
 
     async def fault_freeze(self, role="data"):
-        machine = self.random.choice(self.machines)
+        machine = self.random.choice(self.machines if role == "control" else self.schedulers)
         if machine.processes[role].poll() is None:
             await self.freeze(machine.processes[role], self.random.choice([0.2, 0.7, 1.6, 3.0, 6.0]), f"{role} of {machine.name}")
 
@@ -169,8 +182,8 @@
         await self.fault_freeze("control")
 
     async def fault_hup(self):
-        for machine in self.machines:
-            self.send(machine, self.random.choice(["data", "control"]), signal.SIGHUP)
+        for machine in self.schedulers:
+            self.send(machine, self.random.choice(machine.roles), signal.SIGHUP)
 
     async def fault_worker_kill(self):
         worker = self.random.choice(self.workers)
@@ -233,8 +246,8 @@
         deadline = time.monotonic() + DEADLINE_S[kind]
         avoided = set()
         for number in range(1, MAX_TRIES + 1):
-            addresses = [m.address("front") for m in self.machines if m.address("front") not in avoided]
-            address = chance.choice(addresses or [m.address("front") for m in self.machines])
+            addresses = [m.address("front") for m in self.schedulers if m.address("front") not in avoided]
+            address = chance.choice(addresses or [m.address("front") for m in self.schedulers])
             one = Try(f"{chance.getrandbits(64):016x}", job, REPEATABLE[kind], time.monotonic(), address, number=number)
             self.tries.append(one)
             pause = await self.one_try(one, kind, chance, connections if chance.random() < 0.8 and number == 1 else {}, deadline)
@@ -306,17 +319,17 @@
             worker.set_faults(self.worker_faults)
             await worker.start()
         await self.platform.start()
-        for machine in self.machines:
+        for machine in self.schedulers:
             machine.write_settings(initial=True)
-            machine.start("control")
-            machine.start("data")
+            for role in machine.roles:
+                machine.start(role)
         await self.configure(json.dumps(self.configuration(1)), 0)
 
     # ---- The play ------------------------------------------------------------------------------------------------------
 
     async def play(self, seconds, clients, fault_names):
         await self.start()
-        tasks = [asyncio.ensure_future(self.keep_alive(m, role)) for m in self.machines for role in ("control", "data")]
+        tasks = [asyncio.ensure_future(self.keep_alive(m, role)) for m in self.schedulers for role in m.roles]
         tasks += [asyncio.ensure_future(self.client(number)) for number in range(clients)]
         end = time.monotonic() + seconds
         faults = set()
@@ -334,7 +347,7 @@
                 self.record(f"a part of the soak failed: {result!r}")
 
     def end_processes(self):
-        for machine in self.machines:
+        for machine in self.schedulers:
             for process in machine.processes.values():
                 if process.poll() is None:
                     process.kill()
@@ -363,7 +376,7 @@
     folder = pathlib.Path(options.folder, str(seed))
     folder.mkdir(parents=True, exist_ok=True)
     record = harness.Record(folder)
-    soak = Soak(record, options.build, seed, options.workers)
+    soak = Soak(record, options.build, seed, options.workers, options.schedulers)
     soak.think_s = options.think
     soak.worker_faults = json.loads(options.worker_faults or "{}")
     try:
@@ -397,6 +410,7 @@
     parser.add_argument("--workers", type=int, default=6)
     parser.add_argument("--think", type=float, default=0.05, help="mean pause of a client between jobs, in seconds")
     parser.add_argument("--faults")
+    parser.add_argument("--schedulers", type=int, default=1, help="in each zone, the one beside the core member included")
     parser.add_argument("--worker-faults", help="of all workers all the time, as JSON")
     parser.add_argument("--folder", default="/tmp/willowrill-soak")
     parser.add_argument("--show", type=int, default=8)
