--- a/tests/system/data/kept_connections_test.cpp
+++ b/tests/system/data/kept_connections_test.cpp
@@ -53,3 +53,14 @@
     cr_assert(contains(proxy.serve("0b"), "mine"));
     cr_assert_eq(proxy.first.requests.size(), 2U, "rejected once, run once");
 }
+
+// Guards against rule TWICE: a surplus promise without an id, on a connection that had carried another
+// request, was taken for the response to the next one, which then went to a second worker as well.
+Test(proxied_request, a_promise_without_an_id_on_a_kept_connection_moves_no_request) {
+    ProxyFixture proxy("non_idempotent", false, 3);
+    proxy.serve("0b");
+    const std::string stray = worker_response("503 Service Unavailable", promise);
+    proxy.first.expect({ReadAmount::all, Reaction::respond, stray + worker_response("200 OK", id + seal)});
+    cr_assert_eq(status_of(proxy.serve("0c")), 502, "it may have run");
+    cr_assert(proxy.second.requests.empty());
+}
