End every worker process that a soak has started

Cause: faults that overlap on one worker start a second process beside the first, whose handle was lost: some stand-ins outlived the soaks by hand.

Change: a worker keeps the processes of all its lives, and the end of a play ends each.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -46,6 +46,7 @@
         self.address = f"{soak.net}.{100 + number}:8080"
         self.control_file = soak.folder / f"worker-{number}.json"
         self.lives, self.process, self.listed = 0, None, None
+        self.processes = []  # of all its lives: faults that overlap may start one beside another
 
     def instance(self):
         return f"i-{self.number}-{self.lives}"
@@ -57,6 +58,7 @@
             [sys.executable, str(HERE / "worker.py"), self.address, self.instance(), str(self.soak.random.randrange(1 << 30)),
              str(runs), str(self.control_file)], stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL,
             stderr=open(self.soak.folder / f"worker-{self.number}.err", "ab"))
+        self.processes.append(self.process)
         asyncio.get_running_loop().call_later(LIST_LAG_S if self.lives > 1 else 0, self.list_as, self.instance())
 
     def list_as(self, instance):
@@ -353,10 +355,10 @@
                     process.kill()
                 process.wait()
         for worker in self.workers:
-            if worker.process and worker.process.poll() is None:
-                worker.process.kill()
-            if worker.process:
-                worker.process.wait()
+            for process in worker.processes:
+                if process.poll() is None:
+                    process.kill()
+                process.wait()
 
     def runs(self):
         out = []
