Name the state by which a worker was chosen, in the log and in a metric

Cause: event=configuration says that a scheduler has heard of an evacuation, and nothing says whether a choice of a worker went by it: the hypotheses of the incident differ just there. Change: a send of a request that began with an older state than the newest is counted by whether its worker was chosen by the newest (willowrill_sends_after_change_total) and logged with the three states and the time between choice and send; event=configuration names its state and the evacuated zones. No decision changes.

--- a/src/system/data/data_plane.cpp
+++ b/src/system/data/data_plane.cpp
@@ -217,11 +217,14 @@
         assume_cold(context_.active_configuration->evacuated, update.evacuated);
     context_.active_configuration = std::make_shared<const ActiveConfiguration>(
         update.position, std::move(update.configuration), std::move(update.evacuated));
+    const ActiveConfiguration& active = *context_.active_configuration;
     logging::info("configuration")
         .field("node", settings_.node_name)
-        .field("version", context_.active_configuration->configuration.version)
-        .field("evacuated", context_.active_configuration->evacuated.size())
-        .field("change", is_delta);
+        .field("version", active.configuration.version)
+        .field("evacuated", active.evacuated.size())
+        .field("change", is_delta)
+        .field("state", replication::to_text(active.position))
+        .field("zones", fmt::format("{}", fmt::join(active.evacuated, ",")));
 }
 
 // Workers of a zone that is taken back may have turned cold a moment ago, before the platform's list says so.
--- a/src/system/data/proxied_request.cpp
+++ b/src/system/data/proxied_request.cpp
@@ -3,7 +3,6 @@
 #include "system/ownership/ownership.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace willowrill::data {
 namespace {
@@ -25,11 +24,11 @@
 } // namespace
 
 ProxiedRequest::ProxiedRequest(Context& context, beast::tcp_stream& client, const ClientRequest& request,
-                               ActiveConfigurationPtr active_configuration, const configuration::Route& route,
-                               Time arrived)
-    : context_(context), active_configuration_(std::move(active_configuration)), arrived_(arrived),
-      request_(context, request, route,
-               *active_configuration_->configuration.find_service(context.selector.pick_service(route)),
+                               const ActiveConfigurationPtr& active_configuration,
+                               const configuration::Route& route, Time arrived)
+    : context_(context), arrived_(arrived),
+      request_(context, request, active_configuration, route,
+               *active_configuration->configuration.find_service(context.selector.pick_service(route)),
                RequestDeadline(arrived, request_timeout(request, route))),
       writer_(client, request, context.shutting_down) {
     routing_request_.route = &route;
@@ -74,7 +73,7 @@
 
 routing::Selection ProxiedRequest::select_worker() {
     const routing::SelectionLimits limits{
-        &active_configuration_->evacuated, context_.schedulers,
+        &request_.began_with->evacuated, context_.schedulers,
         [this](const std::string& worker_id) { return succession_rank(worker_id); }};
     return context_.selector.choose(steady_now(), context_.workers, routing_request_, limits, context_.cold);
 }
@@ -103,7 +102,7 @@
 asio::awaitable<AttemptResult> ProxiedRequest::make_attempt(const routing::Selection& selection) {
     note_selection(selection);
     const std::string worker_id = selection.worker->instance.id;
-    attempt_.emplace(request_, writer_, selection);
+    attempt_.emplace(request_, writer_, selection, request_.began_with->position);
     const AttemptResult result = co_await attempt_->run();
     attempt_.reset();
     context_.metrics.add(metrics::Total::attempts, name_of(result));
--- a/src/system/data/proxied_request.h
+++ b/src/system/data/proxied_request.h
@@ -20,7 +20,7 @@
     // All references must outlive this object. `route` is one of the configuration's; `arrived`: when the
     // request was complete.
     ProxiedRequest(Context& context, beast::tcp_stream& client, const ClientRequest& request,
-                   ActiveConfigurationPtr active_configuration, const configuration::Route& route,
+                   const ActiveConfigurationPtr& active_configuration, const configuration::Route& route,
                    routing::Time arrived);
     ProxiedRequest(const ProxiedRequest&) = delete;
     ProxiedRequest& operator=(const ProxiedRequest&) = delete;
@@ -52,7 +52,6 @@
     asio::awaitable<void> reject();
 
     Context& context_;
-    ActiveConfigurationPtr active_configuration_;
     routing::Time arrived_;
     RequestContext request_;
     routing::RoutingRequest routing_request_;
--- a/src/system/data/request_context.h
+++ b/src/system/data/request_context.h
@@ -8,18 +8,22 @@
 #include "system/stream/event_splitter.h"
 
 #include <string>
+#include <utility>
 
 namespace willowrill::data {
 
 struct RequestContext {
-    RequestContext(Context& context, const ClientRequest& client_request,
+    // The route and the service are those of the configuration.
+    RequestContext(Context& context, const ClientRequest& client_request, ActiveConfigurationPtr active,
                    const configuration::Route& its_route, const configuration::Service& its_service,
                    const RequestDeadline& its_deadline)
-        : data_plane(context), request(client_request), route(its_route), service(its_service),
-          attempt_id(text(client_request["Attempt-Id"])), deadline(its_deadline), retry(route, deadline) {}
+        : data_plane(context), request(client_request), began_with(std::move(active)), route(its_route),
+          service(its_service), attempt_id(text(client_request["Attempt-Id"])), deadline(its_deadline),
+          retry(route, deadline) {}
 
     Context& data_plane;
     const ClientRequest& request;
+    const ActiveConfigurationPtr began_with; // the newest configuration when the request was complete
     const configuration::Route& route;
     const configuration::Service& service;
     std::string attempt_id;
--- a/src/system/data/upstream_attempt.cpp
+++ b/src/system/data/upstream_attempt.cpp
@@ -1,5 +1,7 @@
 #include "system/data/upstream_attempt.h"
 
+#include "system/logging/log.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -24,11 +26,12 @@
 } // namespace
 
 UpstreamAttempt::UpstreamAttempt(RequestContext& request, ResponseWriter& writer,
-                                 const routing::Selection& selection)
+                                 const routing::Selection& selection, replication::Position chosen_by)
     : context_(request.data_plane), request_(request), writer_(writer),
-      address_(selection.worker->instance.address), tier_(selection.tier),
-      tokens_to_prefill_(selection.tokens_to_prefill), worker_queue_empty_(selection.queue_empty),
-      in_flight_(context_.workers_handle(), *selection.worker),
+      address_(selection.worker->instance.address), worker_id_(selection.worker->instance.id),
+      zone_(selection.worker->instance.zone), chosen_by_(chosen_by), chosen_at_(steady_now()),
+      tier_(selection.tier), tokens_to_prefill_(selection.tokens_to_prefill),
+      worker_queue_empty_(selection.queue_empty), in_flight_(context_.workers_handle(), *selection.worker),
       outgoing_(std::make_shared<OutgoingRequest>()), timer_(context_.loop) {
     count_dispatch(selection);
     outgoing_->bytes = request_bytes(*selection.worker);
@@ -70,6 +73,7 @@
     co_await obtain_connection();
     if (connection_ && aborted_) drop_connection();
     if (!connection_) co_return AttemptResult::unreachable;
+    note_send_after_change();
     request_.retry.note_sent();
     request_.used_connections.push_back(connection_);
     ++context_.counters.attempts;
@@ -81,6 +85,23 @@
     co_return result;
 }
 
+// Which state led to a send, for those whose request began with an older one than the newest.
+void UpstreamAttempt::note_send_after_change() const {
+    const replication::Position newest = context_.active_configuration->position;
+    const replication::Position began_with = request_.began_with->position;
+    if (began_with == newest) return;
+    context_.metrics.add(metrics::Total::sends_after_change, chosen_by_ == newest ? "newest" : "superseded");
+    logging::info("send-after-change")
+        .field("node", context_.settings.node_name)
+        .text("attempt_id", request_.attempt_id)
+        .field("worker", worker_id_)
+        .field("zone", zone_)
+        .field("began_with", to_text(began_with))
+        .field("chosen_by", to_text(chosen_by_))
+        .field("newest", to_text(newest))
+        .field("waited_ms", (steady_now() - chosen_at_).count());
+}
+
 void UpstreamAttempt::abort() {
     aborted_ = true;
     timer_.cancel();
--- a/src/system/data/upstream_attempt.h
+++ b/src/system/data/upstream_attempt.h
@@ -20,8 +20,10 @@
 
 class UpstreamAttempt {
   public:
-    // `selection` names a worker. `request` and `writer` must outlive this object.
-    UpstreamAttempt(RequestContext& request, ResponseWriter& writer, const routing::Selection& selection);
+    // `selection` names a worker; `chosen_by`: the state that it was chosen by. `request` and `writer` must
+    // outlive this object.
+    UpstreamAttempt(RequestContext& request, ResponseWriter& writer, const routing::Selection& selection,
+                    replication::Position chosen_by);
     UpstreamAttempt(const UpstreamAttempt&) = delete;
     UpstreamAttempt& operator=(const UpstreamAttempt&) = delete;
 
@@ -32,6 +34,7 @@
 
   private:
     void count_dispatch(const routing::Selection& selection);
+    void note_send_after_change() const;
     std::string request_bytes(const routing::Worker& worker) const;
     std::size_t max_open_connections() const;
     asio::awaitable<void> obtain_connection();
@@ -58,6 +61,9 @@
     RequestContext& request_;
     ResponseWriter& writer_;
     const std::string address_;
+    const std::string worker_id_, zone_;
+    const replication::Position chosen_by_;
+    const routing::Time chosen_at_;
     const routing::Tier tier_;
     const std::uint64_t tokens_to_prefill_;
     const bool worker_queue_empty_; // as far as was known when it was selected
--- a/src/system/metrics/metrics.cpp
+++ b/src/system/metrics/metrics.cpp
@@ -45,6 +45,9 @@
                 nullptr},
     Description{"willowrill_discarded_responses_total", "Responses of workers that were not passed on",
                 "reason", nullptr},
+    Description{"willowrill_sends_after_change_total",
+                "Requests sent to workers after the state they began with was superseded", "chosen_by",
+                nullptr},
 };
 constexpr std::array durations{
     Description{"willowrill_first_event_wait_seconds", "From sending to the first bytes of an answer", "tier",
--- a/src/system/metrics/metrics.h
+++ b/src/system/metrics/metrics.h
@@ -31,6 +31,7 @@
     states_sent,         // replicated states sent to core members, by whether whole or as a delta
     missing_bases,       // deltas of states that could not be applied
     discarded_responses, // of workers, that were not passed on to a client, by reason
+    sends_after_change,  // to workers, of requests that began with an older state, by the choice's state
 };
 
 // Histograms of times.
--- a/src/system/replication/types.h
+++ b/src/system/replication/types.h
@@ -28,6 +28,11 @@
     auto operator<=>(const Position&) const = default;
 };
 
+// As log lines name it: epoch and sequence number, with a dot between them.
+inline std::string to_text(const Position& position) {
+    return std::to_string(position.epoch) + "." + std::to_string(position.sequence);
+}
+
 struct EpochRecord {
     Epoch epoch = 0;
     MemberId primary;
--- a/tests/system/data/proxy_fixture.h
+++ b/tests/system/data/proxy_fixture.h
@@ -11,6 +11,7 @@
 #include <fmt/format.h>
 
 #include <optional>
+#include <set>
 #include <string>
 
 namespace willowrill::data {
@@ -62,11 +63,13 @@
     }
 
     // For what is decided from now on; requests still begin with the first configuration.
-    void activate(const std::string& route_class, bool resumable, int attempts, int timeout_ms = 10000) {
+    void activate(const std::string& route_class, bool resumable, int attempts, int timeout_ms = 10000,
+                  const std::set<std::string>& evacuated = {}) {
         auto parsed = configuration::parse(configuration_text(route_class, resumable, attempts, timeout_ms));
         cr_assert(static_cast<bool>(parsed), "%s", parsed ? "" : parsed.error().detail.c_str());
-        context->active_configuration = std::make_shared<const ActiveConfiguration>(
-            replication::Position{1, 1}, std::move(parsed.value()), std::set<std::string>{});
+        ++position.sequence;
+        context->active_configuration =
+            std::make_shared<const ActiveConfiguration>(position, std::move(parsed.value()), evacuated);
     }
 
     // Has one request proxied; returns the bytes that the client got.
@@ -134,6 +137,7 @@
         return got.find("\r\n\r\n") != std::string::npos;
     }
 
+    replication::Position position{1, 0};
     std::optional<beast::tcp_stream> client;
     std::optional<Tcp::socket> client_end;
     std::string got;
--- a/tests/system/data/retries_test.cpp
+++ b/tests/system/data/retries_test.cpp
@@ -57,3 +57,14 @@
     cr_assert_geq((steady_now() - began).count(), 1100);
     cr_assert(proxy.second.requests.empty());
 }
+
+// What tells a choice by an older state from a scheduler that has not heard of the newer one.
+Test(proxied_request, a_send_after_a_change_of_the_configuration_is_counted) {
+    ProxyFixture proxy("safe", false, 2);
+    const std::string counter = "willowrill_sends_after_change_total{chosen_by=";
+    cr_assert_eq(status_of(proxy.serve("0a")), 200);
+    cr_assert_not(contains(proxy.context->metrics.text(), counter));
+    proxy.activate("safe", false, 2);
+    cr_assert_eq(status_of(proxy.serve("0b")), 200);
+    cr_assert(contains(proxy.context->metrics.text(), counter));
+}
