--- a/tests/system/data/proxy_fixture.h
+++ b/tests/system/data/proxy_fixture.h
@@ -159,4 +159,13 @@
 inline const std::string id = "Attempt-Id: ID\r\n", other_id = "Attempt-Id: ffff\r\n",
                          seal = "Server-Seal: seal\r\n", promise = "Not-Executed: 1\r\n";
 
+// The head of a stream in chunks, and what follows it.
+inline const std::string stream_head =
+    "HTTP/1.1 200 OK\r\n" + id + seal +
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+inline std::string chunk(const std::string& text) { return fmt::format("{:x}\r\n{}\r\n", text.size(), text); }
+
+inline std::string event(int number) { return fmt::format("id: {}\ndata: e{}\n\n", number, number); }
+
 } // namespace willowrill::data
--- a/tests/system/data/streams_test.cpp
+++ b/tests/system/data/streams_test.cpp
@@ -4,24 +4,11 @@
 #include "support/expect.h"
 
 #include <criterion/criterion.h>
-#include <fmt/format.h>
-
 #include <string>
 
 using namespace willowrill;
 using namespace willowrill::data;
 
-namespace {
-
-std::string chunk(const std::string& text) { return fmt::format("{:x}\r\n{}\r\n", text.size(), text); }
-
-std::string event(int number) { return fmt::format("id: {}\ndata: e{}\n\n", number, number); }
-
-const std::string stream_head = "HTTP/1.1 200 OK\r\n" + id + seal +
-                                "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-
-} // namespace
-
 Test(streams, one_that_breaks_off_in_an_event_goes_on_after_the_last_whole_one) {
     for (const Reaction reaction : {Reaction::respond_and_close, Reaction::respond_and_reset}) {
         ProxyFixture proxy("streaming", true, 2);
