Soak: evacuations in series, long resumable streams, and rule EVAC by workers' arrivals

Cause: the soak had no evacuation among its faults, and its resumable streams lasted 0.4 s: rule EVAC could not be broken in it.

--- a/tests/soak/shutdown_case.py
+++ b/tests/soak/shutdown_case.py
@@ -82,7 +82,7 @@
         asyncio.run({"silent-worker": silent_worker, "late-request": late_request}[options.case](soak))
     finally:
         soak.end_processes()
-    twice = [one for one in findings(soak.tries, soak.runs()) if one.rule == "TWICE"]
+    twice = [one for one in findings(soak.tries, soak.seen_by_workers()[0]) if one.rule == "TWICE"]
     for one in soak.tries:
         print(soaks.describe(one))
     for one in twice:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
 """Plays both programs as real processes on loopback while signals, restarts and configuration changes come in series and overlap, and
-judges from what clients saw and workers ran whether anything that must run once ran twice.
+judges from what clients saw and workers ran whether anything that must run once ran twice, and whether anything reached a zone that was
+evacuated.
 
 usage: soak.py BUILD [--seed N] [--seeds COUNT] [--seconds S] [--clients N] [--workers N] [--schedulers N]
                [--faults NAME,...] [--think S] [--worker-faults JSON] [--keep]
@@ -24,16 +25,19 @@
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent.parent / "review"))
 import harness  # noqa: E402  stand-ins of the platform and of machines
+from evacuations import Arrival, Disruption, Evacuation, late_arrivals  # noqa: E402
 from history import End, PROMISES, Run, Try, describe, findings  # noqa: E402
 from worker import FAULTS as WORKER_FAULTS  # noqa: E402
 
-ONCE, SAFE, STREAM, RESUME = "/once/", "/safe/", "/stream/", "/resume/"
-DEADLINE_S = {ONCE: 1.5, SAFE: 1.5, STREAM: 15.0, RESUME: 3.0}
-REPEATABLE = {ONCE: False, SAFE: True, STREAM: False, RESUME: True}
-MIX = {ONCE: 5, SAFE: 1, STREAM: 3, RESUME: 1}
+ONCE, SAFE, STREAM, RESUME, DIGEST = "/once/", "/safe/", "/stream/", "/resume/", "/digest/"
+DEADLINE_S = {ONCE: 1.5, SAFE: 1.5, STREAM: 15.0, RESUME: 3.0, DIGEST: 15.0}
+REPEATABLE = {ONCE: False, SAFE: True, STREAM: False, RESUME: True, DIGEST: True}
+MIX = {ONCE: 5, SAFE: 1, STREAM: 3, RESUME: 1, DIGEST: 2}
 MAX_TRIES = 3
 LIST_LAG_S = 0.5
 FIRST_FURTHER_HOST = 10  # of the network, for machines without a core member; workers begin at 100
+EVACUATION_ORDER_S = 10.0  # until an operator gives it up
+EVACUATED_S = (8.0, 12.0)
 GRACE_S = harness.TIMERS["graceS"]
 LOADED_WITHIN_S = 0.05  # before a program's own code runs, a signal ends it whatever it does
 
@@ -106,10 +110,12 @@
                 ip = f"{self.net}.{FIRST_FURTHER_HOST + len(self.schedulers)}"
                 self.schedulers.append(SoakMachine(self, zone, ip, number))
         self.tries, self.kills, self.own_ends = [], [], []
+        self.evacuations, self.disruptions = [], []
+        self.ending = collections.defaultdict(list)  # disruptions that last until their process runs again, by machine and role
         self.clients = []
         self.version = self.applied = 1
         self.think_s, self.worker_faults = 0.05, {}
-        self.stopping = False
+        self.stopping = self.evacuating = False
 
     # ---- Processes -----------------------------------------------------------------------------------------------------
 
@@ -126,12 +132,15 @@
                     return
                 machine.write_settings(initial=False)
                 machine.start(role)
+                for disruption in self.ending.pop((machine.name, role), []):
+                    disruption.ended_at = time.monotonic()
             await asyncio.sleep(0.02)
 
     def send(self, machine, role, number):
         if machine.processes[role].poll() is None and time.monotonic() > machine.started[role] + LOADED_WITHIN_S:
             if number in (signal.SIGKILL, signal.SIGTERM):
                 machine.ending[role] = True
+                self.ending[machine.name, role].append(self.note_disruption(machine))
             if number == signal.SIGKILL and role == "data":
                 self.kills.append((machine.address("front"), time.monotonic()))
             machine.signal(role, number)
@@ -145,6 +154,11 @@
         if process.poll() is None and process is machine.processes[role]:
             self.send(machine, role, signal.SIGKILL)
 
+    def note_disruption(self, machine):
+        disruption = Disruption(machine.address("front"), "control" in machine.roles, time.monotonic())
+        self.disruptions.append(disruption)
+        return disruption
+
     async def freeze(self, process, seconds, what):
         self.record(f"{what} stands still for {seconds:.2f} s")
         process.send_signal(signal.SIGSTOP)
@@ -172,7 +186,9 @@
     async def fault_freeze(self, role="data"):
         machine = self.random.choice(self.machines if role == "control" else self.schedulers)
         if machine.processes[role].poll() is None:
+            disruption = self.note_disruption(machine)
             await self.freeze(machine.processes[role], self.random.choice([0.2, 0.7, 1.6, 3.0, 6.0]), f"{role} of {machine.name}")
+            disruption.ended_at = time.monotonic()
 
     async def fault_term_control(self):
         await self.fault_term("control")
@@ -211,6 +227,20 @@
         await asyncio.sleep(self.random.uniform(1, 5))
         worker.set_faults(self.worker_faults)
 
+    async def fault_evacuate(self):
+        """Zones one after the other, each for longer than the bound; never all, so that some worker is always eligible."""
+        if self.evacuating:
+            return
+        self.evacuating = True
+        zone, first = self.random.choice(list(harness.ZONES)), self.random.randrange(3)
+        answer = await self.operator("POST", f"/-/evacuation/{zone}", b"", {}, EVACUATION_ORDER_S, first)
+        if answer.status // 100 == 2:
+            self.evacuations.append(Evacuation(zone, time.monotonic()))
+            await asyncio.sleep(self.random.uniform(*EVACUATED_S))
+            self.evacuations[-1].taken_back_at = time.monotonic()
+        await self.operator("DELETE", f"/-/evacuation/{zone}", b"", {}, EVACUATION_ORDER_S, first)
+        self.evacuating = False
+
     async def fault_change(self):
         self.version += self.random.randint(1, 3)
         body = json.dumps(self.configuration(self.version))
@@ -224,7 +254,8 @@
         routes = [harness.route("once", ONCE, routeClass="non_idempotent", timeoutMs=1500, targetMs=250, maxAttempts=3, affinity=False),
                   harness.route("safe", SAFE, routeClass="safe", timeoutMs=1500, targetMs=250, maxAttempts=2, affinity=False),
                   harness.route("stream", STREAM, timeoutMs=15000, maxAttempts=3),
-                  harness.route("resume", RESUME, timeoutMs=3000, targetMs=500, maxAttempts=2, resumable=True)]
+                  harness.route("resume", RESUME, timeoutMs=3000, targetMs=500, maxAttempts=2, resumable=True),
+                  harness.route("digest", DIGEST, timeoutMs=15000, maxAttempts=3, resumable=True)]
         routes += [harness.route(f"extra-{n}", f"/extra{n}/") for n in range(8) if draw() < 0.5]
         service = {"name": "model", "healthPath": "/health", "maxConnections": 60, "protocol": "h1", "tls": False,
                    "coldStartS": 0.0, "coldRateS": 0.0}
@@ -360,13 +391,17 @@
                     process.kill()
                 process.wait()
 
-    def runs(self):
-        out = []
+    def seen_by_workers(self):
+        """Runs, and arrivals of requests."""
+        runs, arrivals = [], []
         for path in sorted(self.folder.glob("runs-*.log")):
             for line in path.read_text().splitlines():
-                at, _, attempt, instance = line.split()
-                out.append(Run(float(at), attempt, instance))
-        return out
+                at, what, attempt, instance = line.split()
+                if what == "run":
+                    runs.append(Run(float(at), attempt, instance))
+                else:
+                    arrivals.append(Arrival(float(at), attempt, instance, self.workers[int(instance.split("-")[1])].zone))
+        return runs, arrivals
 
 
 def fault_names():
@@ -385,14 +420,15 @@
         asyncio.run(soak.play(options.seconds, options.clients, options.faults.split(",") if options.faults else fault_names()))
     finally:
         soak.end_processes()
-    runs = soak.runs()
+    runs, arrivals = soak.seen_by_workers()
     found = findings(soak.tries, runs, soak.kills)
+    found += late_arrivals(soak.tries, arrivals, soak.evacuations, soak.disruptions, len(soak.machines))
     ends = collections.Counter(one.end.name if one.end != End.ANSWERED else str(one.status) for one in soak.tries)
     ran = {run.attempt for run in runs}
     ended_ran = collections.Counter(one.end.name for one in soak.tries if not one.repeatable and one.attempt in ran
                                     and one.end in (End.RESET, End.CLOSED))
     print(f"seed {seed}: {len(soak.tries)} tries, {len(runs)} runs, {dict(sorted(ends.items()))}; ran without an answer: "
-          f"{dict(ended_ran)}; kills {len(soak.kills)}; ended by themselves: {len(soak.own_ends)}; findings "
+          f"{dict(ended_ran)}; kills {len(soak.kills)}; evacuations {len(soak.evacuations)}; ended by themselves: {len(soak.own_ends)}; findings "
           f"{dict(collections.Counter(one.rule for one in found))}", flush=True)
     for one in found[:options.show]:
         print(f"  {one.rule}: {one.text}", flush=True)
--- a/tests/soak/worker.py
+++ b/tests/soak/worker.py
@@ -3,8 +3,8 @@
 
 usage: worker.py ADDRESS INSTANCE SEED RUNS_FILE CONTROL_FILE
 
-Behaves as the operators' pages say. Each run is written to RUNS_FILE, unbuffered, before anything else is done with it: what ran is
-known also where the process is killed. CONTROL_FILE holds the faults of the moment as JSON, read again twenty times a second: shares
+Behaves as the operators' pages say. Each arrival of a request and each run is written to RUNS_FILE, unbuffered, before anything else is
+done with it: what ran is known also where the process is killed. CONTROL_FILE holds the faults of the moment as JSON, read again twenty times a second: shares
 of requests by the names of `FAULTS`.
 """
 import asyncio
@@ -19,7 +19,7 @@
 RELOAD_PERIOD_S = 0.05
 LINGER_S = 0.5  # a run goes on for so long after its connection has closed
 WORK_S = {"/once/": 0.03, "/safe/": 0.03}
-EVENTS = {"/stream/": 100, "/resume/": 4}
+EVENTS = {"/stream/": 100, "/resume/": 4, "/digest/": 100}
 EVENT_GAP_S = 0.08
 MAX_CONNECTIONS = 60
 
@@ -103,6 +103,7 @@
             writer.write(self.rejection(attempt, 421) * (2 if self.strikes("reject_twice") else 1))
             await writer.drain()
             return True
+        self.note("arrival", attempt)
         if self.strikes("reset_before_run"):
             writer.transport.abort()
             return False
