Choose each worker by the evacuations that are known now, not at the request's begin

Callers saw: streams of up to 15 s that were taken up again in a zone over 5 s after its evacuation was acknowledged (rule EVAC). Change: the choice reads the newest state at each attempt.

--- a/src/system/data/active_configuration.h
+++ b/src/system/data/active_configuration.h
@@ -1,5 +1,6 @@
 // The active configuration of this scheduler: the newest committed configuration and evacuations that it has
-// received, never an older one than before. Requests keep the snapshot that they began with. Immutable.
+// received, never an older one than before. Requests keep the snapshot that they began with, which
+// says what their client is given; where they may be sent is asked of the newest one at each send. Immutable.
 #pragma once
 
 #include "system/configuration/configuration.h"
--- a/src/system/data/proxied_request.cpp
+++ b/src/system/data/proxied_request.cpp
@@ -71,9 +71,10 @@
     }
 }
 
+// By the newest state: the zones that are evacuated bind each send, whenever its request began.
 routing::Selection ProxiedRequest::select_worker() {
     const routing::SelectionLimits limits{
-        &request_.began_with->evacuated, context_.schedulers,
+        &context_.active_configuration->evacuated, context_.schedulers,
         [this](const std::string& worker_id) { return succession_rank(worker_id); }};
     return context_.selector.choose(steady_now(), context_.workers, routing_request_, limits, context_.cold);
 }
@@ -102,7 +103,7 @@
 asio::awaitable<AttemptResult> ProxiedRequest::make_attempt(const routing::Selection& selection) {
     note_selection(selection);
     const std::string worker_id = selection.worker->instance.id;
-    attempt_.emplace(request_, writer_, selection, request_.began_with->position);
+    attempt_.emplace(request_, writer_, selection, context_.active_configuration->position);
     const AttemptResult result = co_await attempt_->run();
     attempt_.reset();
     context_.metrics.add(metrics::Total::attempts, name_of(result));
