Look at a chosen worker again once its connection is up

Callers saw: nothing was reported of this; found beside the incident, as another way for a request into an evacuated zone. Change: Selector::is_eligible is asked once more before the first byte, by the newest state; an attempt that ends so (ineligible) has sent nothing, says nothing of the worker and costs neither an attempt nor budget. RequestContext says by which limits, for both places.

--- a/src/system/data/attempt_result.cpp
+++ b/src/system/data/attempt_result.cpp
@@ -12,6 +12,8 @@
         return "misdirected";
     case AttemptResult::unreachable:
         return "unreachable";
+    case AttemptResult::ineligible:
+        return "ineligible";
     case AttemptResult::broken:
         return "broken";
     case AttemptResult::broken_midway:
--- a/src/system/data/attempt_result.h
+++ b/src/system/data/attempt_result.h
@@ -8,6 +8,7 @@
     not_executed, // the worker promises that it did not run the request
     misdirected,  // another instance is at the worker's address; it did not run the request
     unreachable,  // nothing was sent
+    ineligible,   // nothing was sent, as the worker may not have the request any more
     broken,       // the request may have run, and the client has nothing yet
     broken_midway // the client has part of a stream
 };
--- a/src/system/data/proxied_request.cpp
+++ b/src/system/data/proxied_request.cpp
@@ -31,13 +31,14 @@
                *active_configuration->configuration.find_service(context.selector.pick_service(route)),
                RequestDeadline(arrived, request_timeout(request, route))),
       writer_(client, request, context.shutting_down) {
-    routing_request_.route = &route;
-    routing_request_.service = &request_.service;
+    routing::RoutingRequest& routing_request = request_.routing_request;
+    routing_request.route = &route;
+    routing_request.service = &request_.service;
     if (route.affinity)
-        routing_request_.prompt =
+        routing_request.prompt =
             routing::parse_prompt(text(request["Prompt-Prefix"]), text(request["Token-Count"]));
     if (request_.service.has_engine)
-        routing_request_.prefill_cost = &context_.prefill_costs[request_.service.name];
+        routing_request.prefill_cost = &context_.prefill_costs[request_.service.name];
 }
 
 void ProxiedRequest::client_gone() {
@@ -71,12 +72,11 @@
     }
 }
 
-// By the newest state: the zones that are evacuated bind each send, whenever its request began.
 routing::Selection ProxiedRequest::select_worker() {
-    const routing::SelectionLimits limits{
-        &context_.active_configuration->evacuated, context_.schedulers,
-        [this](const std::string& worker_id) { return succession_rank(worker_id); }};
-    return context_.selector.choose(steady_now(), context_.workers, routing_request_, limits, context_.cold);
+    routing::SelectionLimits limits = request_.selection_limits();
+    limits.scheduler_rank = [this](const std::string& worker_id) { return succession_rank(worker_id); };
+    return context_.selector.choose(steady_now(), context_.workers, request_.routing_request, limits,
+                                    context_.cold);
 }
 
 // This scheduler's place among those that may send to a worker that is warming up.
@@ -97,7 +97,7 @@
 asio::awaitable<void> ProxiedRequest::wait_for_worker() {
     SteadyTimer pause(context_.loop, worker_poll_period);
     co_await pause.async_wait(asio::use_awaitable);
-    routing_request_.tried_workers.clear(); // those that could not be reached may be back
+    request_.routing_request.tried_workers.clear(); // those that could not be reached may be back
 }
 
 asio::awaitable<AttemptResult> ProxiedRequest::make_attempt(const routing::Selection& selection) {
@@ -108,7 +108,7 @@
     attempt_.reset();
     context_.metrics.add(metrics::Total::attempts, name_of(result));
     request_.retry.note_result(result);
-    routing_request_.tried_workers.insert(worker_id);
+    request_.routing_request.tried_workers.insert(worker_id);
     const auto found = context_.workers.find(worker_id); // it may have left the list meanwhile
     if (found != context_.workers.end() && !ended_early()) note_result(found->second, result);
     co_return result;
@@ -129,9 +129,9 @@
     metrics::Metrics& metrics = context_.metrics;
     const bool to_cache_holder = selection.tier == routing::Tier::cache_holder;
     metrics.add(Total::choices, routing::name_of(selection.tier));
-    if (routing_request_.prompt.shared_tokens > 0)
+    if (request_.routing_request.prompt.shared_tokens > 0)
         metrics.add(Total::shared_tokens, to_cache_holder ? "holder" : "other", {},
-                    static_cast<double>(routing_request_.prompt.shared_tokens));
+                    static_cast<double>(request_.routing_request.prompt.shared_tokens));
     const auto note_skipped = [&](const char* reason, std::size_t workers) {
         if (workers > 0) metrics.add(Total::passed_over, reason, {}, static_cast<double>(workers));
     };
@@ -159,6 +159,8 @@
         ++context_.counters.unreachable;
         worker.record_failure(steady_now());
         break;
+    case AttemptResult::ineligible: // says nothing of the worker
+        break;
     case AttemptResult::broken:
     case AttemptResult::broken_midway:
         ++context_.counters.broken;
--- a/src/system/data/proxied_request.h
+++ b/src/system/data/proxied_request.h
@@ -54,7 +54,6 @@
     Context& context_;
     routing::Time arrived_;
     RequestContext request_;
-    routing::RoutingRequest routing_request_;
     ResponseWriter writer_;
     std::optional<UpstreamAttempt> attempt_; // the one under way
     bool given_up_ = false;
--- a/src/system/data/request_context.h
+++ b/src/system/data/request_context.h
@@ -5,6 +5,7 @@
 #include "system/data/request_deadline.h"
 #include "system/data/retry_state.h"
 #include "system/data/upstream_request.h"
+#include "system/routing/routing_request.h"
 #include "system/stream/event_splitter.h"
 
 #include <string>
@@ -29,6 +30,7 @@
     std::string attempt_id;
     RequestDeadline deadline;
     RetryState retry;
+    routing::RoutingRequest routing_request;
     UsedConnections used_connections;
     stream::EventSplitter events; // of the stream that the client gets, over all attempts
 
@@ -37,6 +39,14 @@
         return data_plane.active_configuration->routes.find(text(request[http::field::host]),
                                                             path_of(request));
     }
+    // By the newest state: it binds each send, whenever the request began. Valid until the next one is
+    // activated.
+    routing::SelectionLimits selection_limits() const {
+        routing::SelectionLimits limits;
+        limits.evacuated_zones = &data_plane.active_configuration->evacuated;
+        limits.scheduler_count = data_plane.schedulers;
+        return limits;
+    }
     routing::Time remaining_time() const { return deadline.remaining_time(steady_now()); }
 };
 
--- a/src/system/data/retry_state.cpp
+++ b/src/system/data/retry_state.cpp
@@ -10,6 +10,10 @@
     return result == AttemptResult::broken || result == AttemptResult::broken_midway;
 }
 
+bool nothing_sent_in(AttemptResult result) {
+    return result == AttemptResult::unreachable || result == AttemptResult::ineligible;
+}
+
 } // namespace
 
 void RetryState::note_result(AttemptResult result) {
@@ -19,7 +23,7 @@
 RetryDecision RetryState::decide(AttemptResult result, const RetryConditions& conditions,
                                  budget::RetryBudget& budget) {
     if (deadline_.is_due(conditions.now)) return RetryDecision::deadline_passed;
-    if (result == AttemptResult::unreachable) return RetryDecision::allowed; // nothing was sent
+    if (nothing_sent_in(result)) return RetryDecision::allowed;
     // The instance it was sent to is gone, so that no worker of the service has had it by that send; the
     // attempt counts for the budget all the same.
     if (result == AttemptResult::misdirected) --sends_;
--- a/src/system/data/upstream_attempt.cpp
+++ b/src/system/data/upstream_attempt.cpp
@@ -73,6 +73,10 @@
     co_await obtain_connection();
     if (connection_ && aborted_) drop_connection();
     if (!connection_) co_return AttemptResult::unreachable;
+    if (!still_eligible()) {
+        drop_connection();
+        co_return AttemptResult::ineligible;
+    }
     note_send_after_change();
     request_.retry.note_sent();
     request_.used_connections.push_back(connection_);
@@ -85,6 +89,15 @@
     co_return result;
 }
 
+// While the connection came up, the worker's zone may have been evacuated, or the worker may have begun to
+// drain.
+bool UpstreamAttempt::still_eligible() const {
+    const auto found = context_.workers.find(worker_id_);
+    return found != context_.workers.end() &&
+           context_.selector.is_eligible(found->second, request_.routing_request,
+                                         request_.selection_limits());
+}
+
 // Which state led to a send, for those whose request began with an older one than the newest.
 void UpstreamAttempt::note_send_after_change() const {
     const replication::Position newest = context_.active_configuration->position;
--- a/src/system/data/upstream_attempt.h
+++ b/src/system/data/upstream_attempt.h
@@ -34,6 +34,7 @@
 
   private:
     void count_dispatch(const routing::Selection& selection);
+    bool still_eligible() const;
     void note_send_after_change() const;
     std::string request_bytes(const routing::Worker& worker) const;
     std::size_t max_open_connections() const;
--- a/src/system/routing/selector.h
+++ b/src/system/routing/selector.h
@@ -46,6 +46,9 @@
     // Ejected and saturated workers are considered only if there is no other.
     Selection choose(Time now, Workers& workers, const RoutingRequest& request, const SelectionLimits& limits,
                      budget::ColdBudget& cold_budget);
+    // Whether the request may be sent to the worker, whatever its load and health.
+    bool is_eligible(const Worker& worker, const RoutingRequest& request,
+                     const SelectionLimits& limits) const;
     // Draws one of the route's services at random, with the weights of its distribution.
     const std::string& pick_service(const configuration::Route& route);
     const Location& location() const { return location_; }
@@ -60,8 +63,6 @@
         std::string cache_holder; // instance id; empty: none
     };
 
-    bool is_eligible(const Worker& worker, const RoutingRequest& request,
-                     const SelectionLimits& limits) const;
     bool is_in_own_region(const Worker& worker) const;
     Candidates find_candidates(Workers& workers, const RoutingRequest& request,
                                const SelectionLimits& limits) const;
--- a/tests/system/data/retry_state_test.cpp
+++ b/tests/system/data/retry_state_test.cpp
@@ -51,8 +51,8 @@
 };
 
 constexpr auto every_failure = {AttemptResult::not_executed, AttemptResult::misdirected,
-                                AttemptResult::unreachable, AttemptResult::broken,
-                                AttemptResult::broken_midway};
+                                AttemptResult::unreachable, AttemptResult::ineligible,
+                                AttemptResult::broken, AttemptResult::broken_midway};
 
 } // namespace
 
@@ -110,10 +110,11 @@
     cr_assert(request.send_and_decide(AttemptResult::broken) == RetryDecision::attempts_exhausted);
 }
 
-Test(retry_state, a_worker_that_cannot_be_reached_costs_neither_a_send_nor_budget) {
+Test(retry_state, a_worker_that_nothing_was_sent_to_costs_neither_a_send_nor_budget) {
     Request request(route_of(RouteClass::non_idempotent, 1), 0);
     for (int i = 0; i < 5; ++i)
-        cr_assert(request.decide_after(AttemptResult::unreachable) == RetryDecision::allowed);
+        for (const AttemptResult result : {AttemptResult::unreachable, AttemptResult::ineligible})
+            cr_assert(request.decide_after(result) == RetryDecision::allowed);
     cr_assert(request.state.nothing_sent());
 }
 
