--- a/tests/system/data/retry_state_test.cpp
+++ b/tests/system/data/retry_state_test.cpp
@@ -51,8 +51,8 @@
 };
 
 constexpr auto every_failure = {AttemptResult::not_executed, AttemptResult::misdirected,
-                                AttemptResult::unreachable, AttemptResult::ineligible,
-                                AttemptResult::broken, AttemptResult::broken_midway};
+                                AttemptResult::unreachable,  AttemptResult::ineligible,
+                                AttemptResult::broken,       AttemptResult::broken_midway};
 
 } // namespace
 
