Hold a request to the homes that its route has now, at each send

Callers saw: nothing was reported of this; found while looking for the incident's cause elsewhere. Cause: a stream that is taken up again, and any later attempt, went by the homes that its route had when the request was complete: it could reach a worker in a region that a newer, acknowledged configuration no longer allows (rule HOME). Change: a worker is eligible if it is at home for the request's own route and for the newest one at its place, at the choice and before the send. Result: streams: one_is_not_resumed_outside_the_homes_that_its_route_has_by_now fails with that condition taken out, and passes with it; 66 of 66 tests of proxied requests, 6 of 6 of evacuations and 18 of 18 of routing pass.

--- a/src/system/data/request_context.h
+++ b/src/system/data/request_context.h
@@ -36,6 +36,7 @@
 
     // Its route in the configuration that is active now; null where that has none.
     const configuration::Route* newest_route() const {
+        if (data_plane.active_configuration == began_with) return &route;
         return data_plane.active_configuration->routes.find(text(request[http::field::host]),
                                                             path_of(request));
     }
@@ -44,6 +45,7 @@
     routing::SelectionLimits selection_limits() const {
         routing::SelectionLimits limits;
         limits.evacuated_zones = &data_plane.active_configuration->evacuated;
+        limits.newest_route = newest_route();
         limits.scheduler_count = data_plane.schedulers;
         return limits;
     }
--- a/src/system/routing/routing_request.h
+++ b/src/system/routing/routing_request.h
@@ -21,9 +21,11 @@
     std::set<std::string> tried_workers; // ids of workers that received this request or were unreachable
 };
 
-// Constraints on the selection that do not depend on the request.
+// Constraints on the selection as of now, whenever the request began.
 struct SelectionLimits {
     const std::set<std::string>* evacuated_zones = nullptr; // not owned; null: none
+    // The request's route as of now, whose homes bind as well as those of its own; not owned, may be null.
+    const configuration::Route* newest_route = nullptr;
     std::size_t scheduler_count = 1; // schedulers that share the budget of a cold worker
     // Returns this scheduler's position, from 0, in the rendezvous order of the worker with the given id.
     std::function<std::size_t(const std::string&)> scheduler_rank;
--- a/src/system/routing/selector.cpp
+++ b/src/system/routing/selector.cpp
@@ -64,8 +64,13 @@
     if (instance.state != discovery::InstanceState::in_service) return false;
     if (limits.evacuated_zones != nullptr && limits.evacuated_zones->contains(instance.zone)) return false;
     if (worker.replaced || request.tried_workers.contains(instance.id)) return false;
-    const auto& home_regions = request.route->home_regions;
-    return home_regions.empty() || std::ranges::count(home_regions, location_.region_of(instance.zone)) > 0;
+    return is_at_home(worker, *request.route) &&
+           (limits.newest_route == nullptr || is_at_home(worker, *limits.newest_route));
+}
+
+bool Selector::is_at_home(const Worker& worker, const configuration::Route& route) const {
+    const std::vector<std::string>& homes = route.home_regions;
+    return homes.empty() || std::ranges::count(homes, location_.region_of(worker.instance.zone)) > 0;
 }
 
 bool Selector::is_in_own_region(const Worker& worker) const {
--- a/src/system/routing/selector.h
+++ b/src/system/routing/selector.h
@@ -63,6 +63,7 @@
         std::string cache_holder; // instance id; empty: none
     };
 
+    bool is_at_home(const Worker& worker, const configuration::Route& route) const;
     bool is_in_own_region(const Worker& worker) const;
     Candidates find_candidates(Workers& workers, const RoutingRequest& request,
                                const SelectionLimits& limits) const;
--- a/tests/system/data/proxy_fixture.h
+++ b/tests/system/data/proxy_fixture.h
@@ -17,12 +17,12 @@
 namespace willowrill::data {
 
 inline std::string configuration_text(const std::string& route_class, bool resumable, int attempts,
-                                      int timeout_ms) {
+                                      int timeout_ms, const std::string& home_regions = "") {
     return fmt::format(
         R"({{"configVersion":1,"routes":[{{"name":"r","host":"h.example","pathPrefix":"/a/","routeClass":"{}",
-        "timeoutMs":{},"targetMs":40,"maxAttempts":{},"resumable":{},"gap_aim_ms":400,"service":"s"}}],
-        "services":[{{"name":"s","maxConnections":100}}]}})",
-        route_class, timeout_ms, attempts, resumable);
+        "timeoutMs":{},"targetMs":40,"maxAttempts":{},"resumable":{},"gap_aim_ms":400,"homeRegions":[{}],
+        "service":"s"}}],"services":[{{"name":"s","maxConnections":100}}]}})",
+        route_class, timeout_ms, attempts, resumable, home_regions);
 }
 
 // A route of the tests.
@@ -65,7 +65,11 @@
     // For what is decided from now on; requests still begin with the first configuration.
     void activate(const std::string& route_class, bool resumable, int attempts, int timeout_ms = 10000,
                   const std::set<std::string>& evacuated = {}) {
-        auto parsed = configuration::parse(configuration_text(route_class, resumable, attempts, timeout_ms));
+        activate_text(configuration_text(route_class, resumable, attempts, timeout_ms), evacuated);
+    }
+
+    void activate_text(const std::string& text, const std::set<std::string>& evacuated = {}) {
+        auto parsed = configuration::parse(text);
         cr_assert(static_cast<bool>(parsed), "%s", parsed ? "" : parsed.error().detail.c_str());
         ++position.sequence;
         context->active_configuration =
--- a/tests/system/data/streams_test.cpp
+++ b/tests/system/data/streams_test.cpp
@@ -58,3 +58,16 @@
     cr_assert(contains(got, "data: e1"));
     cr_assert(got.ends_with("0\r\n\r\n"));
 }
+
+// Guards against rule HOME: a stream taken up again by the homes that its route had when it began.
+Test(streams, one_is_not_resumed_outside_the_homes_that_its_route_has_by_now) {
+    ProxyFixture proxy("streaming", true, 2);
+    proxy.context->workers["w1"].instance.zone = "first-region"; // a zone that settings lack is a region
+    proxy.context->workers["w2"].instance.zone = "second-region";
+    proxy.activate_text(configuration_text("streaming", true, 2, 10000, R"("first-region")"));
+    proxy.first.expect({ReadAmount::all, Reaction::respond_and_close, stream_head + chunk(event(1))});
+    const std::string got = proxy.serve("0b");
+    cr_assert(contains(got, "data: e1"));
+    cr_assert_not(got.ends_with("0\r\n\r\n"));
+    cr_assert(proxy.second.requests.empty());
+}
