Count attempts against what the newest configuration allows, too

Callers saw: nothing was reported of this; found while looking for the incident's cause elsewhere. Change: the lower of the two counts; a worker's silence ends an attempt only where another one may still follow by both. Result: retry_state: sends_are_bounded_by_what_a_newer_configuration_allows failed before (the third send was allowed), and passes; all of proxied requests and evacuations pass.

--- a/src/system/data/retry_state.cpp
+++ b/src/system/data/retry_state.cpp
@@ -27,7 +27,7 @@
     // The instance it was sent to is gone, so that no worker of the service has had it by that send; the
     // attempt counts for the budget all the same.
     if (result == AttemptResult::misdirected) --sends_;
-    if (!has_sends_left()) return RetryDecision::attempts_exhausted;
+    if (!has_sends_left(conditions.newest_route)) return RetryDecision::attempts_exhausted;
     if (may_have_run_after(result) && !still_repeatable(conditions.newest_route))
         return RetryDecision::not_repeatable;
     if (result == AttemptResult::broken_midway && !conditions.has_resume_position)
--- a/src/system/data/retry_state.h
+++ b/src/system/data/retry_state.h
@@ -55,9 +55,9 @@
     // Likewise, after one that broke off within its stream.
     bool may_resume() const { return route_.resumable && has_sends_left(); }
 
-    // What was repeatable when the request began may have become non-idempotent since.
-    bool still_repeatable(const configuration::Route* newest_route) const {
-        return route_.repeatable() && (newest_route == nullptr || newest_route->repeatable());
+    // Likewise, by the route as of now too: it may have become non-idempotent, or may allow fewer attempts.
+    bool may_still_repeat(const configuration::Route* newest_route) const {
+        return still_repeatable(newest_route) && has_sends_left(newest_route);
     }
 
     bool nothing_sent() const { return sends_ == 0; }
@@ -69,7 +69,13 @@
     errors::Error shutdown_error() const;
 
   private:
-    bool has_sends_left() const { return sends_ < route_.max_attempts; }
+    bool still_repeatable(const configuration::Route* newest_route) const {
+        return route_.repeatable() && (newest_route == nullptr || newest_route->repeatable());
+    }
+    bool has_sends_left(const configuration::Route* newest_route = nullptr) const {
+        const bool newest_allows = newest_route == nullptr || sends_ < newest_route->max_attempts;
+        return sends_ < route_.max_attempts && newest_allows;
+    }
 
     const configuration::Route& route_;
     RequestDeadline deadline_;
--- a/src/system/data/upstream_attempt.cpp
+++ b/src/system/data/upstream_attempt.cpp
@@ -133,7 +133,7 @@
 void UpstreamAttempt::on_timeout() {
     const bool deadline_due = request_.deadline.is_due(steady_now());
     // No other attempt may follow any more, so that this one goes on.
-    if (!deadline_due && !request_.retry.still_repeatable(request_.newest_route()))
+    if (!deadline_due && !request_.retry.may_still_repeat(request_.newest_route()))
         return start_timer(false, Time(0));
     timed_out_ = true;
     ErrorCode ignored;
--- a/tests/system/data/retry_state_test.cpp
+++ b/tests/system/data/retry_state_test.cpp
@@ -110,6 +110,20 @@
     cr_assert(request.send_and_decide(AttemptResult::broken) == RetryDecision::attempts_exhausted);
 }
 
+// Guards against rule BUDGET: attempts counted against the number that the route had when the request began.
+Test(retry_state, sends_are_bounded_by_what_a_newer_configuration_allows) {
+    const configuration::Route fewer = route_of(RouteClass::safe, 1);
+    Request request(route_of(RouteClass::safe, 3));
+    cr_assert(request.send_and_decide(AttemptResult::broken) == RetryDecision::allowed);
+    request.conditions.newest_route = &fewer;
+    cr_assert(request.send_and_decide(AttemptResult::broken) == RetryDecision::attempts_exhausted);
+    cr_assert_not(request.state.may_still_repeat(&fewer));
+    const configuration::Route more = route_of(RouteClass::safe, 9);
+    Request own_bound(route_of(RouteClass::safe, 1));
+    own_bound.conditions.newest_route = &more;
+    cr_assert(own_bound.send_and_decide(AttemptResult::broken) == RetryDecision::attempts_exhausted);
+}
+
 Test(retry_state, a_worker_that_nothing_was_sent_to_costs_neither_a_send_nor_budget) {
     Request request(route_of(RouteClass::non_idempotent, 1), 0);
     for (int i = 0; i < 5; ++i)
