Go by the service's settings of now when a worker is chosen and connected to

Callers saw: nothing was reported of this; found while looking for the incident's cause elsewhere. Cause: coldRateS and maxConnections were those of when the request was complete: a later attempt, up to 15 s on, could go to a cold worker past the rate that a newer configuration states (rule FAILBACK), or open connections past a lowered bound. Change: both are read from the active configuration, where it still has the service. Result: proxied_request: a_later_attempt_keeps_to_the_rate_that_cold_workers_have_by_now failed before (200 from the cold worker), and passes; 68, 6 and 18 tests of proxied requests, evacuations and routing pass.

--- a/src/system/data/request_context.h
+++ b/src/system/data/request_context.h
@@ -40,12 +40,19 @@
         return data_plane.active_configuration->routes.find(text(request[http::field::host]),
                                                             path_of(request));
     }
+    // Its service with the settings of now, where the active configuration still has it.
+    const configuration::Service& newest_service() const {
+        if (data_plane.active_configuration == began_with) return service;
+        const auto* newest = data_plane.active_configuration->configuration.find_service(service.name);
+        return newest == nullptr ? service : *newest;
+    }
     // By the newest state: it binds each send, whenever the request began. Valid until the next one is
     // activated.
     routing::SelectionLimits selection_limits() const {
         routing::SelectionLimits limits;
         limits.evacuated_zones = &data_plane.active_configuration->evacuated;
         limits.newest_route = newest_route();
+        limits.newest_service = &newest_service();
         limits.scheduler_count = data_plane.schedulers;
         return limits;
     }
--- a/src/system/data/upstream_attempt.cpp
+++ b/src/system/data/upstream_attempt.cpp
@@ -58,7 +58,7 @@
 // This scheduler's share, with room for shares that are not used evenly.
 std::size_t UpstreamAttempt::max_open_connections() const {
     const std::size_t schedulers = std::max<std::size_t>(1, context_.schedulers);
-    return std::max(min_connections, request_.service.max_connections * 3 / 4 / schedulers);
+    return std::max(min_connections, request_.newest_service().max_connections * 3 / 4 / schedulers);
 }
 
 asio::awaitable<void> UpstreamAttempt::obtain_connection() {
--- a/src/system/routing/routing_request.h
+++ b/src/system/routing/routing_request.h
@@ -26,6 +26,8 @@
     const std::set<std::string>* evacuated_zones = nullptr; // not owned; null: none
     // The request's route as of now, whose homes bind as well as those of its own; not owned, may be null.
     const configuration::Route* newest_route = nullptr;
+    const configuration::Service* newest_service =
+        nullptr;                     // the request's, as of now; null: as in the request
     std::size_t scheduler_count = 1; // schedulers that share the budget of a cold worker
     // Returns this scheduler's position, from 0, in the rendezvous order of the worker with the given id.
     std::function<std::size_t(const std::string&)> scheduler_rank;
--- a/src/system/routing/selector.cpp
+++ b/src/system/routing/selector.cpp
@@ -35,7 +35,9 @@
 // Returns whether the worker is warming up and this scheduler has sent it its share of requests.
 bool is_warming_share_used(Time now, const Worker& worker, const RoutingRequest& request,
                            const SelectionLimits& limits, budget::ColdBudget& cold_budget) {
-    const double rate_per_s = request.service->cold_rate_per_s;
+    const configuration::Service& service =
+        limits.newest_service == nullptr ? *request.service : *limits.newest_service;
+    const double rate_per_s = service.cold_rate_per_s;
     if (!worker.is_warming(now) || rate_per_s <= 0) return false;
     const std::string& id = worker.instance.id;
     return !cold_budget.allows(now, id, rate_per_s, limits.scheduler_count, limits.scheduler_rank(id));
--- a/tests/system/data/proxy_fixture.h
+++ b/tests/system/data/proxy_fixture.h
@@ -17,12 +17,13 @@
 namespace willowrill::data {
 
 inline std::string configuration_text(const std::string& route_class, bool resumable, int attempts,
-                                      int timeout_ms, const std::string& home_regions = "") {
+                                      int timeout_ms, const std::string& home_regions = "",
+                                      const std::string& service_settings = R"("maxConnections":100)") {
     return fmt::format(
         R"({{"configVersion":1,"routes":[{{"name":"r","host":"h.example","pathPrefix":"/a/","routeClass":"{}",
         "timeoutMs":{},"targetMs":40,"maxAttempts":{},"resumable":{},"gap_aim_ms":400,"homeRegions":[{}],
-        "service":"s"}}],"services":[{{"name":"s","maxConnections":100}}]}})",
-        route_class, timeout_ms, attempts, resumable, home_regions);
+        "service":"s"}}],"services":[{{"name":"s",{}}}]}})",
+        route_class, timeout_ms, attempts, resumable, home_regions, service_settings);
 }
 
 // A route of the tests.
--- a/tests/system/data/retries_test.cpp
+++ b/tests/system/data/retries_test.cpp
@@ -68,3 +68,17 @@
     cr_assert_eq(status_of(proxy.serve("0b")), 200);
     cr_assert(contains(proxy.context->metrics.text(), counter));
 }
+
+// Guards against rule FAILBACK: the bound of cold workers as it was when the request began.
+Test(proxied_request, a_later_attempt_keeps_to_the_rate_that_cold_workers_have_by_now) {
+    ProxyFixture proxy("safe", false, 2);
+    proxy.context->cold = budget::ColdBudget({1, 0});
+    const std::string cold = R"("maxConnections":100,"coldStartS":3,"coldRateS":2)";
+    proxy.activate_text(configuration_text("safe", false, 2, 10000, "", cold));
+    routing::Worker& second = proxy.context->workers["w2"];
+    second.extend_warming(steady_now() + std::chrono::seconds(60));
+    proxy.context->cold.record_send(steady_now(), "w2"); // all of its share of this second
+    proxy.first.expect({ReadAmount::all, Reaction::close, ""});
+    cr_assert_eq(status_of(proxy.serve("0b")), 502);
+    cr_assert(proxy.second.requests.empty());
+}
