Read each request by the limits that are active when its first bytes come

Change: the session waits for the first bytes, and takes the limits then. The header of a later request has headerTimeoutMs from its first bytes on, as that of a first request had. What is read at once is as large as before.

--- a/src/system/data/client_session.cpp
+++ b/src/system/data/client_session.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::chrono::milliseconds body_timeout{15000};
 constexpr std::chrono::milliseconds rejection_timeout{1000};
+constexpr std::size_t max_read_bytes = 65536; // of one read while a request is awaited
 
 // What to tell a client whose bytes could not be read as a request; nothing where it left, or was idle for
 // too long.
@@ -50,24 +51,38 @@
 }
 
 asio::awaitable<bool> ClientSession::serve_request() {
-    const ActiveConfigurationPtr active_configuration = context_.active_configuration;
-    const configuration::Limits& limits = active_configuration->configuration.limits;
+    const bool has_bytes = co_await await_request();
+    if (!has_bytes) co_return false;
+    const configuration::Limits& limits = context_.active_configuration->configuration.limits; // as of now
     Parser parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
     parser.body_limit(limits.max_body_bytes);
+    if (requests_read_ > 0) stream_.expires_after(limits.header_timeout);
     ErrorCode error;
-    parser_ = &parser;
-    co_await read_request(parser, requests_read_ == 0 ? limits.header_timeout : limits.idle_timeout, error);
-    parser_ = nullptr;
+    co_await read_request(parser, error);
     if (error) co_return co_await reject_unreadable(error, parser.got_some());
     ++requests_read_;
     const ClientRequest request = parser.release();
     co_return co_await respond(request);
 }
 
-asio::awaitable<void> ClientSession::read_request(Parser& parser, std::chrono::milliseconds header_timeout,
-                                                  ErrorCode& error) {
-    stream_.expires_after(header_timeout);
+// Waits for the first bytes of a request. False where the client left, or was idle for too long. The first
+// request of a connection must be there with its header when this wait would end.
+asio::awaitable<bool> ClientSession::await_request() {
+    const configuration::Limits& limits = context_.active_configuration->configuration.limits;
+    stream_.expires_after(requests_read_ == 0 ? limits.header_timeout : limits.idle_timeout);
+    if (buffer_.size() > 0) co_return true;
+    ErrorCode error;
+    awaits_request_ = true;
+    const std::size_t got =
+        co_await stream_.async_read_some(buffer_.prepare(beast::read_size(buffer_, max_read_bytes)),
+                                         asio::redirect_error(asio::use_awaitable, error));
+    awaits_request_ = false;
+    buffer_.commit(got);
+    co_return !error;
+}
+
+asio::awaitable<void> ClientSession::read_request(Parser& parser, ErrorCode& error) {
     co_await http::async_read_header(stream_, buffer_, parser,
                                      asio::redirect_error(asio::use_awaitable, error));
     if (!error) {
--- a/src/system/data/client_session.h
+++ b/src/system/data/client_session.h
@@ -49,7 +49,7 @@
     static asio::awaitable<void> run(std::shared_ptr<ClientSession> self);
 
     // It waits for a request, of which no byte has been read.
-    bool is_idle() const { return parser_ != nullptr && !parser_->got_some(); }
+    bool is_idle() const { return awaits_request_; }
     // Ends the connection if it is idle. A request whose bytes have been read by then is still served; one
     // that crosses the end stays unread, and its client sees a reset.
     void close_if_idle();
@@ -67,8 +67,8 @@
     asio::awaitable<bool> reject_unreadable(ErrorCode error, bool has_bytes);
     asio::awaitable<bool> reject(const ClientRequest& request, const errors::Error& error);
 
-    asio::awaitable<void> read_request(Parser& parser, std::chrono::milliseconds header_timeout,
-                                       ErrorCode& error);
+    asio::awaitable<bool> await_request();
+    asio::awaitable<void> read_request(Parser& parser, ErrorCode& error);
     asio::awaitable<void> send_continue();
     asio::awaitable<bool> write_rejection(const http::response<http::string_body>& response);
     void close();
@@ -78,7 +78,7 @@
     ScopedCount connection_count_;
     beast::tcp_stream stream_;
     beast::flat_buffer buffer_;
-    const Parser* parser_ = nullptr;    // of the request that is being read
+    bool awaits_request_ = false;
     ProxiedRequest* proxied_ = nullptr; // the one under way
     std::uint64_t requests_read_ = 0;
 };
--- a/tests/system/data/client_session_test.cpp
+++ b/tests/system/data/client_session_test.cpp
@@ -126,6 +126,20 @@
     cr_assert(session.session_ended());
 }
 
+// Guards against rules CONFIG and DENIED: limits as they were when the connection began to rest.
+Test(client_session, a_request_on_a_kept_connection_has_the_limits_of_now) {
+    SessionFixture session;
+    session.send(complete_request);
+    cr_assert_eq(session.receive().result_int(), 200U);
+    session.run_until([&] { return session.session().is_idle(); });
+    std::string text = configuration_text("safe", false, 1, 10000);
+    text.replace(text.rfind('}'), 1, R"(,"limits":{"maxBodyBytes":100}})");
+    session.proxy.activate_text(text);
+    session.send("POST /a/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 0c\r\nContent-Length: 101\r\n\r\n");
+    cr_assert_eq(session.receive().result_int(), 413U);
+    cr_assert(session.session_ended());
+}
+
 Test(client_session, ends_after_a_response_while_shutting_down) {
     SessionFixture session;
     session.proxy.context->shutting_down = true;
