--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -97,18 +97,20 @@
 
 
 class Soak(harness.Deployment):
+    machine_type = SoakMachine
+
     def __init__(self, record, build, seed, workers, schedulers_per_zone=1):
         super().__init__(record, None, workers_per_zone=0)
         self.build, self.random = pathlib.Path(build).resolve(), random.Random(seed)
         self.folder = pathlib.Path(self.folder)
         self.workers = [WorkerProcess(self, number, list(harness.ZONES)[number % 3]) for number in range(workers)]
         self.platform.workers = self.workers
-        self.machines = [SoakMachine(self, zone, f"{self.net}.{index + 1}") for index, zone in enumerate(harness.ZONES)]
+        self.machines = [self.machine_type(self, zone, f"{self.net}.{index + 1}") for index, zone in enumerate(harness.ZONES)]
         self.schedulers = [*self.machines]  # all machines; those of the list above have a core member too
         for number in range(2, schedulers_per_zone + 1):
             for zone in harness.ZONES:
                 ip = f"{self.net}.{FIRST_FURTHER_HOST + len(self.schedulers)}"
-                self.schedulers.append(SoakMachine(self, zone, ip, number))
+                self.schedulers.append(self.machine_type(self, zone, ip, number))
         self.tries, self.kills, self.own_ends = [], [], []
         self.evacuations, self.disruptions = [], []
         self.ending = collections.defaultdict(list)  # disruptions that last until their process runs again, by machine and role
