Move the writer of log lines to what both generations use

The whole system's programs need a log that does not block either. Moved with its namespace: src/scheduler/log/outlet.* is src/common/log_output/non_blocking_writer.*; no behaviour changes.

--- a/src/scheduler/log/outlet.cpp
+++ b/src/common/log_output/non_blocking_writer.cpp
@@ -1,4 +1,4 @@
-#include "scheduler/log/outlet.h"
+#include "common/log_output/non_blocking_writer.h"
 
 #include <fcntl.h>
 #include <poll.h>
@@ -8,7 +8,7 @@
 
 #include <cerrno>
 
-namespace willowrill::log {
+namespace willowrill::log_output {
 
 // Other processes may share the open file description, so O_NONBLOCK must not be set on it. A pipe is
 // reopened with its own flags, a socket takes MSG_DONTWAIT with each call, and any other descriptor is polled
@@ -65,4 +65,4 @@
     return ::poll(&descriptor, 1, 0) == 0;
 }
 
-} // namespace willowrill::log
+} // namespace willowrill::log_output
--- a/src/scheduler/log/outlet.h
+++ b/src/common/log_output/non_blocking_writer.h
@@ -1,12 +1,12 @@
 // Writes lines to a file descriptor without ever blocking on its reader. A line that cannot be written at
-// once is dropped as a whole and counted, so that a stalled log reader cannot stall the scheduler.
+// once is dropped as a whole and counted, so that a stalled log reader cannot stall the process.
 #pragma once
 
 #include <cstdint>
 #include <string>
 #include <string_view>
 
-namespace willowrill::log {
+namespace willowrill::log_output {
 
 class NonBlockingWriter {
   public:
@@ -35,4 +35,4 @@
     std::uint64_t dropped_ = 0;
 };
 
-} // namespace willowrill::log
+} // namespace willowrill::log_output
--- a/src/scheduler/log/log.cpp
+++ b/src/scheduler/log/log.cpp
@@ -1,6 +1,6 @@
 #include "scheduler/log/log.h"
 
-#include "scheduler/log/outlet.h"
+#include "common/log_output/non_blocking_writer.h"
 
 #include <spdlog/details/null_mutex.h>
 #include <spdlog/pattern_formatter.h>
@@ -100,7 +100,7 @@
         return writer_.write({line.data(), line.size()});
     }
 
-    NonBlockingWriter writer_{STDERR_FILENO};
+    log_output::NonBlockingWriter writer_{STDERR_FILENO};
     std::uint64_t reported_drops_ = 0; // dropped lines already reported
 };
 std::shared_ptr<StderrSink> stderr_sink; // the sink of the default logger
--- a/tests/scheduler/log/log_test.cpp
+++ b/tests/scheduler/log/log_test.cpp
@@ -1,6 +1,6 @@
 #include "scheduler/log/log.h"
 
-#include "scheduler/log/outlet.h"
+#include "common/log_output/non_blocking_writer.h"
 
 #include <doctest/doctest.h>
 #include <spdlog/sinks/ostream_sink.h>
@@ -45,7 +45,7 @@
     SUBCASE("a socket") {}
     std::array<int, 2> ends{};
     REQUIRE((is_pipe ? ::pipe(ends.data()) : ::socketpair(AF_UNIX, SOCK_STREAM, 0, ends.data())) == 0);
-    NonBlockingWriter outlet(ends[1]);
+    log_output::NonBlockingWriter outlet(ends[1]);
     const std::string line = std::string(299, 'x') + "\n";
     std::size_t taken = 0;
     for (int i = 0; i < 5000; ++i) // far more than there is room for
