Say that a log without room has none

Callers of NonBlockingWriter::has_room() heard that a full pipe or socket can take lines, as only the remainder of the last line was looked at, so that the notice of dropped lines was tried, dropped and counted again. It now asks the descriptor, too; writing itself does not, as a socket that is a quarter full already says no. A file is written without a question before it, and a pipe that cannot be reopened gets no more than it takes without blocking.

--- a/src/common/log_output/non_blocking_writer.cpp
+++ b/src/common/log_output/non_blocking_writer.cpp
@@ -7,16 +7,18 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <climits>
 
 namespace willowrill::log_output {
 
 // Other processes may share the open file description, so O_NONBLOCK must not be set on it. A pipe is
-// reopened with its own flags, a socket takes MSG_DONTWAIT with each call, and any other descriptor is polled
-// before each write (a terminal may be stopped).
+// reopened with its own flags, a socket takes MSG_DONTWAIT with each call, a file never blocks, and any other
+// descriptor is polled before each write (a terminal may be stopped).
 NonBlockingWriter::NonBlockingWriter(int fd) : fd_(fd) {
     struct stat status {};
     if (::fstat(fd, &status) != 0) return;
     if (S_ISSOCK(status.st_mode)) kind_ = Kind::socket;
+    if (S_ISREG(status.st_mode)) kind_ = Kind::file;
     if (!S_ISFIFO(status.st_mode)) return;
     const std::string path = "/proc/self/fd/" + std::to_string(fd);
     const int reopened = ::open(path.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
@@ -30,7 +32,7 @@
 }
 
 bool NonBlockingWriter::write(std::string_view line) {
-    if (!has_room()) {
+    if (!write_pending()) {
         ++dropped_;
         return false;
     }
@@ -43,7 +45,9 @@
     return true;
 }
 
-bool NonBlockingWriter::has_room() {
+bool NonBlockingWriter::has_room() { return write_pending() && !would_block(); }
+
+bool NonBlockingWriter::write_pending() {
     if (pending_.empty()) return true;
     const long written = write_some(pending_);
     if (written > 0) pending_.erase(0, static_cast<std::size_t>(written));
@@ -51,7 +55,10 @@
 }
 
 long NonBlockingWriter::write_some(std::string_view bytes) {
-    if (kind_ == Kind::poll_first && would_block()) return -1;
+    if (kind_ == Kind::poll_first) {
+        if (would_block()) return -1;
+        bytes = bytes.substr(0, PIPE_BUF); // a pipe that can be written to takes as much without blocking
+    }
     long written = 0;
     do {
         written = kind_ == Kind::socket ? ::send(fd_, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL)
--- a/src/common/log_output/non_blocking_writer.h
+++ b/src/common/log_output/non_blocking_writer.h
@@ -18,14 +18,16 @@
     // Writes one line and returns false if it was dropped. The remainder of a line that was written in part
     // is kept and written before the next line.
     bool write(std::string_view line);
-    // Tries to write what remains of the last line; returns whether nothing remains.
+    // Tries to write what remains of the last line. Returns whether nothing remains and the descriptor says
+    // that it can be written to.
     bool has_room();
     std::uint64_t dropped() const { return dropped_; }
 
   private:
     // How blocking is avoided; see the constructor. `reopened`: `fd_` is a second descriptor, owned by this.
-    enum class Kind : std::uint8_t { poll_first, socket, reopened };
+    enum class Kind : std::uint8_t { poll_first, file, socket, reopened };
 
+    bool write_pending();                    // returns whether nothing remains
     long write_some(std::string_view bytes); // bytes written, negative for an error
     bool would_block() const;
 
