Log each start and each uncaught exception, and measure memory and descriptors

Nothing told the hypotheses of the incident apart: a start left no line, an exception that nobody caught ended a process without an event, and neither memory nor descriptors were in the metrics. event=started names the limits and the kind of log, event=terminated the exception, and two gauges what the process uses. What ends a process is as before.

--- a/src/system/control/main.cpp
+++ b/src/system/control/main.cpp
@@ -1,12 +1,12 @@
 // willowrill-control: one process of the control plane.
 #include "system/control/control_plane.h"
 #include "system/logging/log.h"
+#include "system/process/startup.h"
 #include "system/transport/process.h"
 
 #include <CLI/CLI.hpp>
 #include <fmt/format.h>
 
-#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <sstream>
@@ -43,6 +43,7 @@
 } // namespace
 
 int main(int argc, char** argv) {
+    process::prepare();
     CLI::App app{"The control plane of willowrill: configuration, membership, discovery and directory."};
     app.set_version_flag("--version", WILLOWRILL_VERSION);
     std::string settings_path, configuration_path;
@@ -54,7 +55,6 @@
     app.add_option("--check-configuration", configuration_path,
                    "validate an operator's configuration file and exit");
     CLI11_PARSE(app, argc, argv);
-    std::signal(SIGPIPE, SIG_IGN);
     if (!configuration_path.empty()) return check_configuration(configuration_path);
     asio::io_context loop(1);
     transport::ProcessSignals signals(loop);
@@ -66,6 +66,7 @@
         return 1;
     }
     if (check_only) return 0;
+    process::log_start("control", WILLOWRILL_VERSION, settings.value());
     try {
         return serve(loop, signals, settings.value(), settings_path, metrics_port);
     } catch (const std::exception& error) {
--- a/src/system/data/main.cpp
+++ b/src/system/data/main.cpp
@@ -1,11 +1,11 @@
 // willowrill-data: one process of the data plane.
 #include "system/data/data_plane.h"
 #include "system/logging/log.h"
+#include "system/process/startup.h"
 #include "system/transport/process.h"
 
 #include <CLI/CLI.hpp>
 
-#include <csignal>
 #include <cstdlib>
 #include <exception>
 #include <string>
@@ -24,6 +24,7 @@
 } // namespace
 
 int main(int argc, char** argv) {
+    process::prepare();
     CLI::App app{"The data plane of willowrill: takes clients' requests to workers."};
     app.set_version_flag("--version", WILLOWRILL_VERSION);
     std::string settings_path;
@@ -33,7 +34,6 @@
     app.add_option("--metrics-port", metrics_port, "serve figures at this port, path /metrics");
     app.add_flag("--check", check, "read the settings, say what is wrong with them, and end");
     CLI11_PARSE(app, argc, argv);
-    std::signal(SIGPIPE, SIG_IGN);
     asio::io_context loop(1);
     transport::ProcessSignals signals(loop);
     const auto settings = settings::load(settings_path);
@@ -44,6 +44,7 @@
         return EXIT_FAILURE;
     }
     if (check) return EXIT_SUCCESS;
+    process::log_start("data", WILLOWRILL_VERSION, settings.value());
     try {
         serve(loop, signals, settings.value(), settings_path, metrics_port);
     } catch (const std::exception& error) {
--- a/src/system/metrics/metrics.cpp
+++ b/src/system/metrics/metrics.cpp
@@ -65,6 +65,8 @@
                 nullptr},
     Description{"willowrill_max_protocol_version", "Highest protocol version this program speaks", nullptr,
                 nullptr},
+    Description{"willowrill_resident_bytes", "Resident memory of the process", nullptr, nullptr},
+    Description{"willowrill_open_descriptors", "Descriptors that the process has open", nullptr, nullptr},
 };
 
 const prometheus::Histogram::BucketBoundaries bounds_s{0.005, 0.01, 0.02, 0.05, 0.1, 0.2,
--- a/src/system/metrics/metrics.h
+++ b/src/system/metrics/metrics.h
@@ -42,7 +42,17 @@
 };
 
 // Gauges.
-enum class Level { sessions, is_primary, epoch, workers, members, cluster_version, max_version };
+enum class Level {
+    sessions,
+    is_primary,
+    epoch,
+    workers,
+    members,
+    cluster_version,
+    max_version,
+    resident_bytes,
+    open_descriptors
+};
 
 // Where a message goes, seen from its sender.
 enum class Crossing { none, zone, region, unknown };
--- a/src/system/metrics/metrics_server.cpp
+++ b/src/system/metrics/metrics_server.cpp
@@ -1,10 +1,21 @@
 #include "system/metrics/metrics_server.h"
 
 #include "system/logging/log.h"
+#include "system/process/resource_usage.h"
 
 #include <utility>
 
 namespace willowrill::metrics {
+namespace {
+
+void set_process_levels(Metrics& metrics) {
+    if (const auto bytes = process::resident_bytes())
+        metrics.set(Level::resident_bytes, static_cast<double>(*bytes));
+    if (const auto count = process::open_descriptors())
+        metrics.set(Level::open_descriptors, static_cast<double>(*count));
+}
+
+} // namespace
 
 MetricsServer::MetricsServer(asio::io_context& loop, const std::string& host, std::uint16_t port,
                              Metrics& metrics, std::function<void()> refresh) {
@@ -14,6 +25,7 @@
         if (request.target() != metrics_path)
             return respond(http_server::error_response(
                 request, {errors::ErrorKind::unknown_resource, std::string(request.target())}));
+        set_process_levels(metrics);
         refresh();
         auto response = http_server::json_response(request, 200, metrics.text());
         response.set(http::field::content_type, "text/plain; version=0.0.4");
--- /dev/null
+++ b/src/system/process/startup.h
@@ -0,0 +1,18 @@
+// What a process makes of the surroundings that it is started in: its standard descriptors, signals and
+// limits. To be called from `main`, before there is a second thread.
+#pragma once
+
+#include "system/settings/settings.h"
+
+#include <string_view>
+
+namespace willowrill::process {
+
+// A write to a closed connection fails and does not end the process; an exception that nobody catches is
+// logged as `event=terminated` before it ends the process.
+void prepare();
+
+// Logs `event=started` with what the platform gives to this process. `role`: of the deploy file.
+void log_start(std::string_view role, std::string_view version, const settings::Settings& settings);
+
+} // namespace willowrill::process
