Never end, and never wait, for a log line that cannot be written

Callers saw no process at all: where standard error could not be written (no reader, a full device, a closed descriptor, a full pipe that does not block), both programs ended by SIGABRT at their next line. logging::Event writes in its destructor by a call that throws, and an exception that leaves a destructor ends the process. Where the pipe blocked, the loop's thread waited in write(), and the process was alive and mute. With standard error closed, its descriptor went to the next file or connection, which got the lines.

Closed standard descriptors lead to /dev/null.

--- a/src/system/logging/log.h
+++ b/src/system/logging/log.h
@@ -1,10 +1,12 @@
 // The log of the whole system's programs: one event a line on standard error, as `level=info event=role
 // member=...`. Operators search for these keys, so an event's name and its keys are part of what the programs
-// promise (docs/system-operations.md). May be called from any thread; a line is written by one call.
+// promise (docs/system-operations.md). May be called from any thread. Never waits for the log's reader and
+// never fails: a line that cannot be written is dropped and counted.
 #pragma once
 
 #include <fmt/format.h>
 
+#include <cstdint>
 #include <iterator>
 #include <string>
 #include <string_view>
@@ -40,4 +42,7 @@
 inline Event warning(std::string_view name) { return {Level::warning, name}; }
 inline Event error(std::string_view name) { return {Level::error, name}; }
 
+// Lines that could not be written since the process started.
+std::uint64_t dropped_lines();
+
 } // namespace willowrill::logging
--- a/src/system/metrics/metrics.cpp
+++ b/src/system/metrics/metrics.cpp
@@ -65,6 +65,8 @@
                 nullptr},
     Description{"willowrill_max_protocol_version", "Highest protocol version this program speaks", nullptr,
                 nullptr},
+    Description{"willowrill_dropped_log_lines", "Lines that the log could not take since the start", nullptr,
+                nullptr},
     Description{"willowrill_resident_bytes", "Resident memory of the process", nullptr, nullptr},
     Description{"willowrill_open_descriptors", "Descriptors that the process has open", nullptr, nullptr},
 };
--- a/src/system/metrics/metrics.h
+++ b/src/system/metrics/metrics.h
@@ -50,6 +50,7 @@
     members,
     cluster_version,
     max_version,
+    dropped_log_lines, // since the process started
     resident_bytes,
     open_descriptors
 };
--- a/src/system/metrics/metrics_server.cpp
+++ b/src/system/metrics/metrics_server.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 void set_process_levels(Metrics& metrics) {
+    metrics.set(Level::dropped_log_lines, static_cast<double>(logging::dropped_lines()));
     if (const auto bytes = process::resident_bytes())
         metrics.set(Level::resident_bytes, static_cast<double>(*bytes));
     if (const auto count = process::open_descriptors())
--- a/src/system/process/startup.cpp
+++ b/src/system/process/startup.cpp
@@ -3,10 +3,12 @@
 #include "common/log_output/non_blocking_writer.h"
 #include "system/logging/log.h"
 
+#include <fcntl.h>
 #include <sys/resource.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
@@ -15,6 +17,14 @@
 namespace willowrill::process {
 namespace {
 
+void open_standard_descriptors() {
+    for (const int descriptor : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO}) {
+        if (::fcntl(descriptor, F_GETFD) >= 0 || errno != EBADF) continue;
+        // The lowest free number, which is this one.
+        (void)::open("/dev/null", descriptor == STDIN_FILENO ? O_RDONLY : O_WRONLY);
+    }
+}
+
 std::string describe_current_exception() {
     const std::exception_ptr current = std::current_exception();
     if (!current) return "no exception";
@@ -52,6 +62,7 @@
 } // namespace
 
 void prepare() {
+    open_standard_descriptors();
     std::signal(SIGPIPE, SIG_IGN);
     std::set_terminate(log_and_abort);
 }
--- a/tests/system/process/startup_test.cpp
+++ b/tests/system/process/startup_test.cpp
@@ -2,9 +2,13 @@
 #include "system/process/startup.h"
 
 #include "support/child_process.h"
+#include "support/expect.h"
 
 #include <criterion/criterion.h>
 
+#include <fcntl.h>
+#include <sys/stat.h>
+
 #include <csignal>
 #include <stdexcept>
 
@@ -44,3 +48,21 @@
                  0U, "%s", result.log.c_str());
     cr_assert_neq(result.log.find(" log=pipe\n"), std::string::npos);
 }
+
+// Guards against log lines in files and connections: a process that starts without standard error gave its
+// descriptor to the next file that it opened.
+Test(startup, standard_descriptors_that_are_closed_lead_nowhere) {
+    const ChildResult result = run_in_child([] {
+        const int log = ::dup(STDERR_FILENO);
+        for (const int descriptor : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO})
+            ::close(descriptor);
+        process::prepare();
+        struct stat first {
+        }, second{};
+        const bool is_null = ::fstat(STDERR_FILENO, &first) == 0 && ::stat("/dev/null", &second) == 0 &&
+                             first.st_rdev == second.st_rdev;
+        const std::string_view verdict = is_null ? "null" : "something else";
+        (void)::write(log, verdict.data(), verdict.size());
+    });
+    expect_text(result.log, "null");
+}
