Accept connections in one place, which pauses where descriptors run out

Two of the three accept loops asked again at once after EMFILE, with the connection that waits still there; the third paused. The number of clients was the platform's descriptors less 400, which wraps round below 400.

Bounds on connections follow the lower of the settings' and the process's limit, and a server of the system's own interfaces closes the connection that has waited longest for a request where a new one comes beyond them.

New tests of system_transport.

--- a/src/system/control/control_plane.cpp
+++ b/src/system/control/control_plane.cpp
@@ -57,13 +57,16 @@
       timer_(loop), schedule_(tick_period),
       acceptor_(loop, settings_.address, settings_.first_internal_port, *this),
       operator_api_(node_, self_, zones_of(settings_), metrics_, [this] { return upgrade_status(); }),
-      control_server_(loop, settings_.control.host, settings_.control.port, {},
+      control_server_(loop, settings_.control.host, settings_.control.port,
+                      http_server::options_within(settings_.max_files),
                       [this](const http_server::Request& request, const http_server::Respond& respond) {
                           operator_api_.on_request(request, respond);
                       }),
       metrics_server_(loop, settings_.address, metrics_port, metrics_, [this] { refresh_gauges(); }) {
     if (settings_.directory.port != 0)
-        directory_.emplace(loop, settings_.directory, [this] { return leases_.leases(); });
+        directory_.emplace(
+            loop, settings_.directory, [this] { return leases_.leases(); },
+            http_server::options_within(settings_.max_files));
     member_locations_[self_] = {self_, settings_.zone, settings_.region};
     discover_peers();
     tick();
--- a/src/system/control/directory_service.cpp
+++ b/src/system/control/directory_service.cpp
@@ -17,9 +17,10 @@
 
 } // namespace
 
-DirectoryService::DirectoryService(asio::io_context& loop, const settings::Endpoint& endpoint, Leases leases)
+DirectoryService::DirectoryService(asio::io_context& loop, const settings::Endpoint& endpoint, Leases leases,
+                                   http_server::Options options)
     : leases_(std::move(leases)),
-      server_(loop, endpoint.host, endpoint.port, {},
+      server_(loop, endpoint.host, endpoint.port, options,
               [this](const http_server::Request& request, const http_server::Respond& respond) {
                   on_request(request, respond);
               }) {}
--- a/src/system/control/directory_service.h
+++ b/src/system/control/directory_service.h
@@ -16,7 +16,8 @@
     using Leases = std::function<std::vector<membership::Lease>()>;
 
     // `leases` returns the current scheduler leases; it is called for every request.
-    DirectoryService(asio::io_context& loop, const settings::Endpoint& endpoint, Leases leases);
+    DirectoryService(asio::io_context& loop, const settings::Endpoint& endpoint, Leases leases,
+                     http_server::Options options = {});
 
   private:
     void on_request(const http_server::Request& request, const http_server::Respond& respond) const;
--- a/src/system/control/main.cpp
+++ b/src/system/control/main.cpp
@@ -58,7 +58,7 @@
     if (!configuration_path.empty()) return check_configuration(configuration_path);
     asio::io_context loop(1);
     transport::ProcessSignals signals(loop);
-    const auto settings = settings::load(settings_path);
+    auto settings = settings::load(settings_path);
     if (!settings || settings.value().control.port == 0) {
         logging::error("settings-unusable")
             .field("path", settings_path)
@@ -66,6 +66,7 @@
         return 1;
     }
     if (check_only) return 0;
+    process::apply_limits(settings.value());
     process::log_start("control", WILLOWRILL_VERSION, settings.value());
     try {
         return serve(loop, signals, settings.value(), settings_path, metrics_port);
--- a/src/system/data/client_listener.cpp
+++ b/src/system/data/client_listener.cpp
@@ -11,11 +11,12 @@
 namespace {
 
 constexpr std::chrono::milliseconds unacknowledged_timeout{5000};
-constexpr std::size_t descriptors_for_others = 400;
+constexpr std::size_t max_descriptors_for_others = 400;
 
 // Each client may need a connection to a worker too.
 std::size_t max_clients(const settings::Settings& settings) {
-    return (settings.max_files - descriptors_for_others) / 2;
+    const std::size_t for_others = std::min(max_descriptors_for_others, settings.max_files / 2);
+    return (settings.max_files - for_others) / 2;
 }
 
 void log_failure(const std::exception_ptr& failure) {
@@ -25,44 +26,23 @@
 } // namespace
 
 struct ClientListener::Shared {
-    explicit Shared(Context& c) : context(c), acceptor(c.loop) {}
+    explicit Shared(Context& c) : context(c) {}
     Context& context;
-    Tcp::acceptor acceptor;
     std::shared_ptr<ClientCounts> counts = std::make_shared<ClientCounts>();
     ClientSessionList sessions;
 };
 
 ClientListener::ClientListener(Context& context, const std::string& host, std::uint16_t port)
-    : shared_(std::make_shared<Shared>(context)) {
-    const Tcp::endpoint endpoint(asio::ip::make_address(host), port);
-    shared_->acceptor.open(endpoint.protocol());
-    shared_->acceptor.set_option(Tcp::acceptor::reuse_address(true));
-    shared_->acceptor.bind(endpoint);
-    shared_->acceptor.listen();
-    accept_next(shared_);
-}
-
-ClientListener::~ClientListener() { stop_accepting(); }
-
-void ClientListener::accept_next(const std::shared_ptr<Shared>& shared) {
-    shared->acceptor.async_accept([shared](ErrorCode error, Tcp::socket socket) {
-        if (!shared->acceptor.is_open()) return;
-        const bool has_capacity = shared->counts->connections < max_clients(shared->context.settings);
-        if (!error && has_capacity) start_session(shared, std::move(socket));
-        accept_next(shared);
-    });
-}
+    : shared_(std::make_shared<Shared>(context)),
+      listener_(context.loop, host, port,
+                [shared = shared_](Tcp::socket socket) { start_session(*shared, std::move(socket)); }) {}
 
-void ClientListener::start_session(const std::shared_ptr<Shared>& shared, Tcp::socket socket) {
+void ClientListener::start_session(Shared& shared, Tcp::socket socket) {
+    if (shared.counts->connections >= max_clients(shared.context.settings)) return;
     transport::configure_socket(socket, unacknowledged_timeout);
-    const auto session = std::make_shared<ClientSession>(shared->context, shared->counts, std::move(socket));
-    shared->sessions.push_back(*session);
-    asio::co_spawn(shared->context.loop, ClientSession::run(session), log_failure);
-}
-
-void ClientListener::stop_accepting() {
-    ErrorCode ignored;
-    shared_->acceptor.close(ignored);
+    const auto session = std::make_shared<ClientSession>(shared.context, shared.counts, std::move(socket));
+    shared.sessions.push_back(*session);
+    asio::co_spawn(shared.context.loop, ClientSession::run(session), log_failure);
 }
 
 void ClientListener::close_idle_connections() {
--- a/src/system/data/client_listener.h
+++ b/src/system/data/client_listener.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "system/data/context.h"
+#include "system/transport/listener.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -15,12 +16,11 @@
   public:
     // Listens from now on; throws where the address cannot be had. `context` must outlive the loop's run.
     ClientListener(Context& context, const std::string& host, std::uint16_t port);
-    ~ClientListener();
     ClientListener(const ClientListener&) = delete;
     ClientListener& operator=(const ClientListener&) = delete;
 
     // Accepts nobody more; open connections are served on.
-    void stop_accepting();
+    void stop_accepting() { listener_.close(); }
     // Ends the connections on which no request has begun.
     void close_idle_connections();
     // Answers all requests under way that they were given up.
@@ -32,11 +32,10 @@
 
   private:
     struct Shared;
-    static void accept_next(const std::shared_ptr<Shared>& shared);
-    static void start_session(const std::shared_ptr<Shared>& shared, Tcp::socket socket);
+    static void start_session(Shared& shared, Tcp::socket socket);
 
-    // Shared with the handler that waits for the next connection.
-    std::shared_ptr<Shared> shared_;
+    std::shared_ptr<Shared> shared_; // with the handler that waits for the next connection
+    transport::Listener listener_;
 };
 
 } // namespace willowrill::data
--- a/src/system/data/data_plane.cpp
+++ b/src/system/data/data_plane.cpp
@@ -49,7 +49,8 @@
       context_(loop, settings_, identity::random_identity()), incarnation_(identity::random_identity()),
       core_(loop, settings_, core_callbacks()),
       load_reports_(context_, settings_.address, load_report_port(settings_)),
-      readiness_(loop, settings_.readiness.host, settings_.readiness.port, {},
+      readiness_(loop, settings_.readiness.host, settings_.readiness.port,
+                 http_server::options_within(settings_.max_files),
                  [this](const http_server::Request& request, const http_server::Respond& respond) {
                      on_readiness(request, respond);
                  }),
--- a/src/system/data/main.cpp
+++ b/src/system/data/main.cpp
@@ -36,7 +36,7 @@
     CLI11_PARSE(app, argc, argv);
     asio::io_context loop(1);
     transport::ProcessSignals signals(loop);
-    const auto settings = settings::load(settings_path);
+    auto settings = settings::load(settings_path);
     if (!settings || settings.value().front.port == 0 || settings.value().readiness.port == 0) {
         const std::string reason =
             settings ? "endpoints.front or endpoints.readiness is missing" : settings.error().detail;
@@ -44,6 +44,7 @@
         return EXIT_FAILURE;
     }
     if (check) return EXIT_SUCCESS;
+    process::apply_limits(settings.value());
     process::log_start("data", WILLOWRILL_VERSION, settings.value());
     try {
         serve(loop, signals, settings.value(), settings_path, metrics_port);
--- a/src/system/http_server/server.cpp
+++ b/src/system/http_server/server.cpp
@@ -1,23 +1,30 @@
 #include "system/http_server/server.h"
 
-#include "system/http_server/acceptor.h"
 #include "system/http_server/session.h"
+#include "system/transport/socket_options.h"
 
 #include <utility>
 
 namespace willowrill::http_server {
+namespace {
 
-Server::Server(asio::io_context& loop, const std::string& host, std::uint16_t port, Options options,
-               Handler handler) {
-    auto sessions = std::make_shared<SessionContext>();
-    sessions->options = options;
-    sessions->handler = std::move(handler);
-    acceptor_ = std::make_shared<Acceptor>(loop, host, port, std::move(sessions));
-    acceptor_->accept_next();
-}
+constexpr std::chrono::milliseconds unacknowledged_timeout{5000};
 
-Server::~Server() { stop_accepting(); }
+} // namespace
 
-void Server::stop_accepting() { acceptor_->close(); }
+Server::Server(asio::io_context& loop, const std::string& host, std::uint16_t port, Options options,
+               Handler handler)
+    : sessions_(std::make_shared<SessionContext>(options, std::move(handler))),
+      listener_(loop, host, port,
+                [sessions = sessions_](Tcp::socket socket) { on_accepted(sessions, std::move(socket)); }) {}
+
+void Server::on_accepted(const std::shared_ptr<SessionContext>& sessions, Tcp::socket socket) {
+    if (sessions->open_sessions >= sessions->options.max_connections) {
+        if (sessions->waiting.empty()) return;
+        sessions->waiting.front().close();
+    }
+    transport::configure_socket(socket, unacknowledged_timeout);
+    std::make_shared<Session>(sessions, std::move(socket))->read();
+}
 
 } // namespace willowrill::http_server
--- a/src/system/http_server/server.h
+++ b/src/system/http_server/server.h
@@ -6,6 +6,7 @@
 #include "system/http_server/options.h"
 #include "system/http_server/responses.h"
 #include "system/transport/asio.h"
+#include "system/transport/listener.h"
 
 #include <cstdint>
 #include <memory>
@@ -13,7 +14,7 @@
 
 namespace willowrill::http_server {
 
-class Acceptor;
+struct SessionContext;
 
 class Server {
   public:
@@ -21,15 +22,15 @@
     // had. `loop` must outlive the server, and what `handler` refers to must outlive the loop's last run.
     Server(asio::io_context& loop, const std::string& host, std::uint16_t port, Options options,
            Handler handler);
-    ~Server();
-    Server(const Server&) = delete;
-    Server& operator=(const Server&) = delete;
 
     // Accepts no more connections; those that are open go on.
-    void stop_accepting();
+    void stop_accepting() { listener_.close(); }
 
   private:
-    std::shared_ptr<Acceptor> acceptor_;
+    static void on_accepted(const std::shared_ptr<SessionContext>& sessions, Tcp::socket socket);
+
+    std::shared_ptr<SessionContext> sessions_;
+    transport::Listener listener_;
 };
 
 } // namespace willowrill::http_server
--- a/src/system/http_server/session.cpp
+++ b/src/system/http_server/session.cpp
@@ -27,6 +27,7 @@
 Session::~Session() { --context_->open_sessions; }
 
 void Session::read() {
+    context_->waiting.push_back(*this);
     parser_.emplace();
     parser_->header_limit(static_cast<std::uint32_t>(context_->options.header_bytes));
     parser_->body_limit(context_->options.body_bytes);
@@ -36,7 +37,13 @@
         [self = shared_from_this()](ErrorCode error, std::size_t /*bytes*/) { self->on_read(error); });
 }
 
+void Session::close() {
+    unlink();
+    stream_.close();
+}
+
 void Session::on_read(ErrorCode error) {
+    if (is_linked()) unlink();
     if (error == http::error::header_limit || error == http::error::body_limit)
         return write(error_response({}, {ErrorKind::request_too_large, error.message()}), true);
     if (is_malformed(error))
--- a/src/system/http_server/session.h
+++ b/src/system/http_server/session.h
@@ -6,20 +6,20 @@
 #include "system/http_server/options.h"
 #include "system/transport/asio.h"
 
+#include <boost/intrusive/list.hpp>
+
 #include <cstddef>
 #include <memory>
 #include <optional>
+#include <utility>
 
 namespace willowrill::http_server {
 
-// What the sessions of one server share; outlives the server for as long as one of them is open.
-struct SessionContext {
-    Options options;
-    Handler handler;
-    std::size_t open_sessions = 0;
-};
+struct SessionContext;
+using SessionHook =
+    boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
 
-class Session : public std::enable_shared_from_this<Session> {
+class Session : public std::enable_shared_from_this<Session>, public SessionHook {
   public:
     Session(std::shared_ptr<SessionContext> context, Tcp::socket socket);
     ~Session();
@@ -28,6 +28,8 @@
 
     // Reads the next request.
     void read();
+    // Ends the connection of a session that waits for a request.
+    void close();
 
   private:
     void on_read(ErrorCode error);
@@ -42,4 +44,15 @@
     Response response_;
 };
 
+// What the sessions of one server share; outlives the server for as long as one of them is open.
+struct SessionContext {
+    SessionContext(Options o, Handler h) : options(o), handler(std::move(h)) {}
+
+    Options options;
+    Handler handler;
+    std::size_t open_sessions = 0;
+    // Those that wait for a request, the longest first; at most `options.max_connections`.
+    boost::intrusive::list<Session, boost::intrusive::constant_time_size<false>> waiting;
+};
+
 } // namespace willowrill::http_server
--- a/src/system/process/startup.cpp
+++ b/src/system/process/startup.cpp
@@ -8,6 +8,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <csignal>
 #include <cstdlib>
@@ -67,6 +68,11 @@
     std::set_terminate(log_and_abort);
 }
 
+void apply_limits(settings::Settings& settings) {
+    const rlim_t descriptors = limit_of(RLIMIT_NOFILE);
+    if (descriptors != 0) settings.max_files = std::min<std::size_t>(settings.max_files, descriptors);
+}
+
 void log_start(std::string_view role, std::string_view version, const settings::Settings& settings) {
     logging::info("started")
         .field("role", role)
--- a/src/system/process/startup.h
+++ b/src/system/process/startup.h
@@ -14,6 +14,9 @@
 // logged as `event=terminated` before it ends the process.
 void prepare();
 
+// Lowers the descriptors and the memory in `settings` to the limits of this process.
+void apply_limits(settings::Settings& settings);
+
 // Logs `event=started` with what the platform gives to this process. `role`: of the deploy file.
 void log_start(std::string_view role, std::string_view version, const settings::Settings& settings);
 
--- a/src/system/transport/frame_listener.h
+++ b/src/system/transport/frame_listener.h
@@ -3,6 +3,7 @@
 
 #include "system/transport/asio.h"
 #include "system/transport/frame_connection.h"
+#include "system/transport/listener.h"
 
 #include <cstdint>
 #include <functional>
@@ -19,12 +20,7 @@
                   std::function<void(FrameConnectionPtr)> on_accept);
 
   private:
-    void accept();
-    void retry_later();
-
-    Tcp::acceptor acceptor_;
-    SteadyTimer retry_timer_;
-    std::function<void(FrameConnectionPtr)> on_accept_;
+    Listener listener_;
 };
 
 } // namespace willowrill::transport
--- a/tests/system/transport/http_test.cpp
+++ b/tests/system/transport/http_test.cpp
@@ -52,3 +52,29 @@
     loop.run_for(std::chrono::seconds(5));
     cr_assert(called);
 }
+
+// Guards against a process that is mute: connections that said nothing held all there are.
+Test(http, a_new_client_is_served_beside_as_many_silent_ones_as_may_connect) {
+    asio::io_context loop;
+    std::uint16_t port = 0;
+    {
+        const Tcp::acceptor free(loop, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+        port = free.local_endpoint().port();
+    }
+    http_server::Options options;
+    options.max_connections = 2;
+    http_server::Server server(loop, "127.0.0.1", port, options,
+                               [](const http_server::Request& request, const http_server::Respond& respond) {
+                                   respond(http_server::json_response(request, 200, "{}"));
+                               });
+    std::vector<Tcp::socket> silent;
+    for (std::size_t i = 0; i < options.max_connections; ++i)
+        silent.emplace_back(loop).connect(transport::endpoint_of("127.0.0.1", port));
+    const auto client = std::make_shared<http_client::Client>(loop, "127.0.0.1", port);
+    bool served = false;
+    client->get("/", std::chrono::seconds(5),
+                [&](const http_client::Response* response) { served = response != nullptr; });
+    while (client->busy())
+        cr_assert_gt(loop.run_one_for(std::chrono::seconds(5)), 0U);
+    cr_assert(served);
+}
