Wait at the start for addresses that the process before still has

Callers saw processes that ended with status 1 again and again after a freeze and a kill: the platform starts a process while the one before it is not gone, bind() says that the address is in use, and the constructor's exception ended the new one at each start. Besides, the new core member had opened its disk by then, and rewritten its newest record, while the old one could still write there.

An address that stays in use, or that the machine does not have, still ends it, with the address in the log.

--- a/src/system/control/control_plane.cpp
+++ b/src/system/control/control_plane.cpp
@@ -33,6 +33,14 @@
 
 } // namespace
 
+std::vector<Tcp::endpoint> addresses_of(const settings::Settings& settings) {
+    std::vector<Tcp::endpoint> result{transport::endpoint_of(settings.address, settings.first_internal_port),
+                                      transport::endpoint_of(settings.control.host, settings.control.port)};
+    if (settings.directory.port != 0)
+        result.push_back(transport::endpoint_of(settings.directory.host, settings.directory.port));
+    return result;
+}
+
 ControlPlane::ControlPlane(asio::io_context& loop, settings::Settings settings, std::string settings_path,
                            std::uint16_t metrics_port)
     : loop_(loop), settings_(std::move(settings)), settings_path_(std::move(settings_path)),
--- a/src/system/control/control_plane.h
+++ b/src/system/control/control_plane.h
@@ -21,9 +21,13 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace willowrill::control {
 
+// Where a process of the control plane listens, but for its metrics. Throws where an address is malformed.
+std::vector<Tcp::endpoint> addresses_of(const settings::Settings& settings);
+
 class ControlPlane : private ConnectionAcceptor::Handler {
   public:
     // `settings_path`: file that `reload_settings` reads the seeds from.
--- a/src/system/control/main.cpp
+++ b/src/system/control/main.cpp
@@ -2,6 +2,7 @@
 #include "system/control/control_plane.h"
 #include "system/logging/log.h"
 #include "system/process/startup.h"
+#include "system/transport/address_wait.h"
 #include "system/transport/process.h"
 
 #include <CLI/CLI.hpp>
@@ -35,6 +36,8 @@
 
 int serve(asio::io_context& loop, transport::ProcessSignals& signals, const settings::Settings& settings,
           const std::string& path, std::uint16_t metrics_port) {
+    // Before anything reads the disk: the process that has the addresses may still write there.
+    if (!transport::wait_for_addresses(loop, signals, control::addresses_of(settings))) return 0;
     control::ControlPlane plane(loop, settings, path, metrics_port);
     signals.run_until_shutdown(loop, plane);
     return 0;
--- a/src/system/data/data_plane.cpp
+++ b/src/system/data/data_plane.cpp
@@ -43,6 +43,12 @@
 
 } // namespace
 
+std::vector<Tcp::endpoint> addresses_of(const settings::Settings& settings) {
+    return {transport::endpoint_of(settings.front.host, settings.front.port),
+            transport::endpoint_of(settings.readiness.host, settings.readiness.port),
+            transport::endpoint_of(settings.address, load_report_port(settings))};
+}
+
 DataPlane::DataPlane(asio::io_context& loop, settings::Settings settings, std::string settings_path,
                      std::uint16_t metrics_port)
     : loop_(loop), settings_(std::move(settings)), settings_path_(std::move(settings_path)),
--- a/src/system/data/data_plane.h
+++ b/src/system/data/data_plane.h
@@ -19,9 +19,13 @@
 
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace willowrill::data {
 
+// Where a process of the data plane listens, but for its metrics. Throws where an address is malformed.
+std::vector<Tcp::endpoint> addresses_of(const settings::Settings& settings);
+
 class DataPlane {
   public:
     // `settings_path`: read again for the seeds of the core. `metrics_port`: 0 serves no metrics. `loop` must
--- a/src/system/data/main.cpp
+++ b/src/system/data/main.cpp
@@ -2,6 +2,7 @@
 #include "system/data/data_plane.h"
 #include "system/logging/log.h"
 #include "system/process/startup.h"
+#include "system/transport/address_wait.h"
 #include "system/transport/process.h"
 
 #include <CLI/CLI.hpp>
@@ -17,6 +18,7 @@
 // Returns once the process has left in order; throws where it cannot start.
 void serve(asio::io_context& loop, transport::ProcessSignals& signals, const settings::Settings& settings,
            const std::string& path, std::uint16_t metrics_port) {
+    if (!transport::wait_for_addresses(loop, signals, data::addresses_of(settings))) return;
     data::DataPlane data_plane(loop, settings, path, metrics_port);
     signals.run_until_shutdown(loop, data_plane);
 }
--- a/src/system/transport/process.h
+++ b/src/system/transport/process.h
@@ -23,6 +23,28 @@
   public:
     explicit ProcessSignals(asio::io_context& loop) : signals_(loop, SIGTERM, SIGINT, SIGHUP) {}
 
+    // Waits for `duration` while the process has no plane yet, or until SIGTERM or SIGINT comes, and returns
+    // whether one came. A SIGHUP is done with: the settings are those of a moment ago.
+    bool shutdown_requested_within(asio::io_context& loop, std::chrono::milliseconds duration) {
+        bool requested = false;
+        SteadyTimer timer(loop, duration);
+        std::function<void()> wait_for_signal = [&] {
+            signals_.async_wait([&](ErrorCode error, int signal) {
+                if (error) return;
+                requested = requested || signal != SIGHUP;
+                if (requested)
+                    timer.cancel();
+                else
+                    wait_for_signal();
+            });
+        };
+        wait_for_signal();
+        timer.async_wait([&](ErrorCode /*error*/) { signals_.cancel(); });
+        loop.run();
+        loop.restart();
+        return requested;
+    }
+
     // Runs the loop on this thread until the plane stops it. SIGHUP calls the plane's `reload_settings`, the
     // others its `leave`, all from the loop; also for signals that came before.
     template <class Plane> void run_until_shutdown(asio::io_context& loop, Plane& plane) {
