Take a limit on file sizes as a disk that fails, not as an end

Callers saw willowrill-control end by SIGXFSZ at each start where the platform limits file sizes: that signal's default action ends a process, and only SIGPIPE was ignored. It is ignored now, and the write fails as on a full disk, which the core member bears and reports.

New tests of system_process.

--- a/src/system/process/startup.cpp
+++ b/src/system/process/startup.cpp
@@ -65,6 +65,7 @@
 void prepare() {
     open_standard_descriptors();
     std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGXFSZ, SIG_IGN);
     std::set_terminate(log_and_abort);
 }
 
--- a/src/system/process/startup.h
+++ b/src/system/process/startup.h
@@ -9,8 +9,8 @@
 namespace willowrill::process {
 
 // Makes the process independent of how it was started, before it opens anything: standard descriptors that
-// are closed lead to /dev/null, so that no file or connection gets their numbers; a write to a closed pipe
-// fails and does not end the process; an exception that nobody catches is
+// are closed lead to /dev/null, so that no file or connection gets their numbers; a write to a closed pipe or
+// beyond the limit on file sizes fails and does not end the process; an exception that nobody catches is
 // logged as `event=terminated` before it ends the process.
 void prepare();
 
--- a/tests/system/process/startup_test.cpp
+++ b/tests/system/process/startup_test.cpp
@@ -7,9 +7,12 @@
 #include <criterion/criterion.h>
 
 #include <fcntl.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 
+#include <cerrno>
 #include <csignal>
+#include <cstdio>
 #include <stdexcept>
 
 using namespace willowrill;
@@ -66,3 +69,31 @@
     });
     expect_text(result.log, "null");
 }
+
+// Guards against a process that ends by itself: a write beyond the limit on file sizes ended it by SIGXFSZ.
+Test(startup, a_write_beyond_the_limit_on_file_sizes_fails_and_ends_nothing) {
+    const ChildResult result = run_in_child([] {
+        process::prepare();
+        std::FILE* file = std::tmpfile();
+        const rlimit limit{1, 1};
+        ::setrlimit(RLIMIT_FSIZE, &limit);
+        const bool failed = ::pwrite(::fileno(file), "xy", 2, 1) < 0 && errno == EFBIG;
+        ::_exit(failed ? 0 : 1);
+    });
+    cr_assert(result.ended_with(0));
+}
+
+Test(startup, the_settings_are_lowered_to_the_limits_of_the_process) {
+    const ChildResult result = run_in_child([] {
+        const rlimit limit{64, 64};
+        ::setrlimit(RLIMIT_NOFILE, &limit);
+        settings::Settings settings;
+        settings.max_files = 4100;
+        process::apply_limits(settings);
+        const bool lowered = settings.max_files == 64;
+        settings.max_files = 20;
+        process::apply_limits(settings);
+        ::_exit(lowered && settings.max_files == 20 ? 0 : 1);
+    });
+    cr_assert(result.ended_with(0));
+}
