Create the data folder where it is missing

Operators saw a system that never starts: where dataPath was not there, each core member tried to open its files every 0.5 s for ever, no process ended, and no order was taken. The folder is created now, with those above it, and each is made durable in the one above; a path that is no folder stays event=disk-unusable with its name. An empty folder means what it did: a disk that was lost, unless initialStart says so.

Two new tests of system_storage.

--- a/src/system/control/replica_store.cpp
+++ b/src/system/control/replica_store.cpp
@@ -5,9 +5,12 @@
 #include "system/logging/log.h"
 #include "system/replication/codec.h"
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cerrno>
+#include <cstring>
 #include <stdexcept>
 #include <utility>
 
@@ -47,6 +50,9 @@
 } // namespace
 
 errors::Result<std::unique_ptr<ReplicaStore>> ReplicaStore::open(const std::filesystem::path& folder) {
+    if (!storage::create_folder(folder))
+        return errors::Error{errors::ErrorKind::storage_failed,
+                             fmt::format("cannot create {}: {}", folder.string(), std::strerror(errno))};
     auto registers = storage::RecordRing::open(folder, "register", slots_per_ring, register_capacity_bytes);
     if (!registers) return registers.error();
     auto states = storage::RecordRing::open(folder, "state", slots_per_ring, state_capacity_bytes);
--- a/src/system/storage/file.cpp
+++ b/src/system/storage/file.cpp
@@ -13,9 +13,27 @@
 
 constexpr std::size_t preallocation_chunk_bytes = 65536;
 constexpr mode_t new_file_mode = 0644;
+constexpr mode_t new_folder_mode = 0755;
+
+bool sync_folder(const std::filesystem::path& folder) {
+    const int descriptor = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (descriptor < 0) return false;
+    const bool synced = ::fsync(descriptor) == 0;
+    ::close(descriptor);
+    return synced;
+}
 
 } // namespace
 
+bool create_folder(const std::filesystem::path& folder) {
+    std::error_code ignored;
+    if (folder.empty() || std::filesystem::is_directory(folder, ignored)) return true;
+    const std::filesystem::path parent = folder.has_parent_path() ? folder.parent_path() : ".";
+    if (!create_folder(parent)) return false;
+    if (::mkdir(folder.c_str(), new_folder_mode) != 0 && errno != EEXIST) return false;
+    return sync_folder(parent);
+}
+
 std::optional<File> File::open_or_create(const std::string& path) {
     const int descriptor = ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, new_file_mode);
     if (descriptor < 0) return std::nullopt;
--- a/src/system/storage/file.h
+++ b/src/system/storage/file.h
@@ -3,12 +3,17 @@
 #pragma once
 
 #include <cstddef>
+#include <filesystem>
 #include <optional>
 #include <string>
 #include <string_view>
 
 namespace willowrill::storage {
 
+// Creates the folder, with those above it, unless it is there. Each new one is durable in the one above.
+// Returns false and sets `errno` if it cannot be had.
+bool create_folder(const std::filesystem::path& folder);
+
 class File {
   public:
     // Return an empty optional and set `errno` if the file cannot be opened.
--- a/tests/system/storage/storage_test.cpp
+++ b/tests/system/storage/storage_test.cpp
@@ -277,3 +277,23 @@
     cr_assert(ring.value().write("third"));
     cr_assert(ring.value().format() == RecordFormat::cluster_version);
 }
+
+// Guards against a system that never starts: a core member without its data folder waited for it for ever.
+Test(replica_store, a_data_folder_that_is_missing_is_created) {
+    const ScratchFolder folder;
+    const fs::path missing = folder.path() / "a" / "b";
+    cr_assert(static_cast<bool>(willowrill::control::ReplicaStore::open(missing)));
+    cr_assert(fs::is_directory(missing));
+}
+
+// Guards against faults that are hidden: what is no folder stays an error that names it.
+Test(replica_store, a_data_path_that_is_a_file_is_an_error_that_names_it) {
+    const ScratchFolder folder;
+    write_file(folder.path() / "file", "x");
+    for (const fs::path& path : {folder.path() / "file", folder.path() / "file" / "below"}) {
+        const auto store = willowrill::control::ReplicaStore::open(path);
+        cr_assert_not(static_cast<bool>(store));
+        cr_assert_neq(store.error().detail.find(path.string()), std::string::npos, "%s",
+                      store.error().detail.c_str());
+    }
+}
