Bound the memory that bodies of requests hold together

Bodies may now hold half of memoryMb together, each counted twice. A request whose body has no room is answered at once, before it runs: 503 with Retry-After, and its connection ends once the client has read that. Bodies in chunks are counted as they come.

--- a/src/system/data/client_session.cpp
+++ b/src/system/data/client_session.cpp
@@ -3,6 +3,7 @@
 #include "system/data/client_watch.h"
 #include "system/http_server/server.h"
 
+#include <array>
 #include <string>
 #include <utility>
 
@@ -15,6 +16,9 @@
 constexpr std::chrono::milliseconds body_timeout{15000};
 constexpr std::chrono::milliseconds rejection_timeout{1000};
 constexpr std::size_t max_read_bytes = 65536; // of one read while a request is awaited
+// The body as it was read, and a copy that is sent to a worker.
+constexpr std::size_t copies_of_body = 2;
+constexpr std::chrono::milliseconds discard_timeout{1000};
 
 // What to tell a client whose bytes could not be read as a request; nothing where it left, or was idle for
 // too long.
@@ -29,6 +33,16 @@
     return Error{ErrorKind::malformed_request, error.message()};
 }
 
+http::response<http::string_body> error_response(const ClientRequest& request, const Error& error,
+                                                 bool keep_alive) {
+    auto response = http_server::error_response(request, error);
+    if (const auto id = request.find("Attempt-Id"); id != request.end())
+        response.set("Attempt-Id", id->value());
+    response.keep_alive(keep_alive);
+    response.prepare_payload();
+    return response;
+}
+
 } // namespace
 
 ClientSession::ClientSession(Context& context, std::shared_ptr<ClientCounts> counts, Tcp::socket socket)
@@ -59,7 +73,9 @@
     parser.body_limit(limits.max_body_bytes);
     if (requests_read_ > 0) stream_.expires_after(limits.header_timeout);
     ErrorCode error;
-    co_await read_request(parser, error);
+    BodyMemory memory(context_.body_memory); // until the response is complete
+    co_await read_request(parser, memory, error);
+    if (error == asio::error::no_memory) co_return co_await reject_for_memory(parser.get());
     if (error) co_return co_await reject_unreadable(error, parser.got_some());
     ++requests_read_;
     const ClientRequest request = parser.release();
@@ -82,17 +98,33 @@
     co_return !error;
 }
 
-asio::awaitable<void> ClientSession::read_request(Parser& parser, ErrorCode& error) {
+asio::awaitable<void> ClientSession::read_request(Parser& parser, BodyMemory& memory, ErrorCode& error) {
     co_await http::async_read_header(stream_, buffer_, parser,
                                      asio::redirect_error(asio::use_awaitable, error));
-    if (!error) {
-        stream_.expires_after(body_timeout);
-        if (beast::iequals(parser.get()[http::field::expect], "100-continue")) co_await send_continue();
-        co_await http::async_read(stream_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        stream_.expires_never();
+        co_return;
     }
+    stream_.expires_after(body_timeout);
+    if (!memory.grow_to(copies_of_body * parser.content_length().value_or(0))) {
+        error = asio::error::no_memory;
+        co_return;
+    }
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) co_await send_continue();
+    co_await read_body(parser, memory, error);
     stream_.expires_never();
 }
 
+// In pieces, as the length of a chunked body is known at its end only.
+asio::awaitable<void> ClientSession::read_body(Parser& parser, BodyMemory& memory, ErrorCode& error) {
+    while (!error && !parser.is_done()) {
+        co_await http::async_read_some(stream_, buffer_, parser,
+                                       asio::redirect_error(asio::use_awaitable, error));
+        if (!error && !memory.grow_to(copies_of_body * parser.get().body().size()))
+            error = asio::error::no_memory;
+    }
+}
+
 asio::awaitable<void> ClientSession::send_continue() {
     static const std::string line = "HTTP/1.1 100 Continue\r\n\r\n";
     ErrorCode ignored;
@@ -136,21 +168,36 @@
     if (!reason) co_return false;
     ++context_.counters.bad;
     const ClientRequest no_request;
-    auto response = http_server::error_response(no_request, *reason);
-    response.keep_alive(false);
-    response.prepare_payload();
+    const auto response = error_response(no_request, *reason, false);
     co_await write_rejection(response);
     co_return false;
 }
 
+// The body is not there, so that the connection cannot be used again.
+asio::awaitable<bool> ClientSession::reject_for_memory(const ClientRequest& request) {
+    ++context_.counters.refused;
+    context_.metrics.add(metrics::Total::refusals, "body memory");
+    const Error error{ErrorKind::overloaded, "no memory for the body now"};
+    const auto response = error_response(request, error, false);
+    const bool written = co_await write_rejection(response);
+    if (written) co_await discard_rest_of_request();
+    co_return false;
+}
+
+asio::awaitable<void> ClientSession::discard_rest_of_request() {
+    ErrorCode error;
+    stream_.socket().shutdown(Tcp::socket::shutdown_send, error);
+    stream_.expires_after(discard_timeout);
+    std::array<char, max_read_bytes / 4> discarded{};
+    while (!error)
+        co_await stream_.async_read_some(asio::buffer(discarded),
+                                         asio::redirect_error(asio::use_awaitable, error));
+}
+
 asio::awaitable<bool> ClientSession::reject(const ClientRequest& request, const Error& error) {
     ++context_.counters.bad;
     const bool keep_alive = request.keep_alive() && !context_.shutting_down;
-    auto response = http_server::error_response(request, error);
-    if (const auto id = request.find("Attempt-Id"); id != request.end())
-        response.set("Attempt-Id", id->value());
-    response.keep_alive(keep_alive);
-    response.prepare_payload();
+    const auto response = error_response(request, error, keep_alive);
     const bool written = co_await write_rejection(response);
     const bool reusable = written && keep_alive;
     co_return reusable;
--- a/src/system/data/client_session.h
+++ b/src/system/data/client_session.h
@@ -58,6 +58,7 @@
 
   private:
     using Parser = http::request_parser<http::string_body>;
+    using BodyMemory = budget::ByteBudget::Reservation;
 
     // These return false when the connection is at its end.
     asio::awaitable<bool> serve_request();
@@ -65,12 +66,18 @@
     asio::awaitable<bool> proxy(const ClientRequest& request, const ActiveConfigurationPtr& configuration,
                                 const configuration::Route& route, routing::Time arrived);
     asio::awaitable<bool> reject_unreadable(ErrorCode error, bool has_bytes);
+    asio::awaitable<bool> reject_for_memory(const ClientRequest& request);
     asio::awaitable<bool> reject(const ClientRequest& request, const errors::Error& error);
 
     asio::awaitable<bool> await_request();
-    asio::awaitable<void> read_request(Parser& parser, ErrorCode& error);
+    // `error`: boost::asio::error::no_memory where the body has no room in `memory`; the rest of the request
+    // is not read then.
+    asio::awaitable<void> read_request(Parser& parser, BodyMemory& memory, ErrorCode& error);
+    asio::awaitable<void> read_body(Parser& parser, BodyMemory& memory, ErrorCode& error);
     asio::awaitable<void> send_continue();
     asio::awaitable<bool> write_rejection(const http::response<http::string_body>& response);
+    // Lets a client that is still sending read the response before the connection ends.
+    asio::awaitable<void> discard_rest_of_request();
     void close();
 
     Context& context_;
--- a/src/system/data/context.h
+++ b/src/system/data/context.h
@@ -2,6 +2,7 @@
 // connections to workers. One thread.
 #pragma once
 
+#include "system/budget/byte_budget.h"
 #include "system/budget/cold_budget.h"
 #include "system/budget/retry_budget.h"
 #include "system/data/active_configuration.h"
@@ -24,10 +25,16 @@
     std::uint64_t attempts = 0, not_executed = 0, broken = 0, resumed = 0, unreachable = 0;
 };
 
+// Of the process's memory: what is left is for the program, the configuration and responses.
+inline constexpr std::size_t body_memory_divisor = 2;
+inline constexpr std::size_t bytes_per_mb = 1U << 20U;
+
 struct Context {
     Context(asio::io_context& io, const settings::Settings& s, std::uint64_t seed)
         : loop(io), settings(s), selector({s.zone, s.region, s.regions}, seed),
-          cold({s.timers.cold_excess, s.timers.cold_slack}), pool(io) {}
+          cold({s.timers.cold_excess, s.timers.cold_slack}), pool(io),
+          body_memory(
+              std::make_shared<budget::ByteBudget>(s.memory_mb * bytes_per_mb / body_memory_divisor)) {}
 
     budget::RetryBudget& retries(const std::string& service) {
         const settings::Timers& timers = settings.timers;
@@ -50,7 +57,8 @@
     std::map<std::string, budget::RetryBudget> retry_budgets;  // by service
     std::map<std::string, routing::PrefillCost> prefill_costs; // of models, by service
     WorkerPool pool;
-    std::size_t schedulers = 1; // the highest number that were alive together lately
+    std::shared_ptr<budget::ByteBudget> body_memory; // of requests that are being read or answered
+    std::size_t schedulers = 1;                      // the highest number that were alive together lately
     std::set<std::string> scheduler_names;
     bool shutting_down = false; // connections of clients are closed after their response
     metrics::Metrics metrics;
--- a/tests/system/data/client_session_test.cpp
+++ b/tests/system/data/client_session_test.cpp
@@ -32,6 +32,7 @@
     ClientSession& session() { return sessions.front(); }
 
     void send(const std::string& bytes) { asio::write(client_, asio::buffer(bytes)); }
+    void finish_sending() { client_.shutdown(Tcp::socket::shutdown_send); }
 
     void run_until(const std::function<bool()>& condition) {
         while (!condition())
@@ -234,3 +235,53 @@
     cr_assert_eq(counts->active_requests, 0U);
     cr_assert_eq(counts->connections, 0U);
 }
+
+namespace {
+
+// Twice the body's bytes are counted.
+constexpr std::size_t small_memory = 400;
+
+std::string request_with_body(std::size_t bytes) {
+    return "POST /a/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 0b\r\nContent-Length: " +
+           std::to_string(bytes) + "\r\n\r\n" + std::string(bytes, 'b');
+}
+
+std::string request_in_chunks(int chunks) {
+    std::string out =
+        "POST /a/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 0b\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (int i = 0; i < chunks; ++i)
+        out += "64\r\n" + std::string(100, 'b') + "\r\n";
+    return out + "0\r\n\r\n";
+}
+
+} // namespace
+
+// Guards against a process that the platform ends: bodies were held whole without a bound on their memory.
+Test(client_session, a_body_without_room_in_memory_is_rejected_before_it_runs) {
+    for (const std::string& request : {request_with_body(201), request_in_chunks(3)}) {
+        SessionFixture session;
+        session.proxy.context->body_memory = std::make_shared<budget::ByteBudget>(small_memory);
+        session.send(request);
+        const auto rejection = session.receive();
+        cr_assert_eq(rejection.result_int(), 503U);
+        expect_text(std::string(rejection["Attempt-Id"]), "0b");
+        cr_assert(rejection.find(http::field::retry_after) != rejection.end());
+        cr_assert_not(rejection.keep_alive());
+        cr_assert(session.proxy.first.requests.empty());
+        session.finish_sending();
+        cr_assert(session.session_ended());
+        cr_assert_eq(session.proxy.context->body_memory->reserved(), 0U);
+        cr_assert_eq(session.proxy.context->counters.refused, 1U);
+    }
+}
+
+Test(client_session, a_body_gives_its_memory_back_with_the_response) {
+    SessionFixture session;
+    session.proxy.context->body_memory = std::make_shared<budget::ByteBudget>(small_memory);
+    for (int i = 0; i < 3; ++i) {
+        session.send(i == 1 ? request_in_chunks(2) : request_with_body(200));
+        cr_assert_eq(session.receive().result_int(), 200U);
+    }
+    session.run_until([&] { return session.session().is_idle(); });
+    cr_assert_eq(session.proxy.context->body_memory->reserved(), 0U);
+}
