Test a listener that cannot accept without using up descriptors

The undefined-behaviour sanitizer needs descriptors of its own to look at an object, and reported a fault where the test had left it none (fmt/core.h, "member call on address ... cannot be printed"). The test now makes accept fail by another way, with the same bounds on wake-ups and the same return to service; that descriptors in particular run out is played by the soak's case few-descriptors.

--- a/tests/system/transport/listener_test.cpp
+++ b/tests/system/transport/listener_test.cpp
@@ -1,12 +1,13 @@
-// How connections are accepted, also where there are no descriptors left.
+// How connections are accepted, also where that fails for a while.
 #include "system/transport/listener.h"
 
-#include "support/child_process.h"
-
 #include <criterion/criterion.h>
 
-#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <chrono>
+#include <cstdint>
 #include <vector>
 
 using namespace willowrill;
@@ -16,11 +17,16 @@
 constexpr std::chrono::milliseconds observed_time{500};
 constexpr std::size_t max_wakeups = 50; // of a loop in that time; one that spins has thousands
 
-void allow_no_more_descriptors() {
+std::uint16_t free_port(asio::io_context& loop) {
+    const Tcp::acceptor acceptor(loop, transport::endpoint_of("127.0.0.1", 0));
+    return acceptor.local_endpoint().port();
+}
+
+// The number that the next descriptor gets.
+int next_descriptor() {
     const int next = ::dup(STDERR_FILENO);
-    const rlimit limit{static_cast<rlim_t>(next), static_cast<rlim_t>(next)};
     ::close(next);
-    ::setrlimit(RLIMIT_NOFILE, &limit);
+    return next;
 }
 
 } // namespace
@@ -42,23 +48,21 @@
     loop.run(); // nothing waits any more
 }
 
-// Guards against a process that is mute: without descriptors its loop spun in accept.
-Test(listener, pauses_where_there_are_no_descriptors_left_and_accepts_again_later) {
-    const ChildResult result = run_in_child([] {
-        asio::io_context loop;
-        std::size_t accepted = 0;
-        const transport::Listener listener(loop, "127.0.0.1", 0, [&](const Tcp::socket&) { ++accepted; });
-        Tcp::socket client(loop);
-        rlimit before{};
-        ::getrlimit(RLIMIT_NOFILE, &before);
-        client.connect(transport::endpoint_of("127.0.0.1", listener.port()));
-        allow_no_more_descriptors();
-        const std::size_t wakeups = loop.run_for(observed_time);
-        const bool paused = accepted == 0 && wakeups > 0 && wakeups <= max_wakeups;
-        ::setrlimit(RLIMIT_NOFILE, &before);
-        loop.run_for(observed_time);
-        ::_exit(paused && accepted == 1 ? 0 : 1);
-    });
-    cr_assert(result.ended_with(0), "%s", result.log.c_str());
-    cr_assert_neq(result.log.find("event=accept-failed"), std::string::npos);
+// Guards against a process that is mute: where accepting failed, as without descriptors, its loop spun.
+// (Descriptors themselves are not used up here, as the sanitizers need some; the soak does so.)
+Test(listener, pauses_where_accepting_fails_and_accepts_again_later) {
+    asio::io_context loop;
+    const std::uint16_t port = free_port(loop);
+    Tcp::socket client(loop);
+    const int descriptor = next_descriptor();
+    std::size_t accepted = 0;
+    const transport::Listener listener(loop, "127.0.0.1", port, [&](const Tcp::socket&) { ++accepted; });
+    cr_assert_eq(::shutdown(descriptor, SHUT_RD), 0); // from now on accept fails at once
+    const std::size_t wakeups = loop.run_for(observed_time);
+    cr_assert_gt(wakeups, 0U);
+    cr_assert_leq(wakeups, max_wakeups);
+    cr_assert_eq(::listen(descriptor, 1), 0);
+    client.connect(transport::endpoint_of("127.0.0.1", port));
+    while (accepted == 0)
+        cr_assert_gt(loop.run_one_for(observed_time), 0U);
 }
