Soak: starts beside the process before, logs whose readers stop, mute processes

The soak wrote logs to files, started a process only once the one before it was gone, and counted a process that is alive and answers nothing as well. Its logs go through pipes now, whose readers stop (log_stops) and go away (log_goes); a process is started while the one before it stands still with its addresses (start_beside); and a process that runs, is not disturbed and gives no answer for 5 s is a finding (MUTE).

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -14,12 +14,15 @@
 import collections
 import contextlib
 import json
+import math
 import os
 import pathlib
 import random
+import select
 import signal
 import subprocess
 import sys
+import threading
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
@@ -39,6 +42,7 @@
 EVACUATION_ORDER_S = 10.0  # until an operator gives it up
 EVACUATED_S = (8.0, 12.0)
 GRACE_S = harness.TIMERS["graceS"]
+LOG_READ_PERIOD_S = 0.05
 LOADED_WITHIN_S = 0.05  # before a program's own code runs, a signal ends it whatever it does
 
 
@@ -77,6 +81,28 @@
                 "models": [{"name": "m", "configVersion": 1, "adapters": []}]}
 
 
+class LogReader:
+    """Reads a process's log from a pipe into a file, as the operators' machines may; it stops, goes on and goes away."""
+
+    def __init__(self, path):
+        self.path, self.stopped, self.gone = path, threading.Event(), threading.Event()
+        self.reader, self.writer = os.pipe()
+        threading.Thread(target=self.read, daemon=True).start()
+
+    def read(self):
+        with open(self.path, "ab") as log:
+            while not self.gone.is_set():
+                if self.stopped.is_set() or not select.select([self.reader], [], [], LOG_READ_PERIOD_S)[0]:
+                    time.sleep(LOG_READ_PERIOD_S)
+                    continue
+                text = os.read(self.reader, 1 << 16)
+                if not text:
+                    break
+                log.write(text)
+                log.flush()
+        os.close(self.reader)
+
+
 class SoakMachine(harness.Machine):
     """A machine of a zone: the first one runs both programs, further ones a scheduler alone."""
 
@@ -85,19 +111,25 @@
         self.name, self.folder = f"edge-{zone}-{number}", pathlib.Path(deployment.folder, f"{zone}-{number}")
         self.roles = ("control", "data") if number == 1 else ("data",)
         self.started, self.ending = {}, {}
+        self.logs = {}  # the readers of the processes that run
 
     def start(self, role):
-        log = open(self.folder / f"{role}.log", "ab")
+        if role in self.logs:
+            self.logs[role].stopped.clear()  # reads what is left, to its end
+        self.logs[role] = LogReader(self.folder / f"{role}.log")
+        log = self.logs[role].writer
         environment = {"PATH": os.environ.get("PATH", ""), "HOME": str(self.folder), "LANG": "C.UTF-8",
                        "WILLOWRILL_BOOT": str(self.folder / f"{role}.json")}
         self.processes[role] = subprocess.Popen([str(self.deployment.build / f"willowrill-{role}")], cwd=self.folder,
                                                 env=environment, stdin=subprocess.DEVNULL, stdout=log, stderr=log)
-        log.close()
+        os.close(log)
         self.started[role] = time.monotonic()
 
 
 class Soak(harness.Deployment):
     machine_type = SoakMachine
+    started_within_s = 4.0  # a process answers, beside whatever else is played
+    mute_s = 5.0  # without an answer, of a process that runs and is not disturbed
 
     def __init__(self, record, build, seed, workers, schedulers_per_zone=1):
         super().__init__(record, None, workers_per_zone=0)
@@ -112,6 +144,7 @@
                 ip = f"{self.net}.{FIRST_FURTHER_HOST + len(self.schedulers)}"
                 self.schedulers.append(self.machine_type(self, zone, ip, number))
         self.tries, self.kills, self.own_ends = [], [], []
+        self.mute = []
         self.evacuations, self.disruptions = [], []
         self.ending = collections.defaultdict(list)  # disruptions that last until their process runs again, by machine and role
         self.clients = []
@@ -138,6 +171,23 @@
                     disruption.ended_at = time.monotonic()
             await asyncio.sleep(0.02)
 
+    async def watch(self, machine, role):
+        """Notes a process that runs, is not disturbed, and answers nothing."""
+        port, path = ("readiness", "/-/readiness") if role == "data" else ("control", "/-/configuration")
+        process, answered = None, 0.0
+        while not self.stopping:
+            disturbed = any(one.address == machine.address("front") and one.ended_at == math.inf for one in self.disruptions)
+            if disturbed or machine.processes[role] is not process or process.poll() is not None:
+                process, answered = machine.processes[role], time.monotonic() + self.started_within_s
+            answer = await harness.call(machine.address(port), "GET", path, timeout=1.0)
+            if answer.status:
+                answered = max(answered, time.monotonic())
+            elif time.monotonic() - answered > self.mute_s:
+                self.mute.append(f"{role} of {machine.name} runs and gave no answer for {self.mute_s} s")
+                self.record(self.mute[-1])
+                answered = time.monotonic()
+            await asyncio.sleep(0.2)
+
     def send(self, machine, role, number):
         if machine.processes[role].poll() is None and time.monotonic() > machine.started[role] + LOADED_WITHIN_S:
             if number in (signal.SIGKILL, signal.SIGTERM):
@@ -201,6 +251,40 @@
     async def fault_freeze_control(self):
         await self.fault_freeze("control")
 
+    async def fault_start_beside(self):
+        """The platform starts a process while the one before it, which stands still, has its addresses."""
+        machine = self.random.choice(self.schedulers)
+        role = self.random.choice(machine.roles)
+        process = machine.processes[role]
+        if process.poll() is not None or machine.ending.get(role):
+            return
+        disruption = self.note_disruption(machine)
+        self.record(f"{role} of {machine.name} stands still, and another one is started")
+        process.send_signal(signal.SIGSTOP)
+        machine.write_settings(initial=False)
+        machine.start(role)
+        await asyncio.sleep(self.random.uniform(0.1, 1.5))
+        if role == "data":
+            self.kills.append((machine.address("front"), time.monotonic()))
+        process.kill()
+        process.wait()
+        disruption.ended_at = time.monotonic()
+
+    async def fault_log_stops(self):
+        readers = [machine.logs[role] for machine in self.schedulers for role in machine.roles]
+        self.record("nobody reads logs")
+        for reader in readers:
+            reader.stopped.set()
+        await asyncio.sleep(self.random.uniform(1.0, 6.0))
+        for reader in readers:
+            reader.stopped.clear()
+
+    async def fault_log_goes(self):
+        machine = self.random.choice(self.schedulers)
+        role = self.random.choice(machine.roles)
+        self.record(f"the reader of the log of {role} of {machine.name} goes away")
+        machine.logs[role].gone.set()
+
     async def fault_hup(self):
         for machine in self.schedulers:
             self.send(machine, self.random.choice(machine.roles), signal.SIGHUP)
@@ -365,6 +449,7 @@
     async def play(self, seconds, clients, fault_names):
         await self.start()
         tasks = [asyncio.ensure_future(self.keep_alive(m, role)) for m in self.schedulers for role in m.roles]
+        tasks += [asyncio.ensure_future(self.watch(m, role)) for m in self.schedulers for role in m.roles]
         tasks += [asyncio.ensure_future(self.client(number)) for number in range(clients)]
         end = time.monotonic() + seconds
         faults = set()
@@ -436,8 +521,10 @@
         print(f"  {one.rule}: {one.text}", flush=True)
     for text in soak.own_ends:
         print(f"  ENDED: {text}", flush=True)
+    for text in soak.mute:
+        print(f"  MUTE: {text}", flush=True)
     print(f"  logs: {soak.folder}, {folder}") if options.keep or found else None
-    return len(found) + len(soak.own_ends)
+    return len(found) + len(soak.own_ends) + len(soak.mute)
 
 
 def main():
--- a/tests/soak/surroundings_case.py
+++ b/tests/soak/surroundings_case.py
@@ -28,8 +28,6 @@
 from soak import harness
 
 START_S = 15.0
-ANSWER_S = 1.0
-MUTE_S = 2.0  # without an answer of its readiness or of its configuration, a process counts as mute
 CHANGE_PERIOD_S = 0.3
 PIPE_BYTES = 4096
 LOG_ROOM_BYTES = 1024  # left in a pipe that nobody reads, as after a while
@@ -40,7 +38,6 @@
 BODY_BYTES = 4_000_000
 BODY_CLIENTS = 150
 ADDRESS_KEPT_S = 0.6
-OWN_BIND_FAILURE = 1
 
 
 @dataclasses.dataclass
@@ -101,25 +98,14 @@
 
 class SurroundedSoak(soaks.Soak):
     machine_type = SurroundedMachine
+    started_within_s = 0.0  # it is looked at from when the system serves
+    mute_s = 2.0
 
     def __init__(self, record, build, surroundings):
         self.kept_open, self.surroundings, self.problems, self.served = [], surroundings, [], 0
         SurroundedMachine.surroundings = surroundings
         super().__init__(record, build, 1, workers=6)
 
-    async def watch(self, machine, role):
-        """Notes a process that is alive and answers nothing."""
-        port, path = ("readiness", "/-/readiness") if role == "data" else ("control", "/-/configuration")
-        answered, process = time.monotonic(), machine.processes[role]
-        while not self.stopping:
-            answer = await harness.call(machine.address(port), "GET", path, timeout=ANSWER_S)
-            if answer.status or machine.processes[role] is not process or process.poll() is not None:
-                answered, process = time.monotonic(), machine.processes[role]
-            if time.monotonic() - answered > MUTE_S:
-                self.problems.append(f"{role} of {machine.name} is alive and gave no answer for {MUTE_S} s")
-                return
-            await asyncio.sleep(0.1)
-
     async def change_on(self):
         while not self.stopping:
             await self.fault_change()
@@ -160,6 +146,7 @@
         answered = sum(one.end == soaks.End.ANSWERED and one.status == 200 for one in self.tries)
         if self.surroundings.serves and not answered:
             self.problems.append("no request was served")
+        self.problems += self.mute
         return answered
 
 
