--- a/tests/system/process/startup_test.cpp
+++ b/tests/system/process/startup_test.cpp
@@ -14,17 +14,14 @@
 #include <csignal>
 #include <cstdio>
 #include <stdexcept>
+#include <thread>
 
 using namespace willowrill;
 
 namespace {
 
-void fail_in_a_destructor() {
-    struct Failing {
-        // NOLINTNEXTLINE(bugprone-exception-escape): that is what is tried
-        ~Failing() { throw std::runtime_error("a fault of the program"); }
-    };
-    const Failing failing;
+void fail_in_a_thread() {
+    std::thread([] { throw std::runtime_error("a fault of the program"); }).join();
 }
 
 } // namespace
@@ -33,7 +30,7 @@
 Test(startup, an_exception_that_nobody_catches_is_logged_and_ends_the_process) {
     const ChildResult result = run_in_child([] {
         process::prepare();
-        fail_in_a_destructor();
+        fail_in_a_thread();
     });
     cr_assert(result.ended_by(SIGABRT));
     cr_assert_neq(result.log.find("level=error event=terminated detail=\"a fault of the program\"\n"),
