--- a/src/system/process/startup.cpp
+++ b/src/system/process/startup.cpp
@@ -70,8 +70,14 @@
 }
 
 void apply_limits(settings::Settings& settings) {
-    const rlim_t descriptors = limit_of(RLIMIT_NOFILE);
-    if (descriptors != 0) settings.max_files = std::min<std::size_t>(settings.max_files, descriptors);
+    rlimit descriptors{};
+    if (::getrlimit(RLIMIT_NOFILE, &descriptors) != 0) return;
+    const rlim_t wanted = std::min<rlim_t>(settings.max_files, descriptors.rlim_max);
+    if (descriptors.rlim_cur < wanted) {
+        const rlimit raised{wanted, descriptors.rlim_max};
+        if (::setrlimit(RLIMIT_NOFILE, &raised) == 0) descriptors = raised;
+    }
+    settings.max_files = std::min<std::size_t>(settings.max_files, descriptors.rlim_cur);
 }
 
 void log_start(std::string_view role, std::string_view version, const settings::Settings& settings) {
--- a/src/system/process/startup.h
+++ b/src/system/process/startup.h
@@ -14,7 +14,8 @@
 // logged as `event=terminated` before it ends the process.
 void prepare();
 
-// Lowers the descriptors and the memory in `settings` to the limits of this process.
+// Raises this process's limit on descriptors to that of `settings`, as far as the platform lets it, and
+// lowers the one in `settings` to what it got.
 void apply_limits(settings::Settings& settings);
 
 // Logs `event=started` with what the platform gives to this process. `role`: of the deploy file.
--- a/tests/system/process/startup_test.cpp
+++ b/tests/system/process/startup_test.cpp
@@ -94,3 +94,18 @@
     });
     cr_assert(result.ended_with(0));
 }
+
+// Guards against clients that are turned away: the usual limit for a start is below what a scheduler may use.
+Test(startup, a_limit_on_descriptors_that_may_be_raised_is_raised) {
+    const ChildResult result = run_in_child([] {
+        const rlimit limit{64, 128};
+        ::setrlimit(RLIMIT_NOFILE, &limit);
+        settings::Settings settings;
+        settings.max_files = 100;
+        process::apply_limits(settings);
+        rlimit now{};
+        ::getrlimit(RLIMIT_NOFILE, &now);
+        ::_exit(settings.max_files == 100 && now.rlim_cur == 100 ? 0 : 1);
+    });
+    cr_assert(result.ended_with(0));
+}
