--- a/src/scheduler/gossip/frame.cpp
+++ b/src/scheduler/gossip/frame.cpp
@@ -40,9 +40,10 @@
     std::vector<Offset<wire::SeriesUpdate>> series;
     series.reserve(delta.series.size());
     for (const counts::SeriesUpdate& entry : delta.series) {
-        series.push_back(wire::CreateSeriesUpdate(builder, entry.version_offset,
-                                                  builder.CreateSharedString(entry.name.tenant),
-                                                  builder.CreateSharedString(entry.name.job_class)));
+        const auto job_class =
+            builder.CreateSharedString(entry.name.job_class); // first, as in recorded bytes
+        const auto tenant = builder.CreateSharedString(entry.name.tenant);
+        series.push_back(wire::CreateSeriesUpdate(builder, entry.version_offset, tenant, job_class));
     }
     std::vector<wire::Mark> marks;
     marks.reserve(delta.marks.size());
@@ -70,9 +71,10 @@
     std::vector<Offset<wire::FoldCorrection>> corrections;
     corrections.reserve(digest.fold_corrections.size());
     for (const counts::FoldCorrection& entry : digest.fold_corrections) {
-        corrections.push_back(wire::CreateFoldCorrection(
-            builder, entry.key, entry.value, builder.CreateString(entry.name.tenant),
-            builder.CreateString(entry.name.job_class), static_cast<std::uint8_t>(entry.outcome)));
+        const auto job_class = builder.CreateString(entry.name.job_class); // first, as in recorded bytes
+        const auto tenant = builder.CreateString(entry.name.tenant);
+        corrections.push_back(wire::CreateFoldCorrection(builder, entry.key, entry.value, tenant, job_class,
+                                                         static_cast<std::uint8_t>(entry.outcome)));
     }
     const auto keys_offset = builder.CreateVector(digest.keys);
     const auto versions_offset = builder.CreateVector(digest.versions);
