--- a/tests/soak/surroundings_case.py
+++ b/tests/soak/surroundings_case.py
@@ -238,9 +238,9 @@
 }
 
 
-def play(name, options):
+def play(name, surroundings, options, soak_type):
     folder = tempfile.mkdtemp(prefix="willowrill-surroundings-")
-    soak = SurroundedSoak(harness.Record(folder), options.build, CASES[name])
+    soak = soak_type(harness.Record(folder), options.build, surroundings)
     try:
         asyncio.run(soak.play_surroundings(options.seconds))
     finally:
@@ -255,16 +255,17 @@
     return not soak.own_ends and not soak.problems
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+def main(cases, description, soak_type=SurroundedSoak):
+    parser = argparse.ArgumentParser(description=description, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("build")
-    parser.add_argument("cases", nargs="*", metavar="CASE", help=", ".join(CASES))
+    parser.add_argument("cases", nargs="*", metavar="CASE", help=", ".join(cases))
     parser.add_argument("--seconds", type=float, default=8)
     options = parser.parse_args()
-    failed = sum(not play(name, options) for name in options.cases or CASES)
-    print(f"{len(options.cases or CASES) - failed} passed, {failed} failed")
+    names = options.cases or list(cases)
+    failed = sum(not play(name, cases[name], options, soak_type) for name in names)
+    print(f"{len(names) - failed} passed, {failed} failed")
     return 1 if failed else 0
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(CASES, __doc__))
--- a/tests/soak/worker.py
+++ b/tests/soak/worker.py
@@ -14,6 +14,8 @@
 import sys
 import time
 
+import floods
+
 SLOTS = 64
 QUEUE = 24
 RELOAD_PERIOD_S = 0.05
@@ -23,9 +25,10 @@
 EVENT_GAP_S = 0.08
 MAX_CONNECTIONS = 60
 
-# Each is a share of requests, from 0 to 1; besides, there are `max_connections`, and `slow_s`: what a run takes longer.
+# Each is a share of requests, from 0 to 1; besides, there are `max_connections`, `slow_s`: what a run takes longer, `flood_shape`: one
+# of `floods.SHAPES`, any without it, and `flood_health`: a share of the questions for its health.
 FAULTS = ("reset_after_run", "close_after_run", "mute", "answer_twice", "late_copy", "stray_promise", "garbage", "reject",
-          "reject_twice", "early_reject", "reset_before_run", "cut_short", "close_header")
+          "reject_twice", "early_reject", "reset_before_run", "cut_short", "close_header", "flood")
 
 
 class Worker:
@@ -83,7 +86,15 @@
         await reader.readexactly(length)
         return await self.take(reader, writer, path, headers, attempt)
 
+    async def pour(self, writer, head, refusal_head):
+        shape = self.faults.get("flood_shape") or self.random.choice(floods.SHAPES)
+        await floods.pour(writer, *floods.answer(shape, head, refusal_head))
+        return False
+
     async def answer_get(self, writer, path):
+        if self.strikes("flood_health"):
+            head = f"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nServing-Instance: {self.instance}\r\n".encode()
+            return await self.pour(writer, head, head)
         body = b""
         if path == "/-/report":
             body = json.dumps({"phase": "bidirectional", "models": [{"name": "m", "configVersion": 1, "adapters": []}],
@@ -94,9 +105,12 @@
         await writer.drain()
         return True
 
+    @staticmethod
+    def rejection_head(attempt, status):
+        return f"HTTP/1.1 {status} Rejected\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\n".encode()
+
     def rejection(self, attempt, status):
-        return (f"HTTP/1.1 {status} Rejected\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\n"
-                "Content-Length: 0\r\n\r\n").encode()
+        return self.rejection_head(attempt, status) + b"Content-Length: 0\r\n\r\n"
 
     async def take(self, reader, writer, path, headers, attempt):
         if headers.get("target-instance", self.instance) != self.instance:
@@ -138,6 +152,8 @@
         last = self.strikes("close_header")
         if last:
             head += "Connection: close\r\n"
+        if self.strikes("flood"):
+            return await self.pour(writer, head.encode(), self.rejection_head(attempt, 503))
         if kind in EVENTS:
             return await self.stream(writer, head, headers, EVENTS[kind]) and not last
         await asyncio.sleep(WORK_S.get(kind, 0.03) * self.random.uniform(0.3, 3) + self.faults.get("slow_s", 0.0))
