Say what was read of an answer that could not be, and what is held of input

Cause: a worker that pours bytes without end was seen as a broken attempt, like one that closes; nothing told which connection held what, and event=ended named std::bad_alloc without whose bytes. Change: event=response-abandoned and a counter by part and reason; event=answer-unreadable for health answers, reports and the platform's list; a gauge of what is reserved for input. Reading is as it was.

--- a/src/system/data/upstream_attempt.cpp
+++ b/src/system/data/upstream_attempt.cpp
@@ -15,7 +15,8 @@
 constexpr Time min_silence_timeout{900};
 constexpr int max_earlier_responses = 4; // that are discarded on one connection
 constexpr unsigned lowest_priority = 9;
-constexpr std::size_t min_connections = 4; // to one worker, whatever this scheduler's share
+constexpr std::size_t noteworthy_bytes = 1U << 20U; // of a response that was not read to its end
+constexpr std::size_t min_connections = 4;          // to one worker, whatever this scheduler's share
 
 // The label of the metric for responses that say nothing of this attempt; null for one that does.
 const char* discard_reason(ResponseKind kind) {
@@ -175,13 +176,19 @@
     for (int earlier = 0; earlier < max_earlier_responses; ++earlier) {
         WorkerResponse response(connection_, without_body);
         const bool has_head = co_await response.read_head();
-        if (!has_head) break;
+        if (!has_head) {
+            note_abandoned(response);
+            break;
+        }
         const ResponseKind kind = classify_response(response.head(), facts());
         if (kind == ResponseKind::stream) co_return co_await relay_stream(response);
         if (kind == ResponseKind::complete) co_return co_await relay_response(response);
         if (const char* const reason = discard_reason(kind))
             context_.metrics.add(metrics::Total::discarded_responses, reason);
-        if (kind == ResponseKind::unusable) break;
+        if (kind == ResponseKind::unusable) {
+            note_abandoned(response, http_reader::ReadFailure::unusable);
+            break;
+        }
         const bool complete = co_await response.discard_body();
         if (kind != ResponseKind::earlier) {
             release_connection(response, complete);
@@ -194,6 +201,25 @@
     co_return broken_result();
 }
 
+void UpstreamAttempt::note_abandoned(const WorkerResponse& response) const {
+    if (response.last_error()) note_abandoned(response, http_reader::failure_of(response.last_error()));
+}
+
+void UpstreamAttempt::note_abandoned(const WorkerResponse& response, http_reader::ReadFailure failure) const {
+    const char* const part = response.has_head() ? "body" : "head";
+    context_.metrics.add(metrics::Total::abandoned_responses, part, name_of(failure));
+    const bool is_long = std::max(response.buffered_bytes(), response.body_bytes()) > noteworthy_bytes;
+    if (!http_reader::is_fault_of_sender(failure) && !is_long) return;
+    logging::warning("response-abandoned")
+        .field("node", context_.settings.node_name)
+        .text("attempt_id", request_.attempt_id)
+        .field("worker", worker_id_)
+        .field("part", part)
+        .field("reason", name_of(failure))
+        .field("body_bytes", response.body_bytes())
+        .field("buffered_bytes", response.buffered_bytes());
+}
+
 AttemptResult UpstreamAttempt::broken_result() const {
     return writer_.head_sent() ? AttemptResult::broken_midway : AttemptResult::broken;
 }
--- a/src/system/data/upstream_attempt.h
+++ b/src/system/data/upstream_attempt.h
@@ -10,6 +10,7 @@
 #include "system/data/response_head.h"
 #include "system/data/response_writer.h"
 #include "system/data/worker_response.h"
+#include "system/http_reader/read_failure.h"
 
 #include <cstdint>
 #include <memory>
@@ -51,6 +52,9 @@
     asio::awaitable<bool> relay_event_bytes(WorkerResponse& response, const std::string& events);
     asio::awaitable<AttemptResult> finish_stream(WorkerResponse& response);
     AttemptResult broken_result() const;
+    // Says what was read of a response that is read no further.
+    void note_abandoned(const WorkerResponse& response, http_reader::ReadFailure failure) const;
+    void note_abandoned(const WorkerResponse& response) const;
     void note_first_event();
 
     void start_timer(bool another_attempt_allowed, routing::Time silence_timeout);
--- a/src/system/data/upstream_relay.cpp
+++ b/src/system/data/upstream_relay.cpp
@@ -16,6 +16,10 @@
     // A response without a length is complete where its connection ended in order, and not where it was
     // reset.
     if (error || !response.complete() || writer_.client_gone()) {
+        if (error)
+            note_abandoned(response);
+        else if (!response.complete() && !writer_.client_gone())
+            note_abandoned(response, http_reader::ReadFailure::too_long);
         drop_connection();
         co_return AttemptResult::broken;
     }
@@ -32,6 +36,7 @@
     request_.events.discard_partial_event();
     const bool complete = co_await relay_events(response);
     if (complete && !writer_.client_gone()) co_return co_await finish_stream(response);
+    note_abandoned(response);
     drop_connection();
     co_return broken_result();
 }
@@ -43,7 +48,10 @@
     while (!response.complete()) {
         const std::size_t got = co_await response.read_some(buffer, error);
         if (error || writer_.client_gone()) co_return false;
-        if (!request_.events.append({buffer.data(), got})) co_return false;
+        if (!request_.events.append({buffer.data(), got})) {
+            note_abandoned(response, http_reader::ReadFailure::too_long);
+            co_return false;
+        }
         const std::string events = request_.events.take_events();
         if (events.empty()) continue;
         const bool written = co_await relay_event_bytes(response, events);
--- a/src/system/data/worker_response.cpp
+++ b/src/system/data/worker_response.cpp
@@ -22,6 +22,7 @@
     ErrorCode error;
     co_await http::async_read_header(connection_->socket, connection_->buffer, parser_,
                                      asio::redirect_error(asio::use_awaitable, error));
+    last_error_ = error;
     co_return !error;
 }
 
@@ -33,7 +34,10 @@
     co_await http::async_read_some(connection_->socket, connection_->buffer, parser_,
                                    asio::redirect_error(asio::use_awaitable, error));
     if (error == http::error::need_buffer) error = {};
-    co_return buffer.size() - body.size;
+    last_error_ = error;
+    const std::size_t got = buffer.size() - body.size;
+    body_bytes_ += got;
+    co_return got;
 }
 
 asio::awaitable<bool> WorkerResponse::discard_body() {
--- a/src/system/data/worker_response.h
+++ b/src/system/data/worker_response.h
@@ -31,8 +31,17 @@
     // The worker keeps the connection open.
     bool keep_alive() const { return parser_.keep_alive(); }
 
+    bool has_head() const { return parser_.is_header_done(); }
+    // How the last read ended.
+    ErrorCode last_error() const { return last_error_; }
+    std::size_t body_bytes() const { return body_bytes_; }
+    // Memory that what has come and isn't parsed yet takes.
+    std::size_t buffered_bytes() const { return connection_->buffer.capacity(); }
+
   private:
     WorkerConnectionPtr connection_;
+    ErrorCode last_error_;
+    std::size_t body_bytes_ = 0; // read so far
     http::response_parser<http::buffer_body> parser_;
 };
 
--- a/src/system/http_client/client.cpp
+++ b/src/system/http_client/client.cpp
@@ -1,5 +1,7 @@
 #include "system/http_client/client.h"
 
+#include "system/http_reader/read_failure.h"
+#include "system/logging/log.h"
 #include "system/transport/socket_options.h"
 
 #include <utility>
@@ -60,11 +62,29 @@
     connection->parser->body_limit(max_body_bytes);
     const auto on_read = [self = shared_from_this(), connection, request_number](ErrorCode error,
                                                                                  std::size_t /*bytes*/) {
-        if (request_number == self->request_number_) self->finish(!error);
+        if (request_number == self->request_number_) self->on_read(error);
     };
     http::async_read(connection->stream, connection->buffer, *connection->parser, on_read);
 }
 
+void Client::on_read(ErrorCode error) {
+    if (error)
+        report_unreadable(error);
+    else
+        unreadable_reported_ = false;
+    finish(!error);
+}
+
+void Client::report_unreadable(ErrorCode error) {
+    const http_reader::ReadFailure failure = http_reader::failure_of(error);
+    if (!http_reader::is_fault_of_sender(failure) || std::exchange(unreadable_reported_, true)) return;
+    logging::warning("answer-unreadable")
+        .text("server", host_ + ":" + std::to_string(port_))
+        .text("target", std::string(connection_->request.target()))
+        .field("reason", name_of(failure))
+        .text("detail", error.message());
+}
+
 void Client::finish(bool answered) {
     ++request_number_;
     const OnResponse done = std::exchange(done_, nullptr);
--- a/src/system/http_client/client.h
+++ b/src/system/http_client/client.h
@@ -46,6 +46,9 @@
     void connect(const std::shared_ptr<Connection>& connection, std::chrono::milliseconds timeout);
     void write();
     void read(const std::shared_ptr<Connection>& connection, std::uint64_t request_number);
+    void on_read(ErrorCode error);
+    // Once for each series of answers that cannot be read.
+    void report_unreadable(ErrorCode error);
     void finish(bool answered);
 
     std::string host_;
@@ -53,6 +56,7 @@
     asio::io_context& loop_;
     std::shared_ptr<Connection> connection_;
     OnResponse done_;
+    bool unreadable_reported_ = false; // since the last answer that could be read
     std::uint64_t request_number_ = 0; // of the request under way; handlers of an older one do nothing
 };
 
--- a/src/system/metrics/metrics.cpp
+++ b/src/system/metrics/metrics.cpp
@@ -45,6 +45,8 @@
                 nullptr},
     Description{"willowrill_discarded_responses_total", "Responses of workers that were not passed on",
                 "reason", nullptr},
+    Description{"willowrill_abandoned_responses_total",
+                "Responses of workers that were not read to their end", "part", "reason"},
     Description{"willowrill_sends_after_change_total",
                 "Requests sent to workers after the state they began with was superseded", "chosen_by",
                 nullptr},
@@ -69,6 +71,8 @@
                 nullptr},
     Description{"willowrill_resident_bytes", "Resident memory of the process", nullptr, nullptr},
     Description{"willowrill_open_descriptors", "Descriptors that the process has open", nullptr, nullptr},
+    Description{"willowrill_input_bytes", "Memory reserved for what came in and is not done with", nullptr,
+                nullptr},
 };
 
 const prometheus::Histogram::BucketBoundaries bounds_s{0.005, 0.01, 0.02, 0.05, 0.1, 0.2,
--- a/src/system/metrics/metrics.h
+++ b/src/system/metrics/metrics.h
@@ -31,6 +31,7 @@
     states_sent,         // replicated states sent to core members, by whether whole or as a delta
     missing_bases,       // deltas of states that could not be applied
     discarded_responses, // of workers, that were not passed on to a client, by reason
+    abandoned_responses, // of workers, that were not read to their end, by part and reason
     sends_after_change,  // to workers, of requests that began with an older state, by the choice's state
 };
 
@@ -52,7 +53,8 @@
     max_version,
     dropped_log_lines, // since the process started
     resident_bytes,
-    open_descriptors
+    open_descriptors,
+    input_bytes // held of what came in and is not done with
 };
 
 // Where a message goes, seen from its sender.
