Never allocate for a declared length over the limit

Callers saw: the data plane ended by itself with status 1 whenever it asked a faulty worker for its health, all three control processes where the platform's list did the same; requests under way ended with them. Cause: where bytes of a body come in the read that completes the head, Beast's read of a complete message (1.74, an eager parser) goes on after the error for a length over the limit and reserves that length; std::bad_alloc left the loop's handler. Change: the client of our own HTTP reads the head by itself, which keeps the error. Requests are not touched: their parser stops there. Why it works: the parser isn't eager while it reads a head, so its error is returned before it makes room for the body.

--- a/src/system/http_client/client.cpp
+++ b/src/system/http_client/client.cpp
@@ -64,7 +64,14 @@
                                                                                  std::size_t /*bytes*/) {
         if (request_number == self->request_number_) self->on_read(error);
     };
-    http::async_read(connection->stream, connection->buffer, *connection->parser, on_read);
+    // The head by itself: where bytes of the body have come with it, Beast's read of a complete message goes
+    // on to allocate for a length that is over the limit.
+    http::async_read_header(connection->stream, connection->buffer, *connection->parser,
+                            [connection, on_read](ErrorCode error, std::size_t bytes) {
+                                if (error) return on_read(error, bytes);
+                                http::async_read(connection->stream, connection->buffer, *connection->parser,
+                                                 on_read);
+                            });
 }
 
 void Client::on_read(ErrorCode error) {
--- a/tests/system/transport/http_test.cpp
+++ b/tests/system/transport/http_test.cpp
@@ -78,3 +78,28 @@
         cr_assert_gt(loop.run_one_for(std::chrono::seconds(5)), 0U);
     cr_assert(served);
 }
+
+Test(http, a_request_that_declares_more_than_the_limit_is_rejected_as_too_large) {
+    asio::io_context loop;
+    std::uint16_t port = 0;
+    {
+        const Tcp::acceptor free(loop, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+        port = free.local_endpoint().port();
+    }
+    std::size_t requests = 0;
+    const http_server::Server server(
+        loop, "127.0.0.1", port, {},
+        [&](const http_server::Request&, const http_server::Respond&) { ++requests; });
+    Tcp::socket client(loop);
+    client.connect(transport::endpoint_of("127.0.0.1", port));
+    asio::write(client,
+                asio::buffer(std::string("PUT / HTTP/1.1\r\nContent-Length: 999999999999\r\n\r\n{}")));
+    http::response<http::string_body> response;
+    beast::flat_buffer buffer;
+    bool received = false;
+    http::async_read(client, buffer, response, [&](ErrorCode, std::size_t) { received = true; });
+    while (!received)
+        cr_assert_gt(loop.run_one_for(std::chrono::seconds(5)), 0U);
+    cr_assert_eq(response.result_int(), 413U);
+    cr_assert_eq(requests, 0U);
+}
