Bound what a connection may hold of a message's framing

Callers saw: every request at a machine that had called one faulty worker ended with its process, which the platform killed for its memory; a client, the platform or an operator's connection could do the same. Cause: between a head and the bytes of a body, and behind the body, nothing was bounded. Beast's operations ask for more until the line of a chunk's header, or all trailers, are complete; no limit of its parser counts them, and the buffer had no maximum. Change: package http_reader. One operation reads messages at all four places (workers, clients, own servers, own client) into a buffer that has a bound for its connection; what it takes beyond 4 KiB is part of one budget for all input of the process. Why it works: the buffer refuses more before it grows, whatever the parser wants; the read ends with buffer_overflow and the connection is closed, so that the sender keeps the rest.

--- a/src/system/budget/byte_budget.h
+++ b/src/system/budget/byte_budget.h
@@ -1,4 +1,4 @@
-// Bounds the memory that requests under way hold together. Pure; one thread.
+// Bounds the memory that many holders have together. Pure; one thread.
 #pragma once
 
 #include <cstddef>
@@ -15,7 +15,7 @@
 
     std::size_t reserved() const { return reserved_; }
 
-    // What one request holds; given back when this is destroyed.
+    // What one holder has; given back when this is destroyed.
     class Reservation {
       public:
         explicit Reservation(std::shared_ptr<ByteBudget> budget) : budget_(std::move(budget)) {}
@@ -34,6 +34,13 @@
             return true;
         }
 
+        // Gives back what it holds beyond `bytes`.
+        void shrink_to(std::size_t bytes) {
+            if (bytes >= bytes_) return;
+            budget_->reserved_ -= bytes_ - bytes;
+            bytes_ = bytes;
+        }
+
       private:
         std::shared_ptr<ByteBudget> budget_;
         std::size_t bytes_ = 0;
--- a/src/system/control/control_plane.h
+++ b/src/system/control/control_plane.h
@@ -11,6 +11,7 @@
 #include "system/control/lease_replicator.h"
 #include "system/control/operator_api.h"
 #include "system/distribution/scheduler_sessions.h"
+#include "system/http_reader/input_memory.h"
 #include "system/http_server/server.h"
 #include "system/metrics/metrics_server.h"
 #include "system/settings/settings.h"
@@ -88,6 +89,7 @@
     settings::Settings settings_;
     std::string settings_path_;
     MemberId self_;
+    std::shared_ptr<budget::ByteBudget> input_memory_; // of all that comes in to this process
     // The highest cluster version seen since the process started; never decreases.
     protocol::Version cluster_version_ = protocol::initial_cluster_version;
     CoreNode node_;
--- a/src/system/data/client_session.cpp
+++ b/src/system/data/client_session.cpp
@@ -1,6 +1,7 @@
 #include "system/data/client_session.h"
 
 #include "system/data/client_watch.h"
+#include "system/http_reader/read.h"
 #include "system/http_server/server.h"
 
 #include <array>
@@ -15,15 +16,22 @@
 
 constexpr std::chrono::milliseconds body_timeout{15000};
 constexpr std::chrono::milliseconds rejection_timeout{1000};
-constexpr std::size_t max_read_bytes = 65536; // of one read while a request is awaited
 // The body as it was read, and a copy that is sent to a worker.
 constexpr std::size_t copies_of_body = 2;
 constexpr std::chrono::milliseconds discard_timeout{1000};
+constexpr std::size_t discard_buffer_bytes = 16384;
+// Beside the longest head: a head over its limit is told from one that is not complete.
+constexpr std::size_t framing_margin_bytes = 512;
+
+std::size_t max_framing_bytes(const configuration::Limits& limits) {
+    return limits.max_header_bytes + framing_margin_bytes;
+}
 
 // What to tell a client whose bytes could not be read as a request; nothing where it left, or was idle for
 // too long.
 std::optional<Error> unreadable_error(ErrorCode error, bool has_bytes) {
-    if (error == http::error::header_limit || error == http::error::body_limit)
+    if (error == http::error::header_limit || error == http::error::body_limit ||
+        error == http::error::buffer_overflow)
         return Error{ErrorKind::request_too_large, error.message()};
     if (error == beast::error::timeout && has_bytes)
         return Error{ErrorKind::request_timed_out, error.message()};
@@ -47,7 +55,8 @@
 
 ClientSession::ClientSession(Context& context, std::shared_ptr<ClientCounts> counts, Tcp::socket socket)
     : context_(context), counts_(std::move(counts)), connection_count_(counts_->connections),
-      stream_(std::move(socket)) {}
+      stream_(std::move(socket)),
+      input_(context.input_memory, max_framing_bytes(context.active_configuration->configuration.limits)) {}
 
 asio::awaitable<void> ClientSession::run(std::shared_ptr<ClientSession> self) {
     bool more = true;
@@ -68,12 +77,13 @@
     const bool has_bytes = co_await await_request();
     if (!has_bytes) co_return false;
     const configuration::Limits& limits = context_.active_configuration->configuration.limits; // as of now
+    input_.set_max_bytes(max_framing_bytes(limits));
     Parser parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
     parser.body_limit(limits.max_body_bytes);
     if (requests_read_ > 0) stream_.expires_after(limits.header_timeout);
     ErrorCode error;
-    BodyMemory memory(context_.body_memory); // until the response is complete
+    BodyMemory memory(context_.input_memory, copies_of_body); // until the response is complete
     co_await read_request(parser, memory, error);
     if (error == asio::error::no_memory) co_return co_await reject_for_memory(parser.get());
     if (error) co_return co_await reject_unreadable(error, parser.got_some());
@@ -87,44 +97,32 @@
 asio::awaitable<bool> ClientSession::await_request() {
     const configuration::Limits& limits = context_.active_configuration->configuration.limits;
     stream_.expires_after(requests_read_ == 0 ? limits.header_timeout : limits.idle_timeout);
-    if (buffer_.size() > 0) co_return true;
+    if (input_.size() > 0) co_return true;
+    input_.trim();
     ErrorCode error;
+    const asio::mutable_buffer room = input_.prepare(error);
     awaits_request_ = true;
     const std::size_t got =
-        co_await stream_.async_read_some(buffer_.prepare(beast::read_size(buffer_, max_read_bytes)),
-                                         asio::redirect_error(asio::use_awaitable, error));
+        co_await stream_.async_read_some(room, asio::redirect_error(asio::use_awaitable, error));
     awaits_request_ = false;
-    buffer_.commit(got);
+    input_.commit(got);
     co_return !error;
 }
 
 asio::awaitable<void> ClientSession::read_request(Parser& parser, BodyMemory& memory, ErrorCode& error) {
-    co_await http::async_read_header(stream_, buffer_, parser,
+    co_await http_reader::async_read(stream_, input_, parser, http_reader::ReadUntil::head, memory,
                                      asio::redirect_error(asio::use_awaitable, error));
     if (error) {
         stream_.expires_never();
         co_return;
     }
     stream_.expires_after(body_timeout);
-    if (!memory.grow_to(copies_of_body * parser.content_length().value_or(0))) {
-        error = asio::error::no_memory;
-        co_return;
-    }
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) co_await send_continue();
-    co_await read_body(parser, memory, error);
+    co_await http_reader::async_read(stream_, input_, parser, http_reader::ReadUntil::end, memory,
+                                     asio::redirect_error(asio::use_awaitable, error));
     stream_.expires_never();
 }
 
-// In pieces, as the length of a chunked body is known at its end only.
-asio::awaitable<void> ClientSession::read_body(Parser& parser, BodyMemory& memory, ErrorCode& error) {
-    while (!error && !parser.is_done()) {
-        co_await http::async_read_some(stream_, buffer_, parser,
-                                       asio::redirect_error(asio::use_awaitable, error));
-        if (!error && !memory.grow_to(copies_of_body * parser.get().body().size()))
-            error = asio::error::no_memory;
-    }
-}
-
 asio::awaitable<void> ClientSession::send_continue() {
     static const std::string line = "HTTP/1.1 100 Continue\r\n\r\n";
     ErrorCode ignored;
@@ -188,7 +186,7 @@
     ErrorCode error;
     stream_.socket().shutdown(Tcp::socket::shutdown_send, error);
     stream_.expires_after(discard_timeout);
-    std::array<char, max_read_bytes / 4> discarded{};
+    std::array<char, discard_buffer_bytes> discarded{};
     while (!error)
         co_await stream_.async_read_some(asio::buffer(discarded),
                                          asio::redirect_error(asio::use_awaitable, error));
--- a/src/system/data/client_session.h
+++ b/src/system/data/client_session.h
@@ -6,6 +6,8 @@
 #include "system/data/proxied_request.h"
 #include "system/data/upstream_request.h"
 #include "system/errors/error.h"
+#include "system/http_reader/body_memory.h"
+#include "system/http_reader/input_buffer.h"
 #include "system/transport/asio.h"
 
 #include <boost/intrusive/list.hpp>
@@ -58,7 +60,7 @@
 
   private:
     using Parser = http::request_parser<http::string_body>;
-    using BodyMemory = budget::ByteBudget::Reservation;
+    using BodyMemory = http_reader::BodyMemory;
 
     // These return false when the connection is at its end.
     asio::awaitable<bool> serve_request();
@@ -73,7 +75,6 @@
     // `error`: boost::asio::error::no_memory where the body has no room in `memory`; the rest of the request
     // is not read then.
     asio::awaitable<void> read_request(Parser& parser, BodyMemory& memory, ErrorCode& error);
-    asio::awaitable<void> read_body(Parser& parser, BodyMemory& memory, ErrorCode& error);
     asio::awaitable<void> send_continue();
     asio::awaitable<bool> write_rejection(const http::response<http::string_body>& response);
     // Lets a client that is still sending read the response before the connection ends.
@@ -84,7 +85,7 @@
     std::shared_ptr<ClientCounts> counts_;
     ScopedCount connection_count_;
     beast::tcp_stream stream_;
-    beast::flat_buffer buffer_;
+    http_reader::InputBuffer input_;
     bool awaits_request_ = false;
     ProxiedRequest* proxied_ = nullptr; // the one under way
     std::uint64_t requests_read_ = 0;
--- a/src/system/data/context.h
+++ b/src/system/data/context.h
@@ -7,6 +7,7 @@
 #include "system/budget/retry_budget.h"
 #include "system/data/active_configuration.h"
 #include "system/data/worker_pool.h"
+#include "system/http_reader/input_memory.h"
 #include "system/metrics/metrics.h"
 #include "system/routing/selector.h"
 #include "system/settings/settings.h"
@@ -25,16 +26,11 @@
     std::uint64_t attempts = 0, not_executed = 0, broken = 0, resumed = 0, unreachable = 0;
 };
 
-// Of the process's memory: what is left is for the program, the configuration and responses.
-inline constexpr std::size_t body_memory_divisor = 2;
-inline constexpr std::size_t bytes_per_mb = 1U << 20U;
-
 struct Context {
     Context(asio::io_context& io, const settings::Settings& s, std::uint64_t seed)
         : loop(io), settings(s), selector({s.zone, s.region, s.regions}, seed),
-          cold({s.timers.cold_excess, s.timers.cold_slack}), pool(io),
-          body_memory(
-              std::make_shared<budget::ByteBudget>(s.memory_mb * bytes_per_mb / body_memory_divisor)) {}
+          cold({s.timers.cold_excess, s.timers.cold_slack}),
+          input_memory(http_reader::make_input_memory(s.memory_mb)), pool(io, input_memory) {}
 
     budget::RetryBudget& retries(const std::string& service) {
         const settings::Timers& timers = settings.timers;
@@ -56,9 +52,9 @@
     budget::ColdBudget cold;
     std::map<std::string, budget::RetryBudget> retry_budgets;  // by service
     std::map<std::string, routing::PrefillCost> prefill_costs; // of models, by service
+    std::shared_ptr<budget::ByteBudget> input_memory;          // of all that comes in to this process
     WorkerPool pool;
-    std::shared_ptr<budget::ByteBudget> body_memory; // of requests that are being read or answered
-    std::size_t schedulers = 1;                      // the highest number that were alive together lately
+    std::size_t schedulers = 1; // the highest number that were alive together lately
     std::set<std::string> scheduler_names;
     bool shutting_down = false; // connections of clients are closed after their response
     metrics::Metrics metrics;
--- a/src/system/data/data_plane.cpp
+++ b/src/system/data/data_plane.cpp
@@ -56,7 +56,7 @@
       core_(loop, settings_, core_callbacks()),
       load_reports_(context_, settings_.address, load_report_port(settings_)),
       readiness_(loop, settings_.readiness.host, settings_.readiness.port,
-                 http_server::options_within(settings_.max_files),
+                 http_server::options_within(settings_.max_files, context_.input_memory),
                  [this](const http_server::Request& request, const http_server::Respond& respond) {
                      on_readiness(request, respond);
                  }),
@@ -92,7 +92,7 @@
     context_.metrics.set(Level::workers, static_cast<double>(context_.workers.size()));
     context_.metrics.set(Level::members, static_cast<double>(context_.scheduler_names.size()));
     context_.metrics.set(Level::max_version, protocol::supported_versions.max);
-    context_.metrics.set(Level::input_bytes, static_cast<double>(context_.body_memory->reserved()));
+    context_.metrics.set(Level::input_bytes, static_cast<double>(context_.input_memory->reserved()));
 }
 
 void DataPlane::on_readiness(const http_server::Request& request, const http_server::Respond& respond) const {
--- a/src/system/data/worker_pool.cpp
+++ b/src/system/data/worker_pool.cpp
@@ -53,7 +53,7 @@
     ErrorCode error;
     const auto host = asio::ip::make_address(endpoint.value().host, error);
     if (error) co_return nullptr;
-    auto connection = std::make_shared<WorkerConnection>(loop_);
+    auto connection = std::make_shared<WorkerConnection>(loop_, input_memory_);
     ++open_[address];
     ++opened_;
     auto timer = std::make_shared<SteadyTimer>(loop_, timeout);
@@ -75,8 +75,9 @@
 void WorkerPool::keep(const std::string& address, const WorkerConnectionPtr& connection,
                       std::chrono::milliseconds idle_timeout) {
     auto& idle_here = idle_[address];
-    if (connection->buffer.size() > 0 || idle_timeout.count() <= 0 || idle_here.size() >= max_idle)
+    if (connection->input.size() > 0 || idle_timeout.count() <= 0 || idle_here.size() >= max_idle)
         return drop(address, connection);
+    connection->input.trim();
     connection->idle_until = std::chrono::steady_clock::now() + idle_timeout;
     idle_here.push_back(connection);
     watch(address, connection);
--- a/src/system/data/worker_pool.h
+++ b/src/system/data/worker_pool.h
@@ -2,6 +2,7 @@
 // that one that its worker has closed is not used again. Bounds what is open to a worker. One thread.
 #pragma once
 
+#include "system/http_reader/input_buffer.h"
 #include "system/transport/asio.h"
 
 #include <chrono>
@@ -14,6 +15,9 @@
 
 namespace willowrill::data {
 
+// Of a response: its head, the header of a chunk, its trailers.
+inline constexpr std::size_t max_response_framing_bytes = 65536;
+
 enum class SendState { sending, sent, failed };
 
 // A request that is being sent, and how far its bytes have come.
@@ -29,9 +33,10 @@
 
 // One connection to a worker; carries one request at a time.
 struct WorkerConnection {
-    explicit WorkerConnection(asio::io_context& loop) : socket(loop) {}
+    WorkerConnection(asio::io_context& loop, std::shared_ptr<budget::ByteBudget> input_memory)
+        : socket(loop), input(std::move(input_memory), max_response_framing_bytes) {}
     Tcp::socket socket;
-    beast::flat_buffer buffer;
+    http_reader::InputBuffer input;
     std::shared_ptr<OutgoingRequest> outgoing; // the newest; a response may come before it was sent
     bool reused = false;                       // it has carried an earlier request
     std::uint64_t idle_period = 0;             // counts them; a watch of an older one does nothing
@@ -44,7 +49,9 @@
 
 class WorkerPool {
   public:
-    explicit WorkerPool(asio::io_context& loop) : loop_(loop) {}
+    // `input_memory`: what its connections read is part of.
+    WorkerPool(asio::io_context& loop, std::shared_ptr<budget::ByteBudget> input_memory)
+        : loop_(loop), input_memory_(std::move(input_memory)) {}
 
     // An idle connection that is none of `used`, or null. A second response on a connection that has carried
     // the same request before could not be told from the one that is waited for: both have its id.
@@ -68,6 +75,7 @@
     void uncount(const std::string& address);
 
     asio::io_context& loop_;
+    std::shared_ptr<budget::ByteBudget> input_memory_;
     std::map<std::string, std::deque<WorkerConnectionPtr>> idle_;
     std::map<std::string, std::size_t> open_; // idle or busy, by address
     std::size_t opened_ = 0;
--- a/src/system/data/worker_response.cpp
+++ b/src/system/data/worker_response.cpp
@@ -1,12 +1,16 @@
 #include "system/data/worker_response.h"
 
+#include "system/http_reader/read.h"
+
 #include <limits>
 #include <utility>
 
 namespace willowrill::data {
 namespace {
 
-constexpr std::uint32_t max_head_bytes = 65536;
+// Less than the connection's buffer has room for, so that a head over the limit is told from one that is not
+// complete.
+constexpr std::uint32_t max_head_bytes = max_response_framing_bytes - 1;
 
 } // namespace
 
@@ -20,7 +24,8 @@
 
 asio::awaitable<bool> WorkerResponse::read_head() {
     ErrorCode error;
-    co_await http::async_read_header(connection_->socket, connection_->buffer, parser_,
+    co_await http_reader::async_read(connection_->socket, connection_->input, parser_,
+                                     http_reader::ReadUntil::head,
                                      asio::redirect_error(asio::use_awaitable, error));
     last_error_ = error;
     co_return !error;
@@ -31,8 +36,9 @@
     body.data = buffer.data();
     body.size = buffer.size();
     body.more = true;
-    co_await http::async_read_some(connection_->socket, connection_->buffer, parser_,
-                                   asio::redirect_error(asio::use_awaitable, error));
+    co_await http_reader::async_read(connection_->socket, connection_->input, parser_,
+                                     http_reader::ReadUntil::progress,
+                                     asio::redirect_error(asio::use_awaitable, error));
     if (error == http::error::need_buffer) error = {};
     last_error_ = error;
     const std::size_t got = buffer.size() - body.size;
--- a/src/system/data/worker_response.h
+++ b/src/system/data/worker_response.h
@@ -36,7 +36,7 @@
     ErrorCode last_error() const { return last_error_; }
     std::size_t body_bytes() const { return body_bytes_; }
     // Memory that what has come and isn't parsed yet takes.
-    std::size_t buffered_bytes() const { return connection_->buffer.capacity(); }
+    std::size_t buffered_bytes() const { return connection_->input.capacity(); }
 
   private:
     WorkerConnectionPtr connection_;
--- a/src/system/http_client/client.cpp
+++ b/src/system/http_client/client.cpp
@@ -1,5 +1,6 @@
 #include "system/http_client/client.h"
 
+#include "system/http_reader/read.h"
 #include "system/http_reader/read_failure.h"
 #include "system/logging/log.h"
 #include "system/transport/socket_options.h"
@@ -9,18 +10,20 @@
 namespace willowrill::http_client {
 namespace {
 
-constexpr std::uint64_t max_body_bytes = 8U << 20U;
+constexpr std::size_t copies_of_body = 2; // as it is read, a string may hold twice its length
+// A small response is read whatever others hold.
+constexpr std::size_t uncounted_body_bytes = 4096;
 constexpr unsigned http_version = 11; // 1.1, as Beast writes it
 
 } // namespace
 
-Client::Client(asio::io_context& loop, std::string host, std::uint16_t port)
-    : host_(std::move(host)), port_(port), loop_(loop) {}
+Client::Client(asio::io_context& loop, std::string host, std::uint16_t port, Options options)
+    : host_(std::move(host)), port_(port), loop_(loop), options_(std::move(options)) {}
 
 void Client::get(const std::string& target, std::chrono::milliseconds timeout, OnResponse done) {
     done_ = std::move(done);
     ++request_number_;
-    if (!connection_) connection_ = std::make_shared<Connection>(loop_);
+    if (!connection_) connection_ = std::make_shared<Connection>(loop_, options_);
     const auto connection = connection_;
     connection->request = {http::verb::get, target, http_version};
     connection->request.set(http::field::host, host_ + ":" + std::to_string(port_));
@@ -59,18 +62,13 @@
 
 void Client::read(const std::shared_ptr<Connection>& connection, std::uint64_t request_number) {
     connection->parser.emplace();
-    connection->parser->body_limit(max_body_bytes);
-    const auto on_read = [self = shared_from_this(), connection, request_number](ErrorCode error,
-                                                                                 std::size_t /*bytes*/) {
-        if (request_number == self->request_number_) self->on_read(error);
-    };
-    // The head by itself: where bytes of the body have come with it, Beast's read of a complete message goes
-    // on to allocate for a length that is over the limit.
-    http::async_read_header(connection->stream, connection->buffer, *connection->parser,
-                            [connection, on_read](ErrorCode error, std::size_t bytes) {
-                                if (error) return on_read(error, bytes);
-                                http::async_read(connection->stream, connection->buffer, *connection->parser,
-                                                 on_read);
+    connection->parser->header_limit(max_framing_bytes - 1);
+    connection->parser->body_limit(options_.max_body_bytes);
+    connection->body_memory.emplace(options_.input_memory, copies_of_body, uncounted_body_bytes);
+    http_reader::async_read(connection->stream, connection->input, *connection->parser,
+                            http_reader::ReadUntil::end, *connection->body_memory,
+                            [self = shared_from_this(), connection, request_number](ErrorCode error) {
+                                if (request_number == self->request_number_) self->on_read(error);
                             });
 }
 
--- a/src/system/http_server/session.cpp
+++ b/src/system/http_server/session.cpp
@@ -1,6 +1,7 @@
 #include "system/http_server/session.h"
 
 #include "system/errors/error.h"
+#include "system/http_reader/read.h"
 #include "system/http_server/responses.h"
 
 #include <cstdint>
@@ -11,6 +12,11 @@
 
 using errors::ErrorKind;
 
+// Beside the longest head: a head over its limit is told from one that is not complete.
+constexpr std::size_t framing_margin_bytes = 512;
+// The body as it was read, and what its handler makes of it.
+constexpr std::size_t copies_of_body = 2;
+
 // Whether the client is to be told that its request was no HTTP: not where the connection merely ended.
 bool is_malformed(const ErrorCode& error) {
     if (!error || error == http::error::end_of_stream || error == http::error::partial_message) return false;
@@ -20,7 +26,8 @@
 } // namespace
 
 Session::Session(std::shared_ptr<SessionContext> context, Tcp::socket socket)
-    : context_(std::move(context)), stream_(std::move(socket)) {
+    : context_(std::move(context)), stream_(std::move(socket)),
+      input_(context_->options.input_memory, context_->options.header_bytes + framing_margin_bytes) {
     ++context_->open_sessions;
 }
 
@@ -31,10 +38,11 @@
     parser_.emplace();
     parser_->header_limit(static_cast<std::uint32_t>(context_->options.header_bytes));
     parser_->body_limit(context_->options.body_bytes);
+    body_memory_.emplace(context_->options.input_memory, copies_of_body);
+    input_.trim();
     stream_.expires_after(context_->options.read_timeout);
-    http::async_read(
-        stream_, buffer_, *parser_,
-        [self = shared_from_this()](ErrorCode error, std::size_t /*bytes*/) { self->on_read(error); });
+    http_reader::async_read(stream_, input_, *parser_, http_reader::ReadUntil::end, *body_memory_,
+                            [self = shared_from_this()](ErrorCode error) { self->on_read(error); });
 }
 
 void Session::close() {
@@ -44,7 +52,10 @@
 
 void Session::on_read(ErrorCode error) {
     if (is_linked()) unlink();
-    if (error == http::error::header_limit || error == http::error::body_limit)
+    if (error == asio::error::no_memory)
+        return write(error_response({}, {ErrorKind::overloaded, "no memory for the request now"}), true);
+    if (error == http::error::header_limit || error == http::error::body_limit ||
+        error == http::error::buffer_overflow)
         return write(error_response({}, {ErrorKind::request_too_large, error.message()}), true);
     if (is_malformed(error))
         return write(error_response({}, {ErrorKind::malformed_request, error.message()}), true);
--- a/src/system/http_server/session.h
+++ b/src/system/http_server/session.h
@@ -2,6 +2,8 @@
 // Keeps itself alive while an operation is under way. One thread, that of the loop.
 #pragma once
 
+#include "system/http_reader/body_memory.h"
+#include "system/http_reader/input_buffer.h"
 #include "system/http_server/messages.h"
 #include "system/http_server/options.h"
 #include "system/transport/asio.h"
@@ -39,8 +41,9 @@
 
     std::shared_ptr<SessionContext> context_;
     beast::tcp_stream stream_;
-    beast::flat_buffer buffer_;
+    http_reader::InputBuffer input_;
     std::optional<http::request_parser<http::string_body>> parser_;
+    std::optional<http_reader::BodyMemory> body_memory_; // until the response is written
     Response response_;
 };
 
--- a/tests/system/budget/byte_budget_test.cpp
+++ b/tests/system/budget/byte_budget_test.cpp
@@ -38,3 +38,14 @@
     cr_assert_not(reservation.grow_to(std::numeric_limits<std::size_t>::max()));
     cr_assert_eq(budget->reserved(), 1U);
 }
+
+Test(byte_budget, a_reservation_gives_back_what_it_holds_beyond) {
+    const auto budget = std::make_shared<ByteBudget>(100);
+    ByteBudget::Reservation reservation(budget);
+    cr_assert(reservation.grow_to(60));
+    reservation.shrink_to(80);
+    cr_assert_eq(budget->reserved(), 60U);
+    reservation.shrink_to(10);
+    cr_assert_eq(budget->reserved(), 10U);
+    cr_assert(reservation.grow_to(100));
+}
