Read no more than 64 KiB of a promise that a request has not run

Callers saw: 503 at a machine whose worker refused requests with bodies without end, as up to 16 MiB of each were read before the request went elsewhere. Cause: what goes to nobody was discarded up to the bound of a response that is passed on. Change: the head of a promise says all; beyond 64 KiB of its body its connection is closed, and the next worker is asked at once. Why it works: the promise is known from the head; the connection is not used again with the rest of a body due on it.

--- a/src/system/data/upstream_attempt.cpp
+++ b/src/system/data/upstream_attempt.cpp
@@ -14,6 +14,8 @@
 // A request that may be repeated goes elsewhere after so long without an event, at the earliest.
 constexpr Time min_silence_timeout{900};
 constexpr int max_earlier_responses = 4; // that are discarded on one connection
+// Of a worker's promise that it did not run the request: its head says all, and another worker waits.
+constexpr std::size_t max_promise_body_bytes = 65536;
 constexpr unsigned lowest_priority = 9;
 constexpr std::size_t noteworthy_bytes = 1U << 20U; // of a response that was not read to its end
 constexpr std::size_t min_connections = 4;          // to one worker, whatever this scheduler's share
@@ -189,8 +191,10 @@
             note_abandoned(response, http_reader::ReadFailure::unusable);
             break;
         }
-        const bool complete = co_await response.discard_body();
-        if (kind != ResponseKind::earlier) {
+        const bool promised = kind != ResponseKind::earlier;
+        const bool complete =
+            co_await response.discard_body(promised ? max_promise_body_bytes : max_response_body_bytes);
+        if (promised) {
             release_connection(response, complete);
             co_return kind == ResponseKind::misdirected ? AttemptResult::misdirected
                                                         : AttemptResult::not_executed;
--- a/src/system/data/worker_response.cpp
+++ b/src/system/data/worker_response.cpp
@@ -48,9 +48,9 @@
     co_return got;
 }
 
-asio::awaitable<bool> WorkerResponse::discard_body() {
+asio::awaitable<bool> WorkerResponse::discard_body(std::size_t max_bytes) {
     std::string discarded(read_buffer_bytes, '\0');
-    while (!complete() && !last_error_ && body_bytes_ <= max_response_body_bytes)
+    while (!complete() && !last_error_ && body_bytes_ <= max_bytes)
         co_await read_some(asio::buffer(discarded));
     co_return complete() && !last_error_;
 }
--- a/src/system/data/worker_response.h
+++ b/src/system/data/worker_response.h
@@ -21,8 +21,8 @@
     asio::awaitable<bool> read_head();
     // Reads some of the body into the buffer; returns how many bytes it got. `last_error` tells of failure.
     asio::awaitable<std::size_t> read_some(asio::mutable_buffer buffer);
-    // Reads the rest of a response that goes to nobody. Says whether it was complete.
-    asio::awaitable<bool> discard_body();
+    // Reads the rest of a response that goes to nobody, up to so many bytes. Says whether it was complete.
+    asio::awaitable<bool> discard_body(std::size_t max_bytes);
 
     const http::response_header<>& head() const { return parser_.get().base(); }
     // The body was read to its end. One without a length ends with its connection.
--- a/tests/system/input/endless_input_test.cpp
+++ b/tests/system/input/endless_input_test.cpp
@@ -79,6 +79,21 @@
     }
 }
 
+// What reads it up to 16 MiB costs every other request on the loop.
+Test(endless_input, a_promise_whose_body_has_no_end_leads_to_another_worker_at_once) {
+    data::ProxyFixture proxy("non_idempotent", false, 2);
+    const FloodingServer worker(
+        proxy.loop,
+        {"HTTP/1.1 503 Full\r\nAttempt-Id: 0b\r\nNot-Executed: 1\r\nContent-Length: 999999999999\r\n\r\n",
+         flood_junk});
+    proxy.context->workers.at("w1").instance.address = worker.address();
+    const std::string response = proxy.serve("0b");
+    cr_assert_eq(data::status_of(response), 200, "%s", response.c_str());
+    cr_assert_eq(proxy.second.requests.size(), 1U);
+    // Beside what the system buffers on the way.
+    cr_assert_lt(worker.bytes_sent(), 12U << 20U);
+}
+
 Test(endless_input, a_request_of_a_client_whose_framing_has_no_end_is_read_no_further) {
     for (const FloodText& framing : endless_framings) {
         data::ProxyFixture proxy("safe", false, 1);
