Take memory for a frame as it comes, and little from peers that said no hello

Callers saw: all requests of a machine ended with its process where 40 connections at an internal port announced frames of 16 MiB and did not finish them; no hello was needed. Cause: a frame's announced length was allocated, and zeroed, at once; the bound of 16 MiB was one of each connection. Change: a frame's body grows as its bytes come, and beyond 16 KiB is part of an eighth of memoryMb for all peers together, apart from what requests may take; a frame has 30 s to end. Before a hello, and from schedulers and subscribers, frames have 64 KiB at most, decompressed too; at most 256 subscribers may be unidentified, as at the core. budget::InputMemory divides the memory in one place. Why it works: nothing is taken for what was only announced, and what is taken has one owner.

--- a/src/system/control/connection_acceptor.cpp
+++ b/src/system/control/connection_acceptor.cpp
@@ -18,14 +18,15 @@
 } // namespace
 
 ConnectionAcceptor::ConnectionAcceptor(asio::io_context& loop, const std::string& address, std::uint16_t port,
-                                       Handler& handler)
+                                       std::shared_ptr<budget::ByteBudget> input_memory, Handler& handler)
     : handler_(handler),
-      listener_(loop, address, port,
+      listener_(loop, address, port, std::move(input_memory),
                 [this](const transport::FrameConnectionPtr& connection) { accept(connection); }) {}
 
 void ConnectionAcceptor::accept(const transport::FrameConnectionPtr& connection) {
     if (unidentified_.size() >= max_unidentified) return connection->close();
     unidentified_.insert(connection);
+    connection->accept_short_frames_only();
     const auto peer = std::make_shared<Peer>();
     const auto on_document = [this, weak = std::weak_ptr(connection), peer](const nlohmann::json& document) {
         const auto self = weak.lock();
@@ -118,10 +119,12 @@
     // Programs that announce a single version do not read on the connections they dial, so they get no reply.
     if (peer.agreement.version >= protocol::negotiated_version)
         connection->send(messages::encode(messages::HelloReply{handler_.greeting()}));
-    if (core != nullptr)
-        peer.identity = core->member.id;
-    else
+    if (core == nullptr) {
         peer.identity = handler_.on_scheduler(connection);
+        return;
+    }
+    peer.identity = core->member.id;
+    connection->accept_long_frames(); // replicated states
 }
 
 void ConnectionAcceptor::refuse_incompatible_peers() {
--- a/src/system/control/connection_acceptor.h
+++ b/src/system/control/connection_acceptor.h
@@ -56,9 +56,9 @@
         virtual void on_missing_state_base(const replication::MemberId& from) = 0;
     };
 
-    // `handler` must outlive this object.
+    // `handler` must outlive this object. `input_memory`: what peers send is part of it.
     ConnectionAcceptor(asio::io_context& loop, const std::string& address, std::uint16_t port,
-                       Handler& handler);
+                       std::shared_ptr<budget::ByteBudget> input_memory, Handler& handler);
 
     // Refuses the identified peers that share no protocol version with the current greeting. Called after the
     // greeting has changed.
--- a/src/system/control/control_plane.cpp
+++ b/src/system/control/control_plane.cpp
@@ -44,8 +44,7 @@
 ControlPlane::ControlPlane(asio::io_context& loop, settings::Settings settings, std::string settings_path,
                            std::uint16_t metrics_port)
     : loop_(loop), settings_(std::move(settings)), settings_path_(std::move(settings_path)),
-      self_(settings::to_text(settings_.control)),
-      input_memory_(http_reader::make_input_memory(settings_.memory_mb)),
+      self_(settings::to_text(settings_.control)), input_memory_(settings_.memory_mb),
       node_(loop, settings_,
             {[this](const MemberId& to, const replication::Message& message) { mesh_.send(to, message); },
              [this](const replication::Position& position, const configuration::ControlState& state) {
@@ -53,7 +52,8 @@
              },
              [this] { assign_zones(); }, // starting schedulers wait for the lists
              [this](protocol::Version version) { raise_cluster_version(version); }}),
-      mesh_(loop, {self_, settings_.zone, settings_.region}, settings_.first_internal_port, mesh_callbacks()),
+      mesh_(loop, {self_, settings_.zone, settings_.region}, settings_.first_internal_port,
+            input_memory_.peers, mesh_callbacks()),
       sessions_(session_callbacks()),
       leases_(
           identity::random_identity(),
@@ -64,10 +64,10 @@
                       {[this](const messages::EndpointListMessage& message) { mesh_.broadcast(message); },
                        [this](const discovery::ZoneList& list) { sessions_.publish_zone(list); }}),
       timer_(loop), schedule_(tick_period),
-      acceptor_(loop, settings_.address, settings_.first_internal_port, *this),
+      acceptor_(loop, settings_.address, settings_.first_internal_port, input_memory_.peers, *this),
       operator_api_(node_, self_, zones_of(settings_), metrics_, [this] { return upgrade_status(); }),
       control_server_(loop, settings_.control.host, settings_.control.port,
-                      http_server::options_within(settings_.max_files, input_memory_),
+                      http_server::options_within(settings_.max_files, input_memory_.requests),
                       [this](const http_server::Request& request, const http_server::Respond& respond) {
                           operator_api_.on_request(request, respond);
                       }),
@@ -75,7 +75,7 @@
     if (settings_.directory.port != 0)
         directory_.emplace(
             loop, settings_.directory, [this] { return leases_.leases(); },
-            http_server::options_within(settings_.max_files, input_memory_));
+            http_server::options_within(settings_.max_files, input_memory_.requests));
     member_locations_[self_] = {self_, settings_.zone, settings_.region};
     discover_peers();
     tick();
@@ -96,7 +96,7 @@
     metrics_.set(metrics::Level::members, static_cast<double>(leases_.leases().size()));
     metrics_.set(metrics::Level::cluster_version, cluster_version_);
     metrics_.set(metrics::Level::max_version, protocol::supported_versions.max);
-    metrics_.set(metrics::Level::input_bytes, static_cast<double>(input_memory_->reserved()));
+    metrics_.set(metrics::Level::input_bytes, static_cast<double>(input_memory_.reserved()));
 }
 
 // ---- Protocol versions -----------------------------------------------------------------------------------
--- a/src/system/control/control_plane.h
+++ b/src/system/control/control_plane.h
@@ -3,6 +3,7 @@
 // event loop's thread.
 #pragma once
 
+#include "system/budget/input_memory.h"
 #include "system/control/connection_acceptor.h"
 #include "system/control/core_mesh.h"
 #include "system/control/core_node.h"
@@ -11,7 +12,6 @@
 #include "system/control/lease_replicator.h"
 #include "system/control/operator_api.h"
 #include "system/distribution/scheduler_sessions.h"
-#include "system/http_reader/input_memory.h"
 #include "system/http_server/server.h"
 #include "system/metrics/metrics_server.h"
 #include "system/settings/settings.h"
@@ -89,7 +89,7 @@
     settings::Settings settings_;
     std::string settings_path_;
     MemberId self_;
-    std::shared_ptr<budget::ByteBudget> input_memory_; // of all that comes in to this process
+    budget::InputMemory input_memory_; // of all that comes in to this process
     // The highest cluster version seen since the process started; never decreases.
     protocol::Version cluster_version_ = protocol::initial_cluster_version;
     CoreNode node_;
--- a/src/system/control/core_mesh.cpp
+++ b/src/system/control/core_mesh.cpp
@@ -20,8 +20,9 @@
 } // namespace
 
 CoreMesh::CoreMesh(asio::io_context& loop, messages::CoreMember self, std::uint16_t internal_port,
-                   Callbacks callbacks)
-    : loop_(loop), self_(std::move(self)), internal_port_(internal_port), callbacks_(std::move(callbacks)) {}
+                   std::shared_ptr<budget::ByteBudget> input_memory, Callbacks callbacks)
+    : loop_(loop), self_(std::move(self)), internal_port_(internal_port),
+      input_memory_(std::move(input_memory)), callbacks_(std::move(callbacks)) {}
 
 bool CoreMesh::add_peer(const MemberId& member) {
     if (member == self_.id) return false;
@@ -41,7 +42,7 @@
 void CoreMesh::dial(const MemberId& member) {
     const auto endpoint = settings::parse_endpoint(member);
     links_[member].dialling = true;
-    transport::dial(loop_, endpoint.value().host, internal_port_, dial_timeout,
+    transport::dial(loop_, endpoint.value().host, internal_port_, dial_timeout, input_memory_,
                     [this, member](const transport::FrameConnectionPtr& connection) {
                         links_[member].dialling = false;
                         if (connection) on_connected(member, connection);
@@ -54,6 +55,7 @@
     link.greeting = {};
     link.agreement = {};
     link.state_delta_sender = {};
+    connection->accept_short_frames_only(); // only replies to the hello come on it
     connection->observe_sent_frames(callbacks_.traffic_counter(member));
     connection->start(
         [this, member](const nlohmann::json& document) {
--- a/src/system/control/core_mesh.h
+++ b/src/system/control/core_mesh.h
@@ -39,8 +39,9 @@
 
     // `self`: identity and location that this member announces in its hello.
     // `internal_port`: port on which core members accept each other's connections, the same on all machines.
+    // `input_memory`: what members reply is part of it.
     CoreMesh(asio::io_context& loop, messages::CoreMember self, std::uint16_t internal_port,
-             Callbacks callbacks);
+             std::shared_ptr<budget::ByteBudget> input_memory, Callbacks callbacks);
 
     // Adds a member to the mesh and keeps a connection to it. Returns false if `member` is this member itself
     // or not a valid endpoint, or if the mesh is full.
@@ -85,6 +86,7 @@
     asio::io_context& loop_;
     messages::CoreMember self_;
     std::uint16_t internal_port_;
+    std::shared_ptr<budget::ByteBudget> input_memory_;
     Callbacks callbacks_;
     std::map<MemberId, Link> links_;
     RefusalLog refusal_log_;
--- a/src/system/data/client_session.cpp
+++ b/src/system/data/client_session.cpp
@@ -56,7 +56,8 @@
 ClientSession::ClientSession(Context& context, std::shared_ptr<ClientCounts> counts, Tcp::socket socket)
     : context_(context), counts_(std::move(counts)), connection_count_(counts_->connections),
       stream_(std::move(socket)),
-      input_(context.input_memory, max_framing_bytes(context.active_configuration->configuration.limits)) {}
+      input_(context.input_memory.requests,
+             max_framing_bytes(context.active_configuration->configuration.limits)) {}
 
 asio::awaitable<void> ClientSession::run(std::shared_ptr<ClientSession> self) {
     bool more = true;
@@ -83,7 +84,7 @@
     parser.body_limit(limits.max_body_bytes);
     if (requests_read_ > 0) stream_.expires_after(limits.header_timeout);
     ErrorCode error;
-    BodyMemory memory(context_.input_memory, copies_of_body); // until the response is complete
+    BodyMemory memory(context_.input_memory.requests, copies_of_body); // until the response is complete
     co_await read_request(parser, memory, error);
     if (error == asio::error::no_memory) co_return co_await reject_for_memory(parser.get());
     if (error) co_return co_await reject_unreadable(error, parser.got_some());
--- a/src/system/data/context.h
+++ b/src/system/data/context.h
@@ -2,12 +2,11 @@
 // connections to workers. One thread.
 #pragma once
 
-#include "system/budget/byte_budget.h"
 #include "system/budget/cold_budget.h"
+#include "system/budget/input_memory.h"
 #include "system/budget/retry_budget.h"
 #include "system/data/active_configuration.h"
 #include "system/data/worker_pool.h"
-#include "system/http_reader/input_memory.h"
 #include "system/metrics/metrics.h"
 #include "system/routing/selector.h"
 #include "system/settings/settings.h"
@@ -29,9 +28,8 @@
 struct Context {
     Context(asio::io_context& io, const settings::Settings& s, std::uint64_t seed)
         : loop(io), settings(s), selector({s.zone, s.region, s.regions}, seed),
-          cold({s.timers.cold_excess, s.timers.cold_slack}),
-          input_memory(http_reader::make_input_memory(s.memory_mb)),
-          response_memory(http_reader::make_response_memory(s.memory_mb)), pool(io, input_memory) {}
+          cold({s.timers.cold_excess, s.timers.cold_slack}), input_memory(s.memory_mb),
+          pool(io, input_memory.requests) {}
 
     budget::RetryBudget& retries(const std::string& service) {
         const settings::Timers& timers = settings.timers;
@@ -53,8 +51,7 @@
     budget::ColdBudget cold;
     std::map<std::string, budget::RetryBudget> retry_budgets;  // by service
     std::map<std::string, routing::PrefillCost> prefill_costs; // of models, by service
-    std::shared_ptr<budget::ByteBudget> input_memory;          // of all that comes in to this process
-    std::shared_ptr<budget::ByteBudget> response_memory; // of workers' responses until they are complete
+    budget::InputMemory input_memory;                          // of all that comes in to this process
     WorkerPool pool;
     std::size_t schedulers = 1; // the highest number that were alive together lately
     std::set<std::string> scheduler_names;
--- a/src/system/data/core_connection.cpp
+++ b/src/system/data/core_connection.cpp
@@ -18,16 +18,16 @@
 } // namespace
 
 CoreConnection::CoreConnection(asio::io_context& loop, const settings::Settings& settings,
-                               Callbacks callbacks)
-    : loop_(loop), core_port_(settings.first_internal_port), callbacks_(std::move(callbacks)),
-      session_(
-          [this] {
-              std::vector<std::string> hosts;
-              for (const settings::Endpoint& seed : callbacks_.seeds())
-                  hosts.push_back(seed.host);
-              return hosts;
-          },
-          {settings.zone, settings.region}),
+                               std::shared_ptr<budget::ByteBudget> input_memory, Callbacks callbacks)
+    : loop_(loop), core_port_(settings.first_internal_port), input_memory_(std::move(input_memory)),
+      callbacks_(std::move(callbacks)), session_(
+                                            [this] {
+                                                std::vector<std::string> hosts;
+                                                for (const settings::Endpoint& seed : callbacks_.seeds())
+                                                    hosts.push_back(seed.host);
+                                                return hosts;
+                                            },
+                                            {settings.zone, settings.region}),
       timer_(loop) {}
 
 void CoreConnection::tick() {
@@ -46,7 +46,7 @@
 }
 
 void CoreConnection::carry_out(const distribution::Dial& dial) {
-    transport::dial(loop_, dial.host, core_port_, dial_timeout,
+    transport::dial(loop_, dial.host, core_port_, dial_timeout, input_memory_,
                     [this](const transport::FrameConnectionPtr& connection) {
                         if (connection) return on_connected(connection);
                         feed(distribution::DialFailed{});
--- a/src/system/data/core_connection.h
+++ b/src/system/data/core_connection.h
@@ -29,7 +29,9 @@
         std::function<void()> refused;         // a core member refused a session, as no version is in common
         std::function<void()> unknown_message; // one came that is not understood
     };
-    CoreConnection(asio::io_context& loop, const settings::Settings& settings, Callbacks callbacks);
+    // `input_memory`: what the core sends is part of it.
+    CoreConnection(asio::io_context& loop, const settings::Settings& settings,
+                   std::shared_ptr<budget::ByteBudget> input_memory, Callbacks callbacks);
 
     void start() { tick(); }
     // Renews at once: the lease has changed, or something is lacking.
@@ -50,6 +52,7 @@
 
     asio::io_context& loop_;
     std::uint16_t core_port_;
+    std::shared_ptr<budget::ByteBudget> input_memory_;
     Callbacks callbacks_;
     distribution::CoreSession session_;
     SteadyTimer timer_;
--- a/src/system/data/data_plane.cpp
+++ b/src/system/data/data_plane.cpp
@@ -53,10 +53,10 @@
                      std::uint16_t metrics_port)
     : loop_(loop), settings_(std::move(settings)), settings_path_(std::move(settings_path)),
       context_(loop, settings_, identity::random_identity()), incarnation_(identity::random_identity()),
-      core_(loop, settings_, core_callbacks()),
+      core_(loop, settings_, context_.input_memory.peers, core_callbacks()),
       load_reports_(context_, settings_.address, load_report_port(settings_)),
       readiness_(loop, settings_.readiness.host, settings_.readiness.port,
-                 http_server::options_within(settings_.max_files, context_.input_memory),
+                 http_server::options_within(settings_.max_files, context_.input_memory.requests),
                  [this](const http_server::Request& request, const http_server::Respond& respond) {
                      on_readiness(request, respond);
                  }),
@@ -92,8 +92,7 @@
     context_.metrics.set(Level::workers, static_cast<double>(context_.workers.size()));
     context_.metrics.set(Level::members, static_cast<double>(context_.scheduler_names.size()));
     context_.metrics.set(Level::max_version, protocol::supported_versions.max);
-    context_.metrics.set(Level::input_bytes, static_cast<double>(context_.input_memory->reserved() +
-                                                                 context_.response_memory->reserved()));
+    context_.metrics.set(Level::input_bytes, static_cast<double>(context_.input_memory.reserved()));
 }
 
 void DataPlane::on_readiness(const http_server::Request& request, const http_server::Respond& respond) const {
--- a/src/system/data/load_report_publication.cpp
+++ b/src/system/data/load_report_publication.cpp
@@ -10,10 +10,16 @@
 using load_reports::ReportScope;
 using load_reports::SubscribeRequest;
 
+namespace {
+
+constexpr std::size_t max_unidentified = 256;
+
+} // namespace
+
 LoadReportPublication::LoadReportPublication(Context& context, const ProbeAssignment& assignment,
                                              const std::string& host, std::uint16_t port)
     : context_(context), assignment_(assignment),
-      listener_(context.loop, host, port,
+      listener_(context.loop, host, port, context.input_memory.peers,
                 [this](const transport::FrameConnectionPtr& connection) { accept(connection); }) {}
 
 void LoadReportPublication::publish(ReportScope scope) {
@@ -40,13 +46,19 @@
 }
 
 void LoadReportPublication::accept(const transport::FrameConnectionPtr& connection) {
-    if (subscribers_.size() >= membership::max_leases) return connection->close();
+    if (subscribers_.size() >= membership::max_leases || unidentified_.size() >= max_unidentified)
+        return connection->close();
+    unidentified_.insert(connection);
+    connection->accept_short_frames_only();
     connection->start(
         [this, weak = std::weak_ptr(connection)](const nlohmann::json& message) {
             if (const auto self = weak.lock()) on_message(self, message);
         },
         [this, weak = std::weak_ptr(connection)] {
-            if (const auto self = weak.lock()) subscribers_.erase(self);
+            if (const auto self = weak.lock()) {
+                unidentified_.erase(self);
+                subscribers_.erase(self);
+            }
         });
 }
 
@@ -60,7 +72,10 @@
         connection->send(encode(load_reports::SubscribeRefusal{unsupported->detail}));
         return connection->close_when_sent();
     }
-    if (const auto* request = std::get_if<SubscribeRequest>(&decoded)) subscribe(connection, *request);
+    const auto* request = std::get_if<SubscribeRequest>(&decoded);
+    if (request == nullptr) return;
+    unidentified_.erase(connection);
+    subscribe(connection, *request);
 }
 
 void LoadReportPublication::subscribe(const transport::FrameConnectionPtr& connection,
--- a/src/system/data/load_report_publication.h
+++ b/src/system/data/load_report_publication.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 namespace willowrill::data {
@@ -44,6 +45,7 @@
 
     Context& context_;
     const ProbeAssignment& assignment_;
+    std::set<transport::FrameConnectionPtr> unidentified_; // that have not said what they want
     std::map<transport::FrameConnectionPtr, Group> subscribers_;
     std::map<Group, load_reports::LoadReportPublisher> publishers_; // of groups that have subscribers
     transport::FrameListener listener_;
--- a/src/system/data/subscription.cpp
+++ b/src/system/data/subscription.cpp
@@ -23,6 +23,7 @@
     node_ = home.node;
     transport::dial(
         context_.loop, endpoint.value().host, endpoint.value().port, dial_timeout,
+        context_.input_memory.peers,
         [self = shared_from_this(), node = home.node](const transport::FrameConnectionPtr& connection) {
             self->on_connected(node, connection);
         });
--- a/src/system/data/upstream_relay.cpp
+++ b/src/system/data/upstream_relay.cpp
@@ -21,7 +21,7 @@
 } // namespace
 
 asio::awaitable<AttemptResult> UpstreamAttempt::relay_response(WorkerResponse& response) {
-    HeldBody body(context_.response_memory);
+    HeldBody body(context_.input_memory.responses);
     co_await hold_body(response, body);
     // A response without a length is complete where its connection ended in order, and not where it was
     // reset.
@@ -107,7 +107,7 @@
 // Passes on whole events as they come. True where the stream was complete, and the client took it.
 asio::awaitable<bool> UpstreamAttempt::relay_events(WorkerResponse& response) {
     stream::EventSplitter& stream = request_.events;
-    budget::ByteBudget::Reservation memory(context_.response_memory);
+    budget::ByteBudget::Reservation memory(context_.input_memory.responses);
     std::string buffer(read_buffer_bytes, '\0');
     while (!response.complete()) {
         const std::size_t got = co_await response.read_some(asio::buffer(buffer));
--- a/src/system/transport/frame.cpp
+++ b/src/system/transport/frame.cpp
@@ -26,8 +26,8 @@
     return frame;
 }
 
-nlohmann::json message_in(std::string_view body) {
-    const auto text = compression::decompress(body, max_message_bytes);
+nlohmann::json message_in(std::string_view body, std::size_t max_bytes) {
+    const auto text = compression::decompress(body, max_bytes);
     if (!text) throw nlohmann::json::other_error::create(damaged_message_id, "damaged or too long", nullptr);
     return nlohmann::json::parse(*text);
 }
--- a/src/system/transport/frame.h
+++ b/src/system/transport/frame.h
@@ -20,8 +20,9 @@
 // The bytes of a message, made once for however many connections it goes to.
 Frame frame_of(const nlohmann::json& message);
 
-// The message in a frame's bytes behind the length. Throws nlohmann::json::exception on anything else.
-nlohmann::json message_in(std::string_view body);
+// The message in a frame's bytes behind the length. Throws nlohmann::json::exception on anything else, and on
+// one of more than `max_bytes` decompressed.
+nlohmann::json message_in(std::string_view body, std::size_t max_bytes = max_message_bytes);
 // The message in a complete frame; throws likewise.
 nlohmann::json message_in(const Frame& frame);
 
--- a/src/system/transport/frame_listener.h
+++ b/src/system/transport/frame_listener.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 
 namespace willowrill::transport {
@@ -15,8 +16,10 @@
 class FrameListener {
   public:
     // Listens at `host`, an IP address, and `port` (0: any free one); throws boost::system::system_error
-    // where that cannot be had. `on_accept` gets each connection, not started yet, and bounds their number.
+    // where that cannot be had. `input_memory`: see `FrameConnection`. `on_accept` gets each connection, not
+    // started yet, and bounds their number.
     FrameListener(asio::io_context& loop, const std::string& host, std::uint16_t port,
+                  std::shared_ptr<budget::ByteBudget> input_memory,
                   std::function<void(FrameConnectionPtr)> on_accept);
 
   private:
--- a/tests/system/control/connection_acceptor_test.cpp
+++ b/tests/system/control/connection_acceptor_test.cpp
@@ -53,7 +53,7 @@
 
 // A core member's acceptor and a connection dialled to it.
 struct AcceptorFixture {
-    AcceptorFixture() : port(free_port(loop)), acceptor(loop, "127.0.0.1", port, handler) {
+    AcceptorFixture() : port(free_port(loop)), acceptor(loop, "127.0.0.1", port, input_memory, handler) {
         Tcp::socket socket(loop);
         socket.connect({asio::ip::address_v4::loopback(), port});
         dialed_connection = std::make_shared<FrameConnection>(std::move(socket));
@@ -81,6 +81,7 @@
 
     asio::io_context loop;
     FakeHandler handler;
+    std::shared_ptr<budget::ByteBudget> input_memory = std::make_shared<budget::ByteBudget>(1U << 20U);
     std::uint16_t port;
     ConnectionAcceptor acceptor;
     transport::FrameConnectionPtr dialed_connection;
@@ -215,3 +216,27 @@
     cr_assert(fixture.run_until([&] { return fixture.is_closed; }));
     cr_assert_eq(fixture.handler.refused_peers, 0);
 }
+
+Test(connection_acceptor, long_messages_are_for_core_members_that_have_said_hello) {
+    std::string noise(200'000, '\0'); // that does not compress
+    std::uint32_t random = 7;
+    for (char& one : noise)
+        one = static_cast<char>('a' + ((random = random * 1664525U + 1013904223U) >> 24U) % 26);
+    const auto content = std::make_shared<const std::string>(std::move(noise));
+    const replication::Message state{replication::ReplicateRequest{3, {{3, 1}, content}}};
+    messages::StateDeltaSender sender;
+    const json message = messages::encode(sender.prepare(state, false));
+    AcceptorFixture member;
+    member.send_hello(range_greeting);
+    member.dialed_connection->send(message);
+    cr_assert(member.run_until([&] { return member.handler.core_messages == 1; }));
+    AcceptorFixture nobody;
+    nobody.dialed_connection->send(message);
+    cr_assert(nobody.run_until([&] { return nobody.is_closed; }));
+    AcceptorFixture scheduler;
+    scheduler.dialed_connection->send(messages::encode(messages::SchedulerHello{range_greeting}));
+    scheduler.dialed_connection->send(message);
+    cr_assert(scheduler.run_until([&] { return scheduler.is_closed; }));
+    cr_assert_eq(scheduler.handler.sessions, 1U);
+    cr_assert_eq(scheduler.handler.scheduler_messages, 0);
+}
--- a/tests/system/data/client_session_test.cpp
+++ b/tests/system/data/client_session_test.cpp
@@ -260,7 +260,7 @@
 Test(client_session, a_body_without_room_in_memory_is_rejected_before_it_runs) {
     for (const std::string& request : {request_with_body(201), request_in_chunks(3)}) {
         SessionFixture session;
-        session.proxy.context->input_memory = std::make_shared<budget::ByteBudget>(small_memory);
+        session.proxy.context->input_memory.requests = std::make_shared<budget::ByteBudget>(small_memory);
         session.send(request);
         const auto rejection = session.receive();
         cr_assert_eq(rejection.result_int(), 503U);
@@ -270,18 +270,18 @@
         cr_assert(session.proxy.first.requests.empty());
         session.finish_sending();
         cr_assert(session.session_ended());
-        cr_assert_eq(session.proxy.context->input_memory->reserved(), 0U);
+        cr_assert_eq(session.proxy.context->input_memory.requests->reserved(), 0U);
         cr_assert_eq(session.proxy.context->counters.refused, 1U);
     }
 }
 
 Test(client_session, a_body_gives_its_memory_back_with_the_response) {
     SessionFixture session;
-    session.proxy.context->input_memory = std::make_shared<budget::ByteBudget>(small_memory);
+    session.proxy.context->input_memory.requests = std::make_shared<budget::ByteBudget>(small_memory);
     for (int i = 0; i < 3; ++i) {
         session.send(i == 1 ? request_in_chunks(2) : request_with_body(200));
         cr_assert_eq(session.receive().result_int(), 200U);
     }
     session.run_until([&] { return session.session().is_idle(); });
-    cr_assert_eq(session.proxy.context->input_memory->reserved(), 0U);
+    cr_assert_eq(session.proxy.context->input_memory.requests->reserved(), 0U);
 }
--- a/tests/system/data/held_body_test.cpp
+++ b/tests/system/data/held_body_test.cpp
@@ -34,7 +34,7 @@
 }
 
 void leave_no_memory(ProxyFixture& proxy) {
-    proxy.context->response_memory = std::make_shared<budget::ByteBudget>(0);
+    proxy.context->input_memory.responses = std::make_shared<budget::ByteBudget>(0);
 }
 
 } // namespace
@@ -77,7 +77,7 @@
     cr_assert(contains(response, "Content-Length: 200000\r\n"));
     cr_assert(response.ends_with("\r\n\r\n" + std::string(long_body, 'd')));
     cr_assert(proxy.reusable);
-    cr_assert_eq(proxy.context->response_memory->reserved(), 0U);
+    cr_assert_eq(proxy.context->input_memory.responses->reserved(), 0U);
 }
 
 // Guards against rule FAULT (all responses together over the process's memory) and rule MIXED.
@@ -141,5 +141,5 @@
     cr_assert(contains(given_up, event(1)));
     cr_assert_not(given_up.ends_with("0\r\n\r\n"));
     cr_assert_not(proxy.reusable);
-    cr_assert_eq(proxy.context->response_memory->reserved(), 0U);
+    cr_assert_eq(proxy.context->input_memory.responses->reserved(), 0U);
 }
--- a/tests/system/transport/frame_connection_test.cpp
+++ b/tests/system/transport/frame_connection_test.cpp
@@ -139,3 +139,74 @@
     cr_assert(pair.until([&] { return closed == 1; }));
     cr_assert_not(pair.left->is_open());
 }
+
+namespace {
+
+// The begin of a frame that says so many bytes follow.
+std::string length_of_frame(std::size_t bytes) {
+    std::string out;
+    for (const unsigned shift : {24U, 16U, 8U, 0U})
+        out.push_back(static_cast<char>((bytes >> shift) & 0xffU));
+    return out;
+}
+
+} // namespace
+
+// Guards against rule FAULT: who had connected and announced a long frame had memory for all of it.
+Test(frame_connection, a_frame_that_is_announced_takes_memory_only_as_it_comes) {
+    Pair pair;
+    const auto memory = std::make_shared<budget::ByteBudget>(transport::max_frame_bytes);
+    Tcp::socket socket = std::move(*pair.right);
+    const auto reader = std::make_shared<FrameConnection>(std::move(socket), memory);
+    bool closed = false;
+    reader->start([](const nlohmann::json&) {}, [&] { closed = true; });
+    constexpr std::size_t sent = 100'000;
+    pair.left->send_frame(
+        std::make_shared<std::string>(length_of_frame(transport::max_frame_bytes) + std::string(sent, ' ')));
+    cr_assert(pair.until([&] { return memory->reserved() >= sent; }));
+    cr_assert_leq(memory->reserved(), 2 * (sent + 16384));
+    pair.left->close();
+    cr_assert(pair.until([&] { return closed; }));
+}
+
+Test(frame_connection, a_frame_without_room_in_memory_ends_the_connection) {
+    Pair pair;
+    const auto memory = std::make_shared<budget::ByteBudget>(50'000);
+    const auto reader = std::make_shared<FrameConnection>(std::move(*pair.right), memory);
+    bool closed = false;
+    int messages = 0;
+    reader->start([&](const nlohmann::json&) { ++messages; }, [&] { closed = true; });
+    pair.left->start([](const nlohmann::json&) {}, [] {});
+    pair.left->send({{"short", 1}});
+    std::string noise(100'000, '\0'); // that does not compress
+    std::minstd_rand random(7);
+    for (char& one : noise)
+        one = static_cast<char>('a' + random() % 26);
+    pair.left->send({{"long", noise}});
+    cr_assert(pair.until([&] { return closed; }));
+    cr_assert_eq(messages, 1);
+}
+
+Test(frame_connection, a_peer_that_may_send_short_frames_only_sends_no_long_one) {
+    const std::string long_text(transport::max_short_frame_bytes, 'x');
+    const struct {
+        std::string frame;
+        int messages;
+    } cases[] = {{*transport::frame_of({{"n", 1}}), 1},
+                 {length_of_frame(transport::max_short_frame_bytes + 1), 0},
+                 // It is short, but not what is in it.
+                 {*transport::frame_of({{"text", long_text}}), 0}};
+    cr_assert_lt(cases[2].frame.size(), 1000U);
+    for (const auto& one : cases) {
+        Pair pair;
+        bool closed = false;
+        int messages = 0;
+        pair.left->accept_short_frames_only();
+        pair.left->start([&](const nlohmann::json&) { ++messages; }, [&] { closed = true; });
+        asio::write(*pair.right, asio::buffer(one.frame));
+        cr_assert(pair.until([&] { return closed || messages > 0; }));
+        cr_assert_eq(messages, one.messages);
+        if (one.messages > 0) continue;
+        cr_assert(closed);
+    }
+}
