Bound health answers, pages of the platform's list, and the list

Change: 64 KiB of a report, 2 MiB of a page, 16 MiB of a list; all of them part of the process's input memory, but for 4 KiB each, so that memory under pressure makes no worker look silent.

--- a/src/system/control/endpoint_list_service.cpp
+++ b/src/system/control/endpoint_list_service.cpp
@@ -13,9 +13,10 @@
 } // namespace
 
 EndpointListService::EndpointListService(asio::io_context& loop, const settings::Settings& settings,
+                                         std::shared_ptr<budget::ByteBudget> input_memory,
                                          metrics::Metrics& metrics, Callbacks callbacks)
     : self_(settings::to_text(settings.control)), callbacks_(std::move(callbacks)),
-      poller_(loop, settings.platform, settings.regions.size(), metrics,
+      poller_(loop, settings.platform, settings.regions.size(), std::move(input_memory), metrics,
               [this](const discovery::ZoneList& list) { on_own_list(list); }) {
     for (const auto& [zone, region] : settings.regions)
         zones_.push_back(zone);
--- a/src/system/control/endpoint_list_service.h
+++ b/src/system/control/endpoint_list_service.h
@@ -22,7 +22,9 @@
         std::function<void(const messages::EndpointListMessage&)> broadcast; // to all other core members
         std::function<void(const discovery::ZoneList&)> changed; // a zone's newest list has new content
     };
-    EndpointListService(asio::io_context& loop, const settings::Settings& settings, metrics::Metrics& metrics,
+    // `input_memory`: what the platform sends is part of it.
+    EndpointListService(asio::io_context& loop, const settings::Settings& settings,
+                        std::shared_ptr<budget::ByteBudget> input_memory, metrics::Metrics& metrics,
                         Callbacks callbacks);
 
     void tick() { poller_.tick(Clock::now()); }
--- a/src/system/control/page_reader.h
+++ b/src/system/control/page_reader.h
@@ -30,8 +30,10 @@
 
     // `target`: request target of the first page, including its query. `loop` and `metrics` must outlive the
     // reader.
+    // `input_memory`: what the platform sends is part of it.
     PageReader(asio::io_context& loop, const settings::Endpoint& platform, std::string target,
-               metrics::Metrics& metrics, Callbacks callbacks);
+               std::shared_ptr<budget::ByteBudget> input_memory, metrics::Metrics& metrics,
+               Callbacks callbacks);
     PageReader(const PageReader&) = delete;
     PageReader& operator=(const PageReader&) = delete;
     // Cancels a read in progress without calling any callback.
@@ -44,6 +46,7 @@
   private:
     void read_page(const std::string& page_token);
     void on_page(const http_client::Response* response);
+    void fail_unreadable(const std::string& detail) const;
 
     std::string target_;
     metrics::Metrics& metrics_;
@@ -51,6 +54,7 @@
     std::shared_ptr<http_client::Client> client_;
     std::vector<discovery::Instance> instances_; // from the pages read so far; at most `max_pages` pages
     std::size_t pages_ = 0;
+    std::size_t list_bytes_ = 0; // of the pages read so far; at most `max_list_bytes`
 };
 
 } // namespace willowrill::control
--- a/src/system/control/platform_poller.cpp
+++ b/src/system/control/platform_poller.cpp
@@ -13,11 +13,12 @@
 } // namespace
 
 PlatformPoller::PlatformPoller(asio::io_context& loop, settings::Endpoint platform, std::size_t zone_count,
-                               metrics::Metrics& metrics, OnList on_list)
-    : loop_(loop), platform_(std::move(platform)), zone_count_(zone_count), metrics_(metrics),
-      on_list_(std::move(on_list)),
+                               std::shared_ptr<budget::ByteBudget> input_memory, metrics::Metrics& metrics,
+                               OnList on_list)
+    : loop_(loop), platform_(std::move(platform)), zone_count_(zone_count),
+      input_memory_(std::move(input_memory)), metrics_(metrics), on_list_(std::move(on_list)),
       all_zones_reader_(
-          loop, platform_, list_target, metrics,
+          loop, platform_, list_target, input_memory_, metrics,
           {[this](std::vector<discovery::Instance> instances) { on_all_zones(std::move(instances)); },
            [this](PageReader::Failure failure) { on_failure(all_zones_due_, failure); },
            [this](std::size_t instances) { plan_.on_full_page(instances); }}) {}
@@ -35,7 +36,7 @@
     owned.serial = 0;
     if (!owned.reader)
         owned.reader = std::make_unique<PageReader>(loop_, platform_, list_target + ("?zone=" + zone),
-                                                    metrics_, callbacks_for(zone));
+                                                    input_memory_, metrics_, callbacks_for(zone));
 }
 
 void PlatformPoller::stop_polling(const std::string& zone, discovery::FencingToken token) {
--- a/src/system/control/platform_poller.h
+++ b/src/system/control/platform_poller.h
@@ -26,8 +26,10 @@
     using Clock = std::chrono::steady_clock;
 
     // `zone_count`: number of all zones, owned or not. `loop` and `metrics` must outlive the poller.
+    // `input_memory`: what the platform sends is part of it.
     PlatformPoller(asio::io_context& loop, settings::Endpoint platform, std::size_t zone_count,
-                   metrics::Metrics& metrics, OnList on_list);
+                   std::shared_ptr<budget::ByteBudget> input_memory, metrics::Metrics& metrics,
+                   OnList on_list);
 
     // Starts to poll the zone under this token. Ignored unless the token is newer than the current one.
     void start_polling(const std::string& zone, discovery::FencingToken token);
@@ -55,6 +57,7 @@
     asio::io_context& loop_;
     settings::Endpoint platform_;
     std::size_t zone_count_;
+    std::shared_ptr<budget::ByteBudget> input_memory_;
     metrics::Metrics& metrics_;
     OnList on_list_;
     discovery::ReadPlan plan_;
--- a/src/system/data/load_prober.cpp
+++ b/src/system/data/load_prober.cpp
@@ -11,7 +11,8 @@
 constexpr routing::Time health_probe_period{1000};
 constexpr std::chrono::milliseconds probe_timeout{450};
 constexpr int failures_until_unanswered = 2;
-constexpr routing::Time max_report_lag{250}; // a report shows its worker as it was at most so long ago
+constexpr routing::Time max_report_lag{250};      // a report shows its worker as it was at most so long ago
+constexpr std::uint64_t max_report_bytes = 65536; // a report has some hundred
 constexpr const char* report_path = "/-/report";
 
 // A response of any kind shows that the worker is alive: what it says may be false, and a worker without a
@@ -71,8 +72,9 @@
     const auto endpoint = settings::parse_endpoint(worker.instance.address);
     if (!endpoint) return nullptr;
     Target& target = targets_[id];
-    target.client =
-        std::make_shared<http_client::Client>(context_.loop, endpoint.value().host, endpoint.value().port);
+    target.client = std::make_shared<http_client::Client>(
+        context_.loop, endpoint.value().host, endpoint.value().port,
+        http_client::Options{max_report_bytes, context_.input_memory.requests});
     return &target;
 }
 
--- a/tests/soak/flood_case.py
+++ b/tests/soak/flood_case.py
@@ -16,8 +16,8 @@
 import floods
 import soak as soaks
 import surroundings_case
-from soak import harness
-from surroundings_case import SurroundedSoak, Surroundings, resident_mb
+from soak import harness, resident_mb
+from surroundings_case import SurroundedSoak, Surroundings
 
 SAMPLE_PERIOD_S = 0.02
 CALLERS = 40  # of the first machine, without a pause between their requests
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -46,6 +46,11 @@
 LOADED_WITHIN_S = 0.05  # before a program's own code runs, a signal ends it whatever it does
 
 
+def resident_mb(pid):
+    text = pathlib.Path(f"/proc/{pid}/status").read_text()
+    return int(next(line.split()[1] for line in text.splitlines() if line.startswith("VmRSS"))) // 1024
+
+
 class WorkerProcess:
     """A worker's machine: one process at a time at its address, each a new instance."""
 
@@ -144,7 +149,7 @@
                 ip = f"{self.net}.{FIRST_FURTHER_HOST + len(self.schedulers)}"
                 self.schedulers.append(self.machine_type(self, zone, ip, number))
         self.tries, self.kills, self.own_ends = [], [], []
-        self.mute = []
+        self.mute = []  # or too large
         self.evacuations, self.disruptions = [], []
         self.ending = collections.defaultdict(list)  # disruptions that last until their process runs again, by machine and role
         self.clients = []
@@ -176,6 +181,7 @@
         port, path = ("readiness", "/-/readiness") if role == "data" else ("control", "/-/configuration")
         process, answered = None, 0.0
         while not self.stopping:
+            self.watch_memory(machine, role)
             disturbed = any(one.address == machine.address("front") and one.ended_at == math.inf for one in self.disruptions)
             if disturbed or machine.processes[role] is not process or process.poll() is not None:
                 process, answered = machine.processes[role], time.monotonic() + self.started_within_s
@@ -188,6 +194,14 @@
                 answered = time.monotonic()
             await asyncio.sleep(0.2)
 
+    def watch_memory(self, machine, role):
+        """Notes a process that the platform would end for its memory."""
+        with contextlib.suppress(FileNotFoundError, ProcessLookupError, StopIteration):
+            held = resident_mb(machine.processes[role].pid)
+            if held > harness.MEMORY_MB:
+                self.mute.append(f"{role} of {machine.name} holds {held} MB, and the platform ends it at {harness.MEMORY_MB}")
+                self.record(self.mute[-1])
+
     def send(self, machine, role, number):
         if machine.processes[role].poll() is None and time.monotonic() > machine.started[role] + LOADED_WITHIN_S:
             if number in (signal.SIGKILL, signal.SIGTERM):
--- a/tests/soak/surroundings_case.py
+++ b/tests/soak/surroundings_case.py
@@ -25,7 +25,7 @@
 import time
 
 import soak as soaks
-from soak import harness
+from soak import harness, resident_mb
 
 START_S = 15.0
 CHANGE_PERIOD_S = 0.3
@@ -225,11 +225,6 @@
     return answer.status
 
 
-def resident_mb(pid):
-    text = pathlib.Path(f"/proc/{pid}/status").read_text()
-    return int(next(line.split()[1] for line in text.splitlines() if line.startswith("VmRSS"))) // 1024
-
-
 CASES = {
     "log-reader-gone": Surroundings(log="reader gone"),
     "log-device-full": Surroundings(log="full device"),
--- a/tests/system/control/platform_poller_test.cpp
+++ b/tests/system/control/platform_poller_test.cpp
@@ -16,6 +16,7 @@
 
 namespace {
 
+constexpr std::size_t memory_bytes = 32U << 20U;
 const std::vector<std::string> zones{"hall-a", "hall-b", "hall-c"};
 
 // Serves instance lists in pages of `page_size` and records the request targets.
@@ -30,6 +31,8 @@
     std::map<std::string, std::size_t> workers{{"hall-a", 2}, {"hall-b", 1}, {"hall-c", 0}}; // by zone
     std::size_t page_size = 50;
     bool rejects = false;
+    std::size_t padding_bytes = 0; // of each page
+    bool endless = false;          // each page names another one
     std::vector<std::string> targets;
 
   private:
@@ -63,6 +66,8 @@
         json page{{"instances", json::array()}, {"nextToken", nullptr}};
         for (std::size_t i = from; i < to; ++i)
             page["instances"].push_back(matching[i]);
+        if (padding_bytes > 0) page["padding"] = std::string(padding_bytes, 'p');
+        if (endless) page["nextToken"] = "0";
         if (to < matching.size()) page["nextToken"] = std::to_string(to);
         response.body() = page.dump();
         return response;
@@ -74,8 +79,8 @@
 struct PollerFixture {
     PollerFixture()
         : port(free_port(loop)), platform(loop, port),
-          poller(loop, {"127.0.0.1", port}, zones.size(), metrics,
-                 [this](const discovery::ZoneList& list) { lists.push_back(list); }) {}
+          poller(loop, {"127.0.0.1", port}, zones.size(), std::make_shared<budget::ByteBudget>(memory_bytes),
+                 metrics, [this](const discovery::ZoneList& list) { lists.push_back(list); }) {}
     static std::uint16_t free_port(asio::io_context& loop) {
         const Tcp::acceptor free(loop, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
         return free.local_endpoint().port();
@@ -174,3 +179,17 @@
     fixture.poll(4 * due_time, 1);
     cr_assert(fixture.lists[6].token == (discovery::FencingToken{7, 5}));
 }
+
+// Guards against rule FAULT: up to 200 pages of 8 MiB were kept.
+Test(platform_poller, a_list_whose_pages_do_not_end_is_given_up) {
+    PollerFixture fixture;
+    fixture.platform.endless = true;
+    fixture.platform.padding_bytes = 1U << 20U;
+    fixture.own(zones);
+    fixture.poller.tick(PlatformPoller::Clock::time_point(due_time));
+    while (fixture.loop.run_one_for(std::chrono::milliseconds(500)) > 0) {
+    }
+    cr_assert_geq(fixture.platform.targets.size(), 2U);
+    cr_assert_leq(fixture.platform.targets.size(), 17U);
+    cr_assert(fixture.lists.empty());
+}
