--- a/src/system/data/held_body.h
+++ b/src/system/data/held_body.h
@@ -40,11 +40,12 @@
 
 // The body type of Beast's responses that send a held body, which must outlive them.
 struct HeldBodyResponse {
+    // NOLINTBEGIN(readability-identifier-naming): the names that Beast looks for
     using value_type = const HeldBody*;
 
     static std::uint64_t size(const value_type& body) { return body->size(); }
 
-    class writer { // NOLINT(readability-identifier-naming): Beast's name
+    class writer {
       public:
         using const_buffers_type = std::vector<asio::const_buffer>;
 
@@ -60,6 +61,7 @@
       private:
         const HeldBody* body_;
     };
+    // NOLINTEND(readability-identifier-naming)
 };
 
 } // namespace willowrill::data
