--- a/src/system/http_server/server.cpp
+++ b/src/system/http_server/server.cpp
@@ -14,7 +14,7 @@
 
 Server::Server(asio::io_context& loop, const std::string& host, std::uint16_t port, Options options,
                Handler handler)
-    : sessions_(std::make_shared<SessionContext>(options, std::move(handler))),
+    : sessions_(std::make_shared<SessionContext>(std::move(options), std::move(handler))),
       listener_(loop, host, port,
                 [sessions = sessions_](Tcp::socket socket) { on_accepted(sessions, std::move(socket)); }) {}
 
--- a/src/system/http_server/session.h
+++ b/src/system/http_server/session.h
@@ -49,7 +49,7 @@
 
 // What the sessions of one server share; outlives the server for as long as one of them is open.
 struct SessionContext {
-    SessionContext(Options o, Handler h) : options(o), handler(std::move(h)) {}
+    SessionContext(Options o, Handler h) : options(std::move(o)), handler(std::move(h)) {}
 
     Options options;
     Handler handler;
