--- a/src/system/transport/process.h
+++ b/src/system/transport/process.h
@@ -5,7 +5,6 @@
 
 #include <chrono>
 #include <csignal>
-#include <functional>
 
 namespace willowrill {
 
@@ -28,17 +27,12 @@
     bool shutdown_requested_within(asio::io_context& loop, std::chrono::milliseconds duration) {
         bool requested = false;
         SteadyTimer timer(loop, duration);
-        std::function<void()> wait_for_signal = [&] {
-            signals_.async_wait([&](ErrorCode error, int signal) {
-                if (error) return;
-                requested = requested || signal != SIGHUP;
-                if (requested)
-                    timer.cancel();
-                else
-                    wait_for_signal();
-            });
+        const auto on_signal = [&](int signal) {
+            requested = signal != SIGHUP;
+            if (requested) timer.cancel();
+            return !requested;
         };
-        wait_for_signal();
+        wait_for_signals(on_signal);
         timer.async_wait([&](ErrorCode /*error*/) { signals_.cancel(); });
         loop.run();
         loop.restart();
@@ -48,22 +42,27 @@
     // Runs the loop on this thread until the plane stops it. SIGHUP calls the plane's `reload_settings`, the
     // others its `leave`, all from the loop; also for signals that came before.
     template <class Plane> void run_until_shutdown(asio::io_context& loop, Plane& plane) {
-        std::function<void()> wait_for_signal = [&] {
-            signals_.async_wait([&](ErrorCode error, int signal) {
-                if (error) return;
-                if (signal == SIGHUP)
-                    plane.reload_settings();
-                else
-                    plane.leave();
-                wait_for_signal();
-            });
+        const auto on_signal = [&](int signal) {
+            if (signal == SIGHUP)
+                plane.reload_settings();
+            else
+                plane.leave();
+            return true;
         };
-        wait_for_signal();
+        wait_for_signals(on_signal);
         loop.run();
         signals_.cancel();
     }
 
   private:
+    // Hands over each signal that comes, for as long as `on_signal`, which must live until then, returns
+    // true.
+    template <class OnSignal> void wait_for_signals(const OnSignal& on_signal) {
+        signals_.async_wait([this, &on_signal](ErrorCode error, int signal) {
+            if (!error && on_signal(signal)) wait_for_signals(on_signal);
+        });
+    }
+
     asio::signal_set signals_;
 };
 
--- a/tests/system/control/connection_acceptor_test.cpp
+++ b/tests/system/control/connection_acceptor_test.cpp
@@ -6,6 +6,7 @@
 #include "system/messages/state_delta.h"
 
 #include "support/expect.h"
+#include "support/free_port.h"
 
 #include <criterion/criterion.h>
 
@@ -60,10 +61,6 @@
         dialed_connection->start([this](const json& message) { received.push_back(message); },
                                  [this] { is_closed = true; });
     }
-    static std::uint16_t free_port(asio::io_context& loop) {
-        const Tcp::acceptor free(loop, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-        return free.local_endpoint().port();
-    }
     // Runs the event loop until the condition holds. Gives up after 5 seconds without an event.
     template <class Condition> bool run_until(Condition condition) {
         while (!condition())
--- a/tests/system/control/platform_poller_test.cpp
+++ b/tests/system/control/platform_poller_test.cpp
@@ -3,6 +3,8 @@
 
 #include "system/http_server/server.h"
 
+#include "support/free_port.h"
+
 #include <criterion/criterion.h>
 
 #include <nlohmann/json.hpp>
@@ -81,10 +83,6 @@
         : port(free_port(loop)), platform(loop, port),
           poller(loop, {"127.0.0.1", port}, zones.size(), std::make_shared<budget::ByteBudget>(memory_bytes),
                  metrics, [this](const discovery::ZoneList& list) { lists.push_back(list); }) {}
-    static std::uint16_t free_port(asio::io_context& loop) {
-        const Tcp::acceptor free(loop, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-        return free.local_endpoint().port();
-    }
     void own(const std::vector<std::string>& owned, std::uint64_t number = 1) {
         for (const std::string& zone : owned)
             poller.start_polling(zone, {7, number});
--- a/tests/system/input/endless_input_test.cpp
+++ b/tests/system/input/endless_input_test.cpp
@@ -2,6 +2,7 @@
 // platform ends it for its memory.
 #include "data/proxy_fixture.h"
 #include "support/flood.h"
+#include "support/free_port.h"
 #include "system/data/client_session.h"
 #include "system/http_client/client.h"
 #include "system/http_server/server.h"
@@ -114,11 +115,7 @@
 Test(endless_input, a_request_to_an_own_interface_whose_framing_has_no_end_is_read_no_further) {
     for (const FloodText& framing : endless_framings) {
         asio::io_context loop;
-        std::uint16_t port = 0;
-        {
-            const Tcp::acceptor free(loop, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-            port = free.local_endpoint().port();
-        }
+        const std::uint16_t port = free_port(loop);
         std::size_t requests = 0;
         const http_server::Server server(
             loop, "127.0.0.1", port, {},
--- a/tests/system/transport/http_test.cpp
+++ b/tests/system/transport/http_test.cpp
@@ -3,6 +3,7 @@
 #include "system/http_server/server.h"
 
 #include "support/expect.h"
+#include "support/free_port.h"
 
 #include <criterion/criterion.h>
 
@@ -13,11 +14,7 @@
 
 Test(http, a_client_and_a_server_use_one_connection_for_all_requests) {
     asio::io_context loop;
-    std::uint16_t port = 0;
-    {
-        const Tcp::acceptor free(loop, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-        port = free.local_endpoint().port();
-    }
+    const std::uint16_t port = free_port(loop);
     std::vector<std::string> targets;
     http_server::Server server(loop, "127.0.0.1", port, {},
                                [&](const http_server::Request& request, const http_server::Respond& respond) {
@@ -56,11 +53,7 @@
 // Guards against a process that is mute: connections that said nothing held all there are.
 Test(http, a_new_client_is_served_beside_as_many_silent_ones_as_may_connect) {
     asio::io_context loop;
-    std::uint16_t port = 0;
-    {
-        const Tcp::acceptor free(loop, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-        port = free.local_endpoint().port();
-    }
+    const std::uint16_t port = free_port(loop);
     http_server::Options options;
     options.max_connections = 2;
     http_server::Server server(loop, "127.0.0.1", port, options,
@@ -81,11 +74,7 @@
 
 Test(http, a_request_that_declares_more_than_the_limit_is_rejected_as_too_large) {
     asio::io_context loop;
-    std::uint16_t port = 0;
-    {
-        const Tcp::acceptor free(loop, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-        port = free.local_endpoint().port();
-    }
+    const std::uint16_t port = free_port(loop);
     std::size_t requests = 0;
     const http_server::Server server(
         loop, "127.0.0.1", port, {},
