Wait at a start for settings that are being written

Callers saw: nothing of it on record; a process ended by itself with status 1 and was started again. Cause: a start read its settings file once; one that finds it empty or cut off, as the platform writes it at that moment, ended. Why it works: half a file is no error of the file while whoever writes it is at it.

--- a/src/system/control/main.cpp
+++ b/src/system/control/main.cpp
@@ -1,6 +1,7 @@
 // willowrill-control: one process of the control plane.
 #include "system/control/control_plane.h"
 #include "system/logging/log.h"
+#include "system/process/settings_wait.h"
 #include "system/process/startup.h"
 #include "system/transport/address_wait.h"
 #include "system/transport/process.h"
@@ -61,7 +62,11 @@
     if (!configuration_path.empty()) return check_configuration(configuration_path);
     asio::io_context loop(1);
     transport::ProcessSignals signals(loop);
-    auto settings = settings::load(settings_path);
+    const std::chrono::milliseconds settings_timeout =
+        check_only ? std::chrono::milliseconds(0) : process::settings_timeout;
+    auto found = process::wait_for_settings(loop, signals, settings_path, settings_timeout);
+    if (!found) return EXIT_SUCCESS; // told to end before there were any
+    auto& settings = *found;
     if (!settings || settings.value().control.port == 0) {
         logging::error("settings-unusable")
             .field("path", settings_path)
--- a/src/system/data/main.cpp
+++ b/src/system/data/main.cpp
@@ -1,6 +1,7 @@
 // willowrill-data: one process of the data plane.
 #include "system/data/data_plane.h"
 #include "system/logging/log.h"
+#include "system/process/settings_wait.h"
 #include "system/process/startup.h"
 #include "system/transport/address_wait.h"
 #include "system/transport/process.h"
@@ -38,7 +39,11 @@
     CLI11_PARSE(app, argc, argv);
     asio::io_context loop(1);
     transport::ProcessSignals signals(loop);
-    auto settings = settings::load(settings_path);
+    const std::chrono::milliseconds settings_timeout =
+        check ? std::chrono::milliseconds(0) : process::settings_timeout;
+    auto found = process::wait_for_settings(loop, signals, settings_path, settings_timeout);
+    if (!found) return EXIT_SUCCESS; // told to end before there were any
+    auto& settings = *found;
     if (!settings || settings.value().front.port == 0 || settings.value().readiness.port == 0) {
         const std::string reason =
             settings ? "endpoints.front or endpoints.readiness is missing" : settings.error().detail;
