--- a/src/system/control/directory_service.cpp
+++ b/src/system/control/directory_service.cpp
@@ -20,7 +20,7 @@
 DirectoryService::DirectoryService(asio::io_context& loop, const settings::Endpoint& endpoint, Leases leases,
                                    http_server::Options options)
     : leases_(std::move(leases)),
-      server_(loop, endpoint.host, endpoint.port, options,
+      server_(loop, endpoint.host, endpoint.port, std::move(options),
               [this](const http_server::Request& request, const http_server::Respond& respond) {
                   on_request(request, respond);
               }) {}
