Refuse a status of more than three digits in the scheduler in service

Callers: a worker's "HTTP/1.1 2000 OK" was taken for a 200, and its result for that of the job.

Cause: the parser read the first three characters behind the version and ignored what followed them.

Change: the status is what stands between the blanks, exactly three digits.

--- a/src/scheduler/net/http.cpp
+++ b/src/scheduler/net/http.cpp
@@ -6,6 +6,8 @@
 namespace willowrill::net::http {
 namespace {
 
+constexpr std::size_t status_digits = 3;
+
 bool is_token(std::string_view text) {
     constexpr std::string_view token_symbols = "!#$%&'*+-.^_`|~";
     return !text.empty() && std::ranges::all_of(text, [&](char c) {
@@ -187,8 +189,10 @@
         if (!is_token(head_.method) || !std::ranges::all_of(head_.target, is_visible)) return fail(400);
         if (!head_.target.starts_with('/')) return fail(400);
     } else {
-        const auto status = parse_unsigned(line.substr(first + 1, 3));
-        if (!status || *status < 100 || *status > 599) return fail(400);
+        const std::string_view status_and_reason = line.substr(first + 1);
+        const std::string_view digits = status_and_reason.substr(0, status_and_reason.find(' '));
+        const auto status = parse_unsigned(digits);
+        if (digits.size() != status_digits || !status || *status < 100 || *status > 599) return fail(400);
         head_.status = static_cast<int>(*status);
     }
     if (version != "HTTP/1.1" && version != "HTTP/1.0") return fail(version.starts_with("HTTP/") ? 505 : 400);
--- a/tests/scheduler/net/http_test.cpp
+++ b/tests/scheduler/net/http_test.cpp
@@ -105,7 +105,11 @@
     truncated.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab");
     truncated.end_of_input();
     CHECK(truncated.bad());
-    CHECK(error_of("HTTP/1.1 20 OK\r\n", Kind::response) == 400);
+    for (const std::string status :
+         {"20", "000", "0200", "099", "600", "999", "2000", "200OK", "20x", "+200", ""})
+        CHECK_MESSAGE(error_of("HTTP/1.1 " + status + " OK\r\n", Kind::response) == 400, status);
+    CHECK(error_of("HTTP/1.1 2000\r\n", Kind::response) == 400);
+    CHECK(error_of("HTTP/1.1 200\r\n", Kind::response) == 0);
     CHECK(error_of("SSH-2.0-x\r\n", Kind::response) == 400);
 }
 
--- a/tests/scheduler/program/parts_test.cpp
+++ b/tests/scheduler/program/parts_test.cpp
@@ -370,6 +370,8 @@
     CHECK(notes[0].started);
     CHECK(notes[1].share == 0.4);
     CHECK_FALSE(line(R"("state":"done","result":"cut)")); // the response may continue
+    CHECK(line(R"("state":"done","result":"cut)", true).value().outcome == Outcome::reset);
+    CHECK(line(R"("state":"done","result":"cut")", true).value().outcome == Outcome::reset);
     CHECK(line(R"("state":"started"})"
                "\n",
                true)
