Take a response without a length for incomplete where its connection was reset

Callers: a worker answered a long upload at once without a length, sent part of the body and reset the connection. Clients got that part as a complete 200, 404 or 500, or as a stream with its last chunk.

Cause: the kernel reports the error of a socket once. The write of the upload was under way beside the read and took it; the read then found 0 bytes, as at an end in order.

Change: at the end of a message without a length, the state of the connection is asked (TCP_INFO): after an end in order it is CLOSE_WAIT, after a reset CLOSE, whichever operation took the error and whichever handler runs first. It stands in http_reader, so that it holds for all that is read without a length.

--- a/src/system/http_reader/read.h
+++ b/src/system/http_reader/read.h
@@ -6,6 +6,7 @@
 #include "system/http_reader/body_memory.h"
 #include "system/http_reader/input_buffer.h"
 #include "system/transport/asio.h"
+#include "system/transport/socket_options.h"
 
 #include <cstddef>
 #include <utility>
@@ -19,6 +20,9 @@
     end       // the message is complete
 };
 
+inline Tcp::socket& socket_of(Tcp::socket& socket) { return socket; }
+inline Tcp::socket& socket_of(beast::tcp_stream& stream) { return stream.socket(); }
+
 template <class Stream, class Parser, class Memory> class ReadOperation {
   public:
     ReadOperation(Stream& stream, InputBuffer& input, Parser& parser, ReadUntil until, Memory& memory)
@@ -65,9 +69,12 @@
         return until_ == ReadUntil::head ? parser_.is_header_done() : parser_.is_done();
     }
 
-    // A message without a length is complete with its connection.
+    // A message without a length is complete where its sender has closed the connection, not where it was
+    // reset.
     ErrorCode end_of_stream() {
         if (!parser_.got_some()) return http::error::end_of_stream;
+        if (parser_.need_eof() && transport::peer_end(socket_of(stream_)) == transport::PeerEnd::reset)
+            return asio::error::connection_reset;
         ErrorCode error;
         parser_.put_eof(error);
         return error;
--- a/src/system/transport/socket_options.cpp
+++ b/src/system/transport/socket_options.cpp
@@ -1,6 +1,8 @@
 #include "system/transport/socket_options.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -22,4 +24,14 @@
     return none ? Pending::nothing : Pending::ended;
 }
 
+PeerEnd peer_end(Tcp::socket& socket) {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    const bool known = ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
+    if (!known || info.tcpi_state != TCP_CLOSE_WAIT) return PeerEnd::reset;
+    int unacknowledged_bytes = 0;
+    ::ioctl(socket.native_handle(), SIOCOUTQ, &unacknowledged_bytes);
+    return unacknowledged_bytes > 0 ? PeerEnd::unacknowledged : PeerEnd::in_order;
+}
+
 } // namespace willowrill::transport
--- a/src/system/transport/socket_options.h
+++ b/src/system/transport/socket_options.h
@@ -22,4 +22,14 @@
 // Looks without reading, and without waiting.
 Pending pending(Tcp::socket& socket);
 
+// How the peer ended a connection.
+enum class PeerEnd {
+    in_order,       // it has closed its side, and has all that was sent to it
+    unacknowledged, // it has closed its side; what is still on its way to it may be answered by a reset
+    reset           // or the connection failed
+};
+// To be asked once a read has met the end. The read itself does not tell: an error is reported only once, and
+// a write under way beside it may have taken that of a reset.
+PeerEnd peer_end(Tcp::socket& socket);
+
 } // namespace willowrill::transport
--- /dev/null
+++ b/tests/system/data/broken_responses.h
@@ -0,0 +1,34 @@
+// What workers send in place of a response: of none may a client get anything, and none says whether the
+// request has run.
+#pragma once
+
+#include "data/proxy_fixture.h"
+
+#include <string>
+#include <vector>
+
+namespace willowrill::data {
+
+struct BrokenResponse {
+    std::string name;
+    Step step;
+};
+
+inline BrokenResponse broken(const std::string& name, const std::string& response,
+                             Reaction reaction = Reaction::respond_and_close) {
+    return {name, {ReadAmount::all, reaction, response}};
+}
+
+// Part of a body without a length, and a reset while the request may still be under way.
+inline std::vector<BrokenResponse> reset_bodies() {
+    std::vector<BrokenResponse> out;
+    for (const std::string status : {"200 OK", "404 Not Found", "500 Internal Server Error"}) {
+        const std::string part = "HTTP/1.1 " + status + "\r\n" + id + seal + "\r\ndata: wrong";
+        for (const ReadAmount reads : {ReadAmount::head, ReadAmount::part_of_body, ReadAmount::all})
+            out.push_back(
+                {"no length, reset, " + status, {reads, Reaction::respond_and_reset_at_once, part}});
+    }
+    return out;
+}
+
+} // namespace willowrill::data
--- a/tests/system/data/scripted_worker.h
+++ b/tests/system/data/scripted_worker.h
@@ -18,7 +18,15 @@
 enum class ReadAmount { nothing, head, part_of_body, all };
 
 // What it does then.
-enum class Reaction { respond, respond_and_close, respond_and_reset, close, reset, stay_silent };
+enum class Reaction {
+    respond,
+    respond_and_close,
+    respond_and_reset,         // once the client has a head
+    respond_and_reset_at_once, // with whatever of the request is still to come
+    close,
+    reset,
+    stay_silent
+};
 
 struct Step {
     ReadAmount reads = ReadAmount::all;
@@ -124,6 +132,9 @@
         case Reaction::respond_and_reset:
             asio::write(peer->socket, asio::buffer(response), ignored);
             return reset_later(peer);
+        case Reaction::respond_and_reset_at_once:
+            asio::write(peer->socket, asio::buffer(response), ignored);
+            return reset(peer);
         case Reaction::close:
             peer->socket.shutdown(Tcp::socket::shutdown_send, ignored);
             return drain(peer);
--- a/tests/system/data/streams_test.cpp
+++ b/tests/system/data/streams_test.cpp
@@ -59,6 +59,24 @@
     cr_assert(got.ends_with("0\r\n\r\n"));
 }
 
+// Far more than fits into the buffers of a connection, so that its write is under way and takes the error.
+Test(streams, one_without_a_length_that_is_reset_under_its_upload_is_not_whole) {
+    constexpr std::size_t long_body = 5U << 20U;
+    const std::string part = "HTTP/1.1 200 OK\r\n" + id + seal + "\r\n" + event(1);
+    for (const Reaction reaction : {Reaction::respond_and_reset_at_once}) {
+        for (const bool resumable : {false, true}) {
+            ProxyFixture proxy("streaming", resumable, 2);
+            proxy.first.expect({ReadAmount::head, reaction, part});
+            proxy.second.expect(
+                {ReadAmount::all, Reaction::respond, stream_head + chunk(event(2)) + "0\r\n\r\n"});
+            const std::string got = proxy.serve("0b", long_body);
+            cr_assert(contains(got, "data: e1"));
+            cr_assert_eq(contains(got, "data: e2"), resumable);
+            cr_assert_eq(got.ends_with("0\r\n\r\n"), resumable);
+        }
+    }
+}
+
 // Guards against rule HOME: a stream taken up again by the homes that its route had when it began.
 Test(streams, one_is_not_resumed_outside_the_homes_that_its_route_has_by_now) {
     ProxyFixture proxy("streaming", true, 2);
--- a/tests/system/data/worker_outcomes_test.cpp
+++ b/tests/system/data/worker_outcomes_test.cpp
@@ -1,7 +1,7 @@
 // Every pair of what was sent so far and what came back, for each class of route, on new and on kept
 // connections. A plain model says what is allowed: whether a second worker may be asked, and what the client
 // may get.
-#include "data/proxy_fixture.h"
+#include "data/broken_responses.h"
 
 #include "support/expect.h"
 
@@ -16,6 +16,8 @@
 
 namespace {
 
+constexpr std::size_t long_body_bytes = 5U << 20U; // far more than fits into the buffers of a connection
+
 // What the worker's behaviour tells of the request, from the pages alone.
 // `misdirected`: not run, as the instance it was sent to is not there; that was no send to a worker.
 enum class Execution { answered, not_run, misdirected, unknown };
@@ -82,6 +84,16 @@
           "HTTP/1.1 200 OK\r\n" + id + seal + "\r\ndata: x\n\n"},
          answered,
          answered},
+        {"no length, ended in order before the body was read",
+         {ReadAmount::head, Reaction::respond_and_close,
+          "HTTP/1.1 200 OK\r\n" + id + seal + "\r\ndata: x\n\n"},
+         answered,
+         answered},
+        {"HTTP/1.0, to its close",
+         {ReadAmount::all, Reaction::respond_and_close,
+          "HTTP/1.0 200 OK\r\n" + id + seal + "\r\ndata: x\n\n"},
+         answered,
+         answered},
         {"closed after all", {ReadAmount::all, Reaction::close, ""}, unknown, unknown},
         {"reset after all", {ReadAmount::all, Reaction::reset, ""}, unknown, unknown},
         {"closed after the head", {ReadAmount::head, Reaction::close, ""}, unknown, unknown},
@@ -142,6 +154,15 @@
                       request.substr(0, 40).c_str());
 }
 
+// Nobody gets anything of these.
+void check_broken(const std::vector<BrokenResponse>& responses, std::size_t body) {
+    for (const RouteKind& route : route_kinds)
+        for (const BrokenResponse& one : responses)
+            for (const bool kept : {false, true})
+                check(route, {one.name.c_str(), one.step, Execution::unknown, Execution::unknown}, kept,
+                      body);
+}
+
 } // namespace
 
 Test(proxied_request, every_outcome_on_a_new_connection) {
@@ -156,9 +177,14 @@
             check(route, outcome, true, 10);
 }
 
-// Far more than fits into the buffers of a connection.
 Test(proxied_request, every_outcome_of_a_long_body) {
     for (const RouteKind& route : route_kinds)
         for (const Outcome& outcome : outcomes())
-            check(route, outcome, false, 5U << 20U);
+            check(route, outcome, false, long_body_bytes);
+}
+
+// The write of the request is under way, and the kernel reports the reset to whichever asks first.
+Test(proxied_request, a_body_without_a_length_that_is_reset_is_not_complete) {
+    for (const std::size_t body : {std::size_t{10}, long_body_bytes})
+        check_broken(reset_bodies(), body);
 }
--- a/tests/system/http_reader/read_test.cpp
+++ b/tests/system/http_reader/read_test.cpp
@@ -18,16 +18,21 @@
 constexpr std::size_t max_framing = 8192;
 constexpr std::size_t memory_bytes = 100'000;
 
+enum class SenderEnd { in_order, reset };
+
 // A connection whose other end has sent all that it will, and what reads from it.
 struct Reading {
-    explicit Reading(const std::string& sent, std::size_t budget = memory_bytes)
+    explicit Reading(const std::string& sent, std::size_t budget = memory_bytes,
+                     SenderEnd end = SenderEnd::in_order)
         : memory(std::make_shared<budget::ByteBudget>(budget)), input(memory, max_framing) {
         Tcp::acceptor acceptor(loop, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
         sender.connect(acceptor.local_endpoint());
         acceptor.accept(socket);
         sender.set_option(asio::socket_base::send_buffer_size(1 << 20));
         asio::write(sender, asio::buffer(sent));
-        sender.shutdown(Tcp::socket::shutdown_send);
+        if (end == SenderEnd::in_order) sender.shutdown(Tcp::socket::shutdown_send);
+        if (end == SenderEnd::reset) sender.set_option(asio::socket_base::linger(true, 0));
+        if (end == SenderEnd::reset) sender.close();
         parser.header_limit(max_framing - 1);
     }
 
@@ -83,6 +88,25 @@
     cr_assert(empty.read(ReadUntil::end) == http::error::end_of_stream);
 }
 
+// The kernel reports an error of a socket once; here a write has asked for it before the read.
+Test(read, a_message_without_a_length_is_not_complete_where_its_connection_was_reset) {
+    Reading reading("HTTP/1.1 200 OK\r\n\r\nabc", memory_bytes, SenderEnd::reset);
+    ErrorCode error;
+    reading.socket.write_some(asio::buffer("x", 1), error);
+    cr_assert(error);
+    cr_assert(reading.read(ReadUntil::end));
+    cr_assert_not(reading.parser.is_done());
+}
+
+// Its head, and not its end, says that it is complete.
+Test(read, a_message_with_a_length_is_complete_whatever_becomes_of_its_connection) {
+    Reading reading("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", memory_bytes, SenderEnd::reset);
+    ErrorCode error;
+    reading.socket.write_some(asio::buffer("x", 1), error);
+    cr_assert_not(reading.read(ReadUntil::end));
+    expect_text(reading.parser.get().body().c_str(), "abc");
+}
+
 // Guards against rule FAULT: Beast's operations read on until a chunk's header or the trailers are complete.
 Test(read, framing_over_its_bound_ends_the_read) {
     for (const std::string& begin : {chunked_head + "1;", chunked_head + "0\r\nX-Long: "}) {
