Wait for the end of a long request before its response without a length is whole

Callers: as before, from a worker that closes its connection instead of resetting it, while the upload is on its way: part of a body as a complete answer.

Cause: the worker's kernel then ends its side first, in order, and resets the connection when more of the upload arrives: between the two, the state of the connection is that of an honest end.

Change: the response counts as whole once the worker has acknowledged all of the request and the connection is still not reset; until then the attempt looks again every 5 ms, up to its own timeout. A worker that answers early, ends its side and reads on is served as before; so is every response with a length.

--- a/src/system/data/upstream_attempt.h
+++ b/src/system/data/upstream_attempt.h
@@ -47,6 +47,8 @@
     asio::awaitable<AttemptResult> read_response();
     AttemptFacts facts() const;
 
+    // Whether a response that was read to its end is the worker's whole response.
+    asio::awaitable<bool> is_whole(const WorkerResponse& response);
     asio::awaitable<AttemptResult> relay_response(WorkerResponse& response);
     asio::awaitable<void> hold_body(WorkerResponse& response, HeldBody& body);
     asio::awaitable<AttemptResult> answer_with(WorkerResponse& response, const HeldBody& body);
--- a/src/system/data/upstream_relay.cpp
+++ b/src/system/data/upstream_relay.cpp
@@ -1,6 +1,8 @@
 // How an attempt passes the worker's response on to the client: whole, as it comes, or event by event.
 #include "system/data/upstream_attempt.h"
 
+#include "system/transport/socket_options.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -13,6 +15,9 @@
 // Of an event that is not complete, held whatever others hold.
 constexpr std::size_t uncounted_event_bytes = 16384;
 
+// Between two looks at whether the worker has the whole request. Until the attempt's own timeout.
+constexpr std::chrono::milliseconds peer_end_poll_period{5};
+
 // A growing string may take twice its length.
 std::size_t counted_event_bytes(std::size_t held) {
     return 2 * (held - std::min(held, uncounted_event_bytes));
@@ -20,11 +25,24 @@
 
 } // namespace
 
+// A worker that closes its connection while the request is still on its way to it closes its side first, and
+// resets the connection when the rest arrives. A worker that ends its response so and reads on does not.
+asio::awaitable<bool> UpstreamAttempt::is_whole(const WorkerResponse& response) {
+    if (!response.ends_with_connection()) co_return true;
+    SteadyTimer timer(context_.loop);
+    while (connection_->socket.is_open() && outgoing_->state != SendState::failed) {
+        const transport::PeerEnd end = transport::peer_end(connection_->socket);
+        if (end == transport::PeerEnd::reset) co_return false;
+        if (end == transport::PeerEnd::in_order && outgoing_->state == SendState::sent) co_return true;
+        timer.expires_after(peer_end_poll_period);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    co_return false;
+}
+
 asio::awaitable<AttemptResult> UpstreamAttempt::relay_response(WorkerResponse& response) {
     HeldBody body(context_.input_memory.responses);
     co_await hold_body(response, body);
-    // A response without a length is complete where its connection ended in order, and not where it was
-    // reset.
     const bool too_long = body.size() > max_response_body_bytes;
     if (response.last_error() || too_long || writer_.client_gone()) {
         if (too_long)
@@ -35,7 +53,11 @@
         co_return AttemptResult::broken;
     }
     if (!response.complete()) co_return co_await relay_rest(response, body);
-    co_return co_await answer_with(response, body);
+    const bool whole = co_await is_whole(response);
+    if (whole) co_return co_await answer_with(response, body);
+    note_abandoned(response, ReadFailure::ended);
+    drop_connection();
+    co_return AttemptResult::broken;
 }
 
 // Reads the body to its end, or for as long as there is memory for it.
@@ -92,7 +114,7 @@
         const bool written = co_await write_part(response, part);
         if (!written) co_return false;
     }
-    co_return true;
+    co_return co_await is_whole(response);
 }
 
 asio::awaitable<AttemptResult> UpstreamAttempt::relay_stream(WorkerResponse& response) {
@@ -127,7 +149,8 @@
         if (!written) co_return false;
     }
     const bool all_relayed = stream.partial_event().empty();
-    co_return all_relayed;
+    if (!all_relayed) co_return false;
+    co_return co_await is_whole(response);
 }
 
 asio::awaitable<bool> UpstreamAttempt::relay_event_bytes(WorkerResponse& response,
--- a/src/system/data/worker_response.h
+++ b/src/system/data/worker_response.h
@@ -27,6 +27,8 @@
     const http::response_header<>& head() const { return parser_.get().base(); }
     // The body was read to its end. One without a length ends with its connection.
     bool complete() const { return parser_.is_done(); }
+    // It has no length.
+    bool ends_with_connection() const { return parser_.need_eof(); }
     // The worker keeps the connection open.
     bool keep_alive() const { return parser_.keep_alive(); }
 
--- a/tests/system/data/broken_responses.h
+++ b/tests/system/data/broken_responses.h
@@ -31,4 +31,14 @@
     return out;
 }
 
+// The same from a worker that closes a connection on which the rest of a long request is still to come.
+inline std::vector<BrokenResponse> bodies_closed_under_upload() {
+    std::vector<BrokenResponse> out;
+    for (const std::string status : {"200 OK", "404 Not Found", "500 Internal Server Error"})
+        out.push_back({"no length, closed, " + status,
+                       {ReadAmount::head, Reaction::respond_close_and_reset,
+                        "HTTP/1.1 " + status + "\r\n" + id + seal + "\r\ndata: wrong"}});
+    return out;
+}
+
 } // namespace willowrill::data
--- a/tests/system/data/scripted_worker.h
+++ b/tests/system/data/scripted_worker.h
@@ -5,6 +5,7 @@
 #include "system/transport/asio.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cstddef>
 #include <deque>
 #include <functional>
@@ -23,6 +24,7 @@
     respond_and_close,
     respond_and_reset,         // once the client has a head
     respond_and_reset_at_once, // with whatever of the request is still to come
+    respond_close_and_reset,   // ends its side, and resets when the other end has had time to see it
     close,
     reset,
     stay_silent
@@ -135,6 +137,10 @@
         case Reaction::respond_and_reset_at_once:
             asio::write(peer->socket, asio::buffer(response), ignored);
             return reset(peer);
+        case Reaction::respond_close_and_reset:
+            asio::write(peer->socket, asio::buffer(response), ignored);
+            peer->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+            return reset_after_delay(peer);
         case Reaction::close:
             peer->socket.shutdown(Tcp::socket::shutdown_send, ignored);
             return drain(peer);
@@ -156,6 +162,11 @@
         peer->socket.async_wait(Tcp::socket::wait_error, [peer](ErrorCode) {});
     }
 
+    void reset_after_delay(const PeerPtr& peer) {
+        const auto timer = std::make_shared<SteadyTimer>(peer->socket.get_executor(), reset_delay);
+        timer->async_wait([peer, timer](ErrorCode) { reset(peer); });
+    }
+
     // Once the other end has read the response: a reset would discard it.
     void reset_later(const PeerPtr& peer) { pending_resets_.push_back(peer); }
 
@@ -175,6 +186,7 @@
     }
 
     static constexpr int receive_buffer = 65536;
+    static constexpr std::chrono::milliseconds reset_delay{20};
 
     Tcp::acceptor acceptor_;
     std::deque<Step> steps_;
--- a/tests/system/data/streams_test.cpp
+++ b/tests/system/data/streams_test.cpp
@@ -63,7 +63,7 @@
 Test(streams, one_without_a_length_that_is_reset_under_its_upload_is_not_whole) {
     constexpr std::size_t long_body = 5U << 20U;
     const std::string part = "HTTP/1.1 200 OK\r\n" + id + seal + "\r\n" + event(1);
-    for (const Reaction reaction : {Reaction::respond_and_reset_at_once}) {
+    for (const Reaction reaction : {Reaction::respond_and_reset_at_once, Reaction::respond_close_and_reset}) {
         for (const bool resumable : {false, true}) {
             ProxyFixture proxy("streaming", resumable, 2);
             proxy.first.expect({ReadAmount::head, reaction, part});
--- a/tests/system/data/worker_outcomes_test.cpp
+++ b/tests/system/data/worker_outcomes_test.cpp
@@ -188,3 +188,7 @@
     for (const std::size_t body : {std::size_t{10}, long_body_bytes})
         check_broken(reset_bodies(), body);
 }
+
+Test(proxied_request, a_body_without_a_length_is_not_complete_before_its_request_was_taken) {
+    check_broken(bodies_closed_under_upload(), long_body_bytes);
+}
