Take nothing but a final status of HTTP/1.x for a response

Callers: a worker's answer with status 000 reached clients as an answer, whole or as a stream; so did 1xx and 600 to 999. A 000 with Not-Executed was believed as a promise, and one with another id was discarded as an earlier response. Health answers, load reports and the platform's list were read from such heads too.

Cause: Beast's parser takes any three digits for a status, and each reader went by what the status is not.

Change: http_reader::check_response_head says whether a head that parses is a response at all: HTTP/1.0 or 1.1, 200 to 599. It stands in the one operation that reads messages, so that it holds for whole answers, streams, promises, discarded answers, health, reports and the platform's list. What fails it is logged as malformed. An interim response is none: nothing that is sent asks for one, and before this it went out as the answer.

--- a/src/system/data/worker_response.cpp
+++ b/src/system/data/worker_response.cpp
@@ -29,7 +29,8 @@
                                      http_reader::ReadUntil::head,
                                      asio::redirect_error(asio::use_awaitable, error));
     last_error_ = error;
-    co_return !error;
+    has_head_ = !error;
+    co_return has_head_;
 }
 
 asio::awaitable<std::size_t> WorkerResponse::read_some(asio::mutable_buffer buffer) {
--- a/src/system/data/worker_response.h
+++ b/src/system/data/worker_response.h
@@ -32,7 +32,7 @@
     // The worker keeps the connection open.
     bool keep_alive() const { return parser_.keep_alive(); }
 
-    bool has_head() const { return parser_.is_header_done(); }
+    bool has_head() const { return has_head_; }
     // How the last read ended.
     ErrorCode last_error() const { return last_error_; }
     std::size_t body_bytes() const { return body_bytes_; }
@@ -43,6 +43,7 @@
     WorkerConnectionPtr connection_;
     ErrorCode last_error_;
     std::size_t body_bytes_ = 0; // read so far
+    bool has_head_ = false;
     http::response_parser<http::buffer_body> parser_;
 };
 
--- a/src/system/http_reader/read.h
+++ b/src/system/http_reader/read.h
@@ -5,6 +5,7 @@
 
 #include "system/http_reader/body_memory.h"
 #include "system/http_reader/input_buffer.h"
+#include "system/http_reader/response_check.h"
 #include "system/transport/asio.h"
 #include "system/transport/socket_options.h"
 
@@ -49,8 +50,14 @@
     // Returns whether the read is at its end.
     bool parse(ErrorCode& error) {
         while (!is_reached() && input_.size() > 0) {
+            const bool in_head = !parser_.is_header_done();
             const std::size_t parsed = parser_.put(input_.data(), error);
+            const ErrorCode head_error = in_head ? check_head() : ErrorCode();
             input_.consume(parsed);
+            if (head_error) {
+                error = head_error;
+                return true;
+            }
             if (error == http::error::need_more) {
                 error = {};
                 return false;
@@ -69,6 +76,15 @@
         return until_ == ReadUntil::head ? parser_.is_header_done() : parser_.is_done();
     }
 
+    // What the parser lets pass.
+    ErrorCode check_head() const {
+        if constexpr (Parser::is_request::value) {
+            return {};
+        } else {
+            return parser_.is_header_done() ? check_response_head(parser_.get().base()) : ErrorCode();
+        }
+    }
+
     // A message without a length is complete where its sender has closed the connection, not where it was
     // reset.
     ErrorCode end_of_stream() {
@@ -96,7 +112,8 @@
 };
 
 // Reads until `until`; `token` gets an ErrorCode. All arguments must live until then. Beside the parser's and
-// the connection's errors: http::error::buffer_overflow, asio::error::no_memory.
+// the connection's errors: http::error::buffer_overflow, asio::error::no_memory, and for responses those of
+// `check_response_head`.
 template <class Stream, class Parser, class Memory, class Token>
 auto async_read(Stream& stream, InputBuffer& input, Parser& parser, ReadUntil until, Memory& memory,
                 Token&& token) {
--- a/tests/system/data/broken_responses.h
+++ b/tests/system/data/broken_responses.h
@@ -19,6 +19,26 @@
     return {name, {ReadAmount::all, reaction, response}};
 }
 
+// A status that no final response has. Bodies say "wrong", so that a client's bytes tell.
+inline std::vector<BrokenResponse> broken_statuses() {
+    std::vector<BrokenResponse> out;
+    for (const std::string status : {"000", "001", "099", "100", "101", "103", "199", "600", "999"}) {
+        const std::string line = status + " OK";
+        out.push_back(broken(line, worker_response(line, id + seal, "wrong"), Reaction::respond));
+        out.push_back(broken(line + ", promised", worker_response(line, id + promise, "")));
+        out.push_back(broken(line + ", no length", "HTTP/1.1 " + line + "\r\n" + id + seal + "\r\nwrong"));
+        out.push_back(broken(line + ", another id, then the own answer",
+                             worker_response(line, other_id + seal, "") +
+                                 worker_response("200 OK", id + seal, "wrong")));
+        out.push_back(broken(line + ", in chunks", "HTTP/1.1 " + line + "\r\n" + id + seal +
+                                                       "Transfer-Encoding: chunked\r\n\r\n" + chunk("wrong") +
+                                                       "0\r\n\r\n"));
+    }
+    out.push_back(broken("HTTP/0.9", "HTTP/0.9 200 OK\r\n" + id + seal + "Content-Length: 5\r\n\r\nwrong"));
+    out.push_back(broken("HTTP/2.0", "HTTP/2.0 200 OK\r\n" + id + seal + "Content-Length: 5\r\n\r\nwrong"));
+    return out;
+}
+
 // Part of a body without a length, and a reset while the request may still be under way.
 inline std::vector<BrokenResponse> reset_bodies() {
     std::vector<BrokenResponse> out;
--- a/tests/system/transport/http_test.cpp
+++ b/tests/system/transport/http_test.cpp
@@ -92,3 +92,30 @@
     cr_assert_eq(response.result_int(), 413U);
     cr_assert_eq(requests, 0U);
 }
+
+// Health answers, load reports and the platform's list.
+Test(http, what_is_no_response_is_not_delivered) {
+    for (const std::string& response :
+         {std::string("HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}"),
+          std::string("HTTP/1.1 100 Continue\r\n\r\n"),
+          std::string("HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\n{}"),
+          std::string("HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\n{}"),
+          std::string("HTTP/1.1 200 OK\r\nServing Instance: i\r\nContent-Length: 2\r\n\r\n{}")}) {
+        asio::io_context loop;
+        Tcp::acceptor acceptor(loop, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+        const auto client =
+            std::make_shared<http_client::Client>(loop, "127.0.0.1", acceptor.local_endpoint().port());
+        bool called = false, delivered = false;
+        client->get("/", std::chrono::seconds(5), [&](const http_client::Response* got) {
+            called = true;
+            delivered = got != nullptr;
+        });
+        loop.run_one_for(std::chrono::seconds(5));
+        Tcp::socket server = acceptor.accept();
+        asio::write(server, asio::buffer(response));
+        server.shutdown(Tcp::socket::shutdown_send);
+        while (!called)
+            cr_assert_gt(loop.run_one_for(std::chrono::seconds(5)), 0U);
+        cr_assert_not(delivered, "%s", response.c_str());
+    }
+}
