--- a/tests/system/data/broken_responses.h
+++ b/tests/system/data/broken_responses.h
@@ -39,6 +39,23 @@
     return out;
 }
 
+// A body that is not the worker's as long as its coding stands.
+inline std::vector<BrokenResponse> coded_bodies() {
+    std::vector<BrokenResponse> out;
+    for (const std::string coding : {"gzip", "chunked, gzip", "identity", "chunked, chunked", ""})
+        out.push_back(
+            broken("Transfer-Encoding: " + coding,
+                   "HTTP/1.1 200 OK\r\n" + id + seal + "Transfer-Encoding: " + coding + "\r\n\r\nwrong\n\n"));
+    for (const std::string fields : {"Transfer-Encoding: gzip, chunked\r\n",
+                                     "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n"}) {
+        const std::string body = chunk("data: wrong\n\n") + "0\r\n\r\n";
+        out.push_back(broken(fields, "HTTP/1.1 200 OK\r\n" + id + seal + fields + "\r\n" + body));
+        out.push_back(
+            broken(fields + "promised", "HTTP/1.1 503 Full\r\n" + id + promise + fields + "\r\n" + body));
+    }
+    return out;
+}
+
 // Part of a body without a length, and a reset while the request may still be under way.
 inline std::vector<BrokenResponse> reset_bodies() {
     std::vector<BrokenResponse> out;
--- a/tests/system/data/worker_outcomes_test.cpp
+++ b/tests/system/data/worker_outcomes_test.cpp
@@ -185,6 +185,8 @@
 
 Test(proxied_request, a_status_that_no_response_has_is_no_response) { check_broken(broken_statuses(), 10); }
 
+Test(proxied_request, a_coded_body_is_not_the_workers) { check_broken(coded_bodies(), 10); }
+
 // The write of the request is under way, and the kernel reports the reset to whichever asks first.
 Test(proxied_request, a_body_without_a_length_that_is_reset_is_not_complete) {
     for (const std::size_t body : {std::size_t{10}, long_body_bytes})
