Refuse responses whose content is encoded

Callers: a worker's answer with `Content-Encoding` was passed on.

Cause: nothing looked at the field.

Change: check_response_head refuses it, for health answers, reports and lists as well: nothing that is sent asks for an encoding.

--- a/src/system/http_reader/response_check.cpp
+++ b/src/system/http_reader/response_check.cpp
@@ -24,6 +24,7 @@
     if (head.result_int() < min_final_status || head.result_int() > max_status)
         return http::error::bad_status;
     if (!is_transfer_coding_known(head)) return http::error::bad_transfer_encoding;
+    if (head.find(http::field::content_encoding) != head.end()) return http::error::unexpected_body;
     return {};
 }
 
--- a/src/system/http_reader/response_check.h
+++ b/src/system/http_reader/response_check.h
@@ -7,7 +7,8 @@
 namespace willowrill::http_reader {
 
 // Success, or why there is no response with this head: http::error::bad_version, http::error::bad_status,
-// http::error::bad_transfer_encoding. An interim response (1xx) is none: nothing that is sent asks for one.
+// http::error::bad_transfer_encoding, http::error::unexpected_body for a coded one. An interim response (1xx)
+// is none, and a coded body is not the sender's: nothing that is sent asks for either.
 ErrorCode check_response_head(const http::response_header<>& head);
 
 } // namespace willowrill::http_reader
--- a/tests/system/data/broken_responses.h
+++ b/tests/system/data/broken_responses.h
@@ -53,6 +53,9 @@
         out.push_back(
             broken(fields + "promised", "HTTP/1.1 503 Full\r\n" + id + promise + fields + "\r\n" + body));
     }
+    for (const std::string status : {"200 OK", "404 Not Found", "500 Internal Server Error"})
+        out.push_back(broken("Content-Encoding, " + status,
+                             worker_response(status, id + seal + "Content-Encoding: gzip\r\n", "wrong\n\n")));
     return out;
 }
 
--- a/tests/system/transport/http_test.cpp
+++ b/tests/system/transport/http_test.cpp
@@ -101,6 +101,7 @@
           std::string("HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\n{}"),
           std::string("HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\n{}"),
           std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n{}"),
+          std::string("HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\n{}"),
           std::string("HTTP/1.1 200 OK\r\nServing Instance: i\r\nContent-Length: 2\r\n\r\n{}")}) {
         asio::io_context loop;
         Tcp::acceptor acceptor(loop, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
