Refuse responses in whose head a field goes on in a second line

Callers: a line of a worker's head that began with a blank or a tab was joined to the field before it. Behind `Server-Seal: a` it made the seal another one, and the client got a success with it.

Cause: Beast's parser joins such lines (obs-fold), and nothing of it is left to see afterwards.

Change: the lines of a response's head are looked at as the parser takes them. RFC 9112 5.2 lets a proxy discard such a response and answer 502.

The other shapes of that test (names with a blank, control bytes, none at all, control bytes in values, lengths and chunk sizes that are odd) were refused before, and are kept as tests.

--- a/src/system/http_reader/read.h
+++ b/src/system/http_reader/read.h
@@ -52,7 +52,7 @@
         while (!is_reached() && input_.size() > 0) {
             const bool in_head = !parser_.is_header_done();
             const std::size_t parsed = parser_.put(input_.data(), error);
-            const ErrorCode head_error = in_head ? check_head() : ErrorCode();
+            const ErrorCode head_error = in_head ? check_head(parsed) : ErrorCode();
             input_.consume(parsed);
             if (head_error) {
                 error = head_error;
@@ -76,11 +76,12 @@
         return until_ == ReadUntil::head ? parser_.is_header_done() : parser_.is_done();
     }
 
-    // What the parser lets pass.
-    ErrorCode check_head() const {
+    // What the parser lets pass. `parsed`: the bytes of the head that it has just taken.
+    ErrorCode check_head(std::size_t parsed) const {
         if constexpr (Parser::is_request::value) {
             return {};
         } else {
+            if (has_folded_field(asio::buffer(input_.data(), parsed))) return http::error::bad_obs_fold;
             return parser_.is_header_done() ? check_response_head(parser_.get().base()) : ErrorCode();
         }
     }
--- a/src/system/http_reader/response_check.cpp
+++ b/src/system/http_reader/response_check.cpp
@@ -1,6 +1,7 @@
 #include "system/http_reader/response_check.h"
 
 #include <iterator>
+#include <string_view>
 
 namespace willowrill::http_reader {
 namespace {
@@ -28,4 +29,9 @@
     return {};
 }
 
+bool has_folded_field(asio::const_buffer lines) {
+    const std::string_view text(static_cast<const char*>(lines.data()), lines.size());
+    return text.find("\n ") != std::string_view::npos || text.find("\n\t") != std::string_view::npos;
+}
+
 } // namespace willowrill::http_reader
--- a/src/system/http_reader/response_check.h
+++ b/src/system/http_reader/response_check.h
@@ -11,4 +11,8 @@
 // is none, and a coded body is not the sender's: nothing that is sent asks for either.
 ErrorCode check_response_head(const http::response_header<>& head);
 
+// Whether a field goes on in a second line. The parser joins such lines, so that the value is not the
+// sender's.
+bool has_folded_field(asio::const_buffer lines);
+
 } // namespace willowrill::http_reader
--- a/tests/system/data/broken_responses.h
+++ b/tests/system/data/broken_responses.h
@@ -59,6 +59,55 @@
     return out;
 }
 
+// Names of fields that are no tokens, control bytes, and lengths that cannot be relied on.
+inline std::vector<BrokenResponse> malformed_heads() {
+    using namespace std::string_literals;
+    std::vector<BrokenResponse> out;
+    for (const std::string& line : {"X Y: 1"s,
+                                    "X\tY: 1"s,
+                                    "X\0Y: 1"s,
+                                    "X\x01Y: 1"s,
+                                    "X\x7fY: 1"s,
+                                    "X\xffY: 1"s,
+                                    "X\rY: 1"s,
+                                    "X(Y: 1"s,
+                                    ": 1"s,
+                                    "X : 1"s,
+                                    " X: 1"s,
+                                    "X"s,
+                                    "Content Length: 3"s,
+                                    "Content-Length : 3"s,
+                                    "Transfer\x01Encoding: chunked"s,
+                                    "Transfer-Encoding : chunked"s,
+                                    "Attempt Id: 0b"s,
+                                    "Attempt-Id\0: 0b"s,
+                                    "X: a\0b"s,
+                                    "X: a\x01"s,
+                                    "X: a\x7f"s}) {
+        out.push_back(broken(line, worker_response("200 OK", id + seal + line + "\r\n", "wrong\n\n")));
+        out.push_back(broken(line + ", promised",
+                             worker_response("503 Full", id + promise + line + "\r\n", "wrong\n\n")));
+    }
+    for (const std::string length : {"+9", "0x9", "-1", "9 9", "7, 8", "9.0", "99999999999999999999",
+                                     "7\r\nContent-Length: 8", "7\r\nTransfer-Encoding: chunked"})
+        out.push_back(
+            broken("Content-Length: " + length,
+                   "HTTP/1.1 200 OK\r\n" + id + seal + "Content-Length: " + length + "\r\n\r\nwrong\n\n"));
+    for (const std::string& line : {"X Y: 1"s, "X\x01Y: 1"s, ": 1"s, "X: a\0b"s})
+        out.push_back(broken("trailer " + line, "HTTP/1.1 200 OK\r\n" + id + seal +
+                                                    "Transfer-Encoding: chunked\r\n\r\n" + chunk("wrong") +
+                                                    "0\r\n" + line + "\r\n\r\n"));
+    for (const std::string& chunks :
+         {"-5\r\nwrong\r\n0\r\n\r\n"s, "0x5\r\nwrong\r\n0\r\n\r\n"s, "fffffffffffffffff\r\nwrong"s,
+          "5\r\nwrong\r\n"s, "5\r\nwrongly\r\n0\r\n"s})
+        out.push_back(broken("chunks " + chunks, "HTTP/1.1 200 OK\r\n" + id + seal +
+                                                     "Transfer-Encoding: chunked\r\n\r\n" + chunks));
+    out.push_back(broken("control byte in the reason", worker_response("200 O\x01K", id + seal, "wrong")));
+    out.push_back(broken("status of four digits", worker_response("2000 OK", id + seal, "wrong")));
+    out.push_back(broken("status of two digits", worker_response("20 OK", id + seal, "wrong")));
+    return out;
+}
+
 // Part of a body without a length, and a reset while the request may still be under way.
 inline std::vector<BrokenResponse> reset_bodies() {
     std::vector<BrokenResponse> out;
