Refuse responses with two ids or two seals, and successes with an empty one

Callers: an answer with two `Attempt-Id` fields passed where the first was the client's, and one with an empty `Server-Seal` passed for a success with a seal.

Cause: only the first field of a name was looked at, and only whether there is a seal.

Change: a head that has either field twice could be that of two responses: nothing is concluded from it, and its connection is not used again. A success needs a seal that says something.

--- a/src/system/data/response_head.cpp
+++ b/src/system/data/response_head.cpp
@@ -7,6 +7,14 @@
 constexpr const char* not_executed = "Not-Executed";
 constexpr const char* seal = "Server-Seal"; // the worker's mark on what it has run
 
+// A field that a head has more than once could be that of two responses.
+bool is_repeated(const http::response_header<>& head, const char* name) { return head.count(name) > 1; }
+
+bool is_sealed(const http::response_header<>& head) {
+    const auto found = head.find(seal);
+    return found != head.end() && !found->value().empty();
+}
+
 // Clients take these statuses for a promise that nothing has run.
 bool promises_to_clients(http::status status) {
     return status == http::status::request_timeout || status == http::status::misdirected_request ||
@@ -29,6 +37,7 @@
 } // namespace
 
 ResponseKind classify_response(const http::response_header<>& head, const AttemptFacts& attempt) {
+    if (is_repeated(head, attempt_id) || is_repeated(head, seal)) return ResponseKind::unusable;
     const auto id = head.find(attempt_id);
     const bool has_id = id != head.end();
     const bool ours =
@@ -41,7 +50,7 @@
     // Without the worker's promise the request may have run, so that the client must not read one out of it.
     if (promises_to_clients(head.result())) return ResponseKind::unusable;
     const bool success = http::to_status_class(head.result()) == http::status_class::successful;
-    if (success && head.find(seal) == head.end()) return ResponseKind::unusable;
+    if (success && !is_sealed(head)) return ResponseKind::unusable;
     if (attempt.streaming && head.result() == http::status::ok) return ResponseKind::stream;
     return attempt.part_of_stream_sent ? ResponseKind::unusable : ResponseKind::complete;
 }
--- a/tests/system/data/broken_responses.h
+++ b/tests/system/data/broken_responses.h
@@ -59,6 +59,20 @@
     return out;
 }
 
+// A head that could be that of two responses, or that carries no mark of a worker's.
+inline std::vector<BrokenResponse> ambiguous_heads() {
+    return {
+        broken("two ids, the own one first", worker_response("200 OK", id + other_id + seal, "wrong\n\n")),
+        broken("two ids, the own one last", worker_response("200 OK", other_id + id + seal, "wrong\n\n")),
+        broken("two ids, promised", worker_response("503 Full", id + other_id + promise, "wrong")),
+        broken("the own id twice", worker_response("200 OK", id + id + seal, "wrong\n\n")),
+        broken("empty seal", worker_response("200 OK", id + "Server-Seal: \r\n", "wrong\n\n")),
+        broken("two seals", worker_response("200 OK", id + seal + "Server-Seal: b\r\n", "wrong\n\n")),
+        broken("failure with two seals",
+               worker_response("500 Internal Server Error", id + seal + "Server-Seal: b\r\n", "wrong")),
+    };
+}
+
 // Names of fields that are no tokens, control bytes, and lengths that cannot be relied on.
 inline std::vector<BrokenResponse> malformed_heads() {
     using namespace std::string_literals;
--- a/tests/system/data/worker_outcomes_test.cpp
+++ b/tests/system/data/worker_outcomes_test.cpp
@@ -187,6 +187,8 @@
 
 Test(proxied_request, a_coded_body_is_not_the_workers) { check_broken(coded_bodies(), 10); }
 
+Test(proxied_request, an_ambiguous_head_is_no_response) { check_broken(ambiguous_heads(), 10); }
+
 Test(proxied_request, a_malformed_head_is_no_response) { check_broken(malformed_heads(), 10); }
 
 // The write of the request is under way, and the kernel reports the reset to whichever asks first.
