Keep trailers out of the head that clients get

Callers: the trailers of a worker's answer in chunks came to clients as fields of its head: a second `Server-Seal`, a `Content-Encoding` of a body that is not encoded.

Cause: Beast's parser writes trailers to where it wrote the head, and the head was read after the body.

Change: the head is taken out of the parser when it is complete. Trailers go to nobody, as with streams.

Evidence: the test failed before ("trailing" in what the client got) and passes now.

--- a/src/system/data/worker_response.cpp
+++ b/src/system/data/worker_response.cpp
@@ -30,6 +30,8 @@
                                      asio::redirect_error(asio::use_awaitable, error));
     last_error_ = error;
     has_head_ = !error;
+    // The parser writes the fields of trailers to where it wrote those of the head.
+    if (has_head_) head_ = std::move(parser_.get().base());
     co_return has_head_;
 }
 
--- a/src/system/data/worker_response.h
+++ b/src/system/data/worker_response.h
@@ -24,7 +24,8 @@
     // Reads the rest of a response that goes to nobody, up to so many bytes. Says whether it was complete.
     asio::awaitable<bool> discard_body(std::size_t max_bytes);
 
-    const http::response_header<>& head() const { return parser_.get().base(); }
+    // Without what trailers add to the message.
+    const http::response_header<>& head() const { return head_; }
     // The body was read to its end. One without a length ends with its connection.
     bool complete() const { return parser_.is_done(); }
     // It has no length.
@@ -44,6 +45,7 @@
     ErrorCode last_error_;
     std::size_t body_bytes_ = 0; // read so far
     bool has_head_ = false;
+    http::response_header<> head_;
     http::response_parser<http::buffer_body> parser_;
 };
 
--- a/tests/system/data/worker_outcomes_test.cpp
+++ b/tests/system/data/worker_outcomes_test.cpp
@@ -200,3 +200,19 @@
 Test(proxied_request, a_body_without_a_length_is_not_complete_before_its_request_was_taken) {
     check_broken(bodies_closed_under_upload(), long_body_bytes);
 }
+
+// A recipient that took them for fields of the head would see a second seal, or a coding that the body lacks.
+Test(proxied_request, trailers_do_not_become_fields_of_the_head) {
+    ProxyFixture proxy("safe", false, 2);
+    proxy.first.expect({ReadAmount::all, Reaction::respond,
+                        "HTTP/1.1 200 OK\r\n" + id + seal + "Transfer-Encoding: chunked\r\n\r\n" +
+                            chunk("body") +
+                            "0\r\nServer-Seal: trailing\r\nContent-Encoding: gzip\r\nX-Last: 1\r\n\r\n"});
+    const std::string got = proxy.serve("0b");
+    cr_assert_eq(status_of(got), 200);
+    cr_assert(contains(got, "Server-Seal: seal\r\n") && got.ends_with("\r\n\r\nbody"));
+    for (const char* const trailer : {"trailing", "gzip", "X-Last"})
+        cr_assert(!contains(got, trailer), "%s", trailer);
+    cr_assert_eq(status_of(proxy.serve("0c")), 200);
+    cr_assert_eq(proxy.first.connections, 1U, "its connection is kept");
+}
