--- a/tests/soak/surroundings_case.py
+++ b/tests/soak/surroundings_case.py
@@ -134,7 +134,7 @@
         tasks += [asyncio.ensure_future(self.change_on())] if self.surroundings.serves else []
         tasks += [asyncio.ensure_future(self.watch(m, role)) for m in self.machines for role in m.roles] if self.surroundings.serves else []
         tasks += [asyncio.ensure_future(self.surroundings.disturb(self))] if self.surroundings.disturb else []
-        await asyncio.sleep(seconds)
+        await self.until_end(seconds)
         self.stopping = True
         for task in [*tasks, *alive]:
             task.cancel()
@@ -142,6 +142,9 @@
             if isinstance(result, Exception) and not isinstance(result, asyncio.CancelledError):
                 raise result
 
+    async def until_end(self, seconds):
+        await asyncio.sleep(seconds)
+
     def newly_started(self, known):
         """Keeps the machines' processes alive from their first start on, so that one that ends while it starts counts."""
         if known or not all(role in m.processes for m in self.machines for role in m.roles):
--- a/tests/soak/worker.py
+++ b/tests/soak/worker.py
@@ -14,6 +14,7 @@
 import sys
 import time
 
+import broken_answers
 import floods
 
 SLOTS = 64
@@ -26,7 +27,8 @@
 MAX_CONNECTIONS = 60
 
 # Each is a share of requests, from 0 to 1; besides, there are `max_connections`, `slow_s`: what a run takes longer, `flood_shape`: one
-# of `floods.SHAPES`, any without it, and `flood_health`: a share of the questions for its health.
+# of `floods.SHAPES`, any without it, `flood_health`: a share of the questions for its health, and `broken`: one of
+# `broken_answers.SHAPES`, in place of every answer.
 FAULTS = ("reset_after_run", "close_after_run", "mute", "answer_twice", "late_copy", "stray_promise", "garbage", "reject",
           "reject_twice", "early_reject", "reset_before_run", "cut_short", "close_header", "flood")
 
@@ -78,6 +80,9 @@
             return await self.answer_get(writer, path)
         length = int(headers.get("content-length", 0))
         attempt = headers.get("attempt-id", "")
+        if broken := self.faults.get("broken"):
+            seal = f"seal.{self.instance}.{attempt}"
+            return await broken_answers.SHAPES[broken].send(reader, writer, length, attempt, seal)
         if length > 2000 and self.strikes("early_reject"):
             writer.write(self.rejection(attempt, 503))
             await writer.drain()
