--- a/tests/system/http_reader/read_test.cpp
+++ b/tests/system/http_reader/read_test.cpp
@@ -6,6 +6,7 @@
 #include <criterion/criterion.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 
 using namespace willowrill;
