Let a test of kept-alive connections say when its connection has rested

Such a job may take a connection that has rested for 15 ms; the test needs less from the answer to b until c is sent, and was given no processor for longer. The program is right.

Where c came over the old connection although that had rested for less, it fails as before; where it had rested, it is played again, 100 times at the most. All other checks are as they were.

--- a/tests/scheduler/dispatcher/ordering_test.cpp
+++ b/tests/scheduler/dispatcher/ordering_test.cpp
@@ -126,9 +126,6 @@
 
 namespace {
 
-// Of the pool: a connection that has rested for so long may carry a job that must not run twice.
-constexpr auto settling_time = 15ms;
-
 // A client whose first job was answered over the worker's connection 0, and that has sent its second one,
 // `b`, after a pause.
 struct JobAfterAnswer {
--- a/tests/scheduler/program/program_test.cpp
+++ b/tests/scheduler/program/program_test.cpp
@@ -82,7 +82,11 @@
     }
 }
 
-TEST_CASE("a job is sent to the worker and its result returned over kept-alive connections") {
+namespace {
+
+// Whether the job `c` came on a connection of its own. On a busy machine the one before may have rested for
+// long enough to carry it, and the play says nothing.
+bool plays_kept_alive_connections() {
     SchedulerFixture rig;
     const std::string job = SchedulerFixture::job_request("a");
     const auto client = rig.connect_client(job.substr(0, 30));
@@ -105,10 +109,18 @@
                              SchedulerFixture::job_request("c")); // pipelined, processed in order
     REQUIRE(rig.worker_receives(0, "X-Request-ID: b"));
     CHECK_FALSE(worker.has_received("X-Request-ID: c"));
+    const net::Time answered_after = rig.loop.now();
     worker.connection.write(SchedulerFixture::done_response("b", "of b"));
     // The connection of `b` has only just become idle and may still receive data; a job that must not run
     // twice is not sent on it.
-    REQUIRE(rig.worker_receives(1, "X-Request-ID: c"));
+    const auto received_on_new = [&] {
+        return rig.worker.peers.size() > 1 && rig.worker.peers[1]->has_received("X-Request-ID: c");
+    };
+    REQUIRE(rig.run_until([&] { return received_on_new() || worker.has_received("X-Request-ID: c"); }));
+    if (!received_on_new()) {
+        REQUIRE(rig.loop.now() - answered_after >= settling_time); // otherwise it was reused at once
+        return false;
+    }
     CHECK_FALSE(worker.has_received("X-Request-ID: c"));
     rig.worker.peers[1]->connection.write(SchedulerFixture::done_response("c", "of c"));
     CHECK(rig.run_until([&] { return client->has_received("of c"); }));
@@ -116,6 +128,17 @@
     CHECK(rig.worker.peers.size() == 2);
     CHECK(rig.pool.counters().reused == 1);
     CHECK(rig.front.counters().accepted == 1);
+    return true;
+}
+
+} // namespace
+
+TEST_CASE("a job is sent to the worker and its result returned over kept-alive connections") {
+    constexpr int max_plays = 100;
+    bool has_new_connection = false;
+    for (int plays = 0; plays < max_plays && !has_new_connection; ++plays)
+        has_new_connection = plays_kept_alive_connections();
+    REQUIRE(has_new_connection);
 }
 
 TEST_CASE("a connection closed by the worker is not reused") {
--- a/tests/scheduler/support/scheduler_fixture.h
+++ b/tests/scheduler/support/scheduler_fixture.h
@@ -13,6 +13,9 @@
 
 namespace willowrill::testing {
 
+// Of the pool: a connection that has rested for so long may carry a job that must not run twice.
+constexpr auto settling_time = 15ms;
+
 config::Settings test_settings(); // defined in tests/scheduler/program/parts_test.cpp
 
 // A scheduler with a single worker, which is listed from the start, and a frontend for up to `max_clients`
