Spell the head of a worker's success, and a long body, once in the tests

Cause: the tests of broken answers wrote "HTTP/1.1 200 OK", id and seal anew in a dozen places, as older ones did, and the length of a body that no buffer holds twice.

Change: sealed_head and long_body_bytes in proxy_fixture.h; no bytes and no assertion differ.

--- a/tests/system/data/broken_responses.h
+++ b/tests/system/data/broken_responses.h
@@ -43,13 +43,12 @@
 inline std::vector<BrokenResponse> coded_bodies() {
     std::vector<BrokenResponse> out;
     for (const std::string coding : {"gzip", "chunked, gzip", "identity", "chunked, chunked", ""})
-        out.push_back(
-            broken("Transfer-Encoding: " + coding,
-                   "HTTP/1.1 200 OK\r\n" + id + seal + "Transfer-Encoding: " + coding + "\r\n\r\nwrong\n\n"));
+        out.push_back(broken("Transfer-Encoding: " + coding,
+                             sealed_head + "Transfer-Encoding: " + coding + "\r\n\r\nwrong\n\n"));
     for (const std::string fields : {"Transfer-Encoding: gzip, chunked\r\n",
                                      "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n"}) {
         const std::string body = chunk("data: wrong\n\n") + "0\r\n\r\n";
-        out.push_back(broken(fields, "HTTP/1.1 200 OK\r\n" + id + seal + fields + "\r\n" + body));
+        out.push_back(broken(fields, sealed_head + fields + "\r\n" + body));
         out.push_back(
             broken(fields + "promised", "HTTP/1.1 503 Full\r\n" + id + promise + fields + "\r\n" + body));
     }
@@ -104,18 +103,16 @@
     }
     for (const std::string length : {"+9", "0x9", "-1", "9 9", "7, 8", "9.0", "99999999999999999999",
                                      "7\r\nContent-Length: 8", "7\r\nTransfer-Encoding: chunked"})
-        out.push_back(
-            broken("Content-Length: " + length,
-                   "HTTP/1.1 200 OK\r\n" + id + seal + "Content-Length: " + length + "\r\n\r\nwrong\n\n"));
+        out.push_back(broken("Content-Length: " + length,
+                             sealed_head + "Content-Length: " + length + "\r\n\r\nwrong\n\n"));
     for (const std::string& line : {"X Y: 1"s, "X\x01Y: 1"s, ": 1"s, "X: a\0b"s})
-        out.push_back(broken("trailer " + line, "HTTP/1.1 200 OK\r\n" + id + seal +
-                                                    "Transfer-Encoding: chunked\r\n\r\n" + chunk("wrong") +
-                                                    "0\r\n" + line + "\r\n\r\n"));
+        out.push_back(broken("trailer " + line, sealed_head + "Transfer-Encoding: chunked\r\n\r\n" +
+                                                    chunk("wrong") + "0\r\n" + line + "\r\n\r\n"));
     for (const std::string& chunks :
          {"-5\r\nwrong\r\n0\r\n\r\n"s, "0x5\r\nwrong\r\n0\r\n\r\n"s, "fffffffffffffffff\r\nwrong"s,
           "5\r\nwrong\r\n"s, "5\r\nwrongly\r\n0\r\n"s})
-        out.push_back(broken("chunks " + chunks, "HTTP/1.1 200 OK\r\n" + id + seal +
-                                                     "Transfer-Encoding: chunked\r\n\r\n" + chunks));
+        out.push_back(
+            broken("chunks " + chunks, sealed_head + "Transfer-Encoding: chunked\r\n\r\n" + chunks));
     out.push_back(broken("control byte in the reason", worker_response("200 O\x01K", id + seal, "wrong")));
     out.push_back(broken("status of four digits", worker_response("2000 OK", id + seal, "wrong")));
     out.push_back(broken("status of two digits", worker_response("20 OK", id + seal, "wrong")));
--- a/tests/system/data/proxy_fixture.h
+++ b/tests/system/data/proxy_fixture.h
@@ -26,6 +26,9 @@
         route_class, timeout_ms, attempts, resumable, home_regions, service_settings);
 }
 
+// Of a request: far more than fits into the buffers of a connection, so that its write is under way.
+inline constexpr std::size_t long_body_bytes = 5U << 20U;
+
 // A route of the tests.
 struct RouteKind {
     const char* name;
@@ -164,10 +167,12 @@
 inline const std::string id = "Attempt-Id: ID\r\n", other_id = "Attempt-Id: ffff\r\n",
                          seal = "Server-Seal: seal\r\n", promise = "Not-Executed: 1\r\n";
 
+// The beginning of the head of a worker's success.
+inline const std::string sealed_head = "HTTP/1.1 200 OK\r\n" + id + seal;
+
 // The head of a stream in chunks, and what follows it.
 inline const std::string stream_head =
-    "HTTP/1.1 200 OK\r\n" + id + seal +
-    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    sealed_head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 inline std::string chunk(const std::string& text) { return fmt::format("{:x}\r\n{}\r\n", text.size(), text); }
 
--- a/tests/system/data/streams_test.cpp
+++ b/tests/system/data/streams_test.cpp
@@ -51,25 +51,23 @@
 
 Test(streams, one_without_a_length_is_whole_where_its_connection_ends_in_order) {
     ProxyFixture proxy("streaming", false, 1);
-    proxy.first.expect(
-        {ReadAmount::all, Reaction::respond_and_close,
-         "HTTP/1.1 200 OK\r\n" + id + seal + "Content-Type: text/event-stream\r\n\r\n" + event(1)});
+    proxy.first.expect({ReadAmount::all, Reaction::respond_and_close,
+                        sealed_head + "Content-Type: text/event-stream\r\n\r\n" + event(1)});
     const std::string got = proxy.serve("0b");
     cr_assert(contains(got, "data: e1"));
     cr_assert(got.ends_with("0\r\n\r\n"));
 }
 
-// Far more than fits into the buffers of a connection, so that its write is under way and takes the error.
+// The write of the upload takes the error.
 Test(streams, one_without_a_length_that_is_reset_under_its_upload_is_not_whole) {
-    constexpr std::size_t long_body = 5U << 20U;
-    const std::string part = "HTTP/1.1 200 OK\r\n" + id + seal + "\r\n" + event(1);
+    const std::string part = sealed_head + "\r\n" + event(1);
     for (const Reaction reaction : {Reaction::respond_and_reset_at_once, Reaction::respond_close_and_reset}) {
         for (const bool resumable : {false, true}) {
             ProxyFixture proxy("streaming", resumable, 2);
             proxy.first.expect({ReadAmount::head, reaction, part});
             proxy.second.expect(
                 {ReadAmount::all, Reaction::respond, stream_head + chunk(event(2)) + "0\r\n\r\n"});
-            const std::string got = proxy.serve("0b", long_body);
+            const std::string got = proxy.serve("0b", long_body_bytes);
             cr_assert(contains(got, "data: e1"));
             cr_assert_eq(contains(got, "data: e2"), resumable);
             cr_assert_eq(got.ends_with("0\r\n\r\n"), resumable);
--- a/tests/system/data/worker_outcomes_test.cpp
+++ b/tests/system/data/worker_outcomes_test.cpp
@@ -16,8 +16,6 @@
 
 namespace {
 
-constexpr std::size_t long_body_bytes = 5U << 20U; // far more than fits into the buffers of a connection
-
 // What the worker's behaviour tells of the request, from the pages alone.
 // `misdirected`: not run, as the instance it was sent to is not there; that was no send to a worker.
 enum class Execution { answered, not_run, misdirected, unknown };
@@ -75,18 +73,15 @@
         {"2xx without a seal", responds(worker_response("200 OK", id)), unknown, unknown},
         {"bytes that are no answer", responds("garbage garbage\r\n\r\n"), unknown, unknown},
         {"cut short and closed",
-         {ReadAmount::all, Reaction::respond_and_close,
-          "HTTP/1.1 200 OK\r\n" + id + seal + "Content-Length: 100\r\n\r\ndata: x"},
+         {ReadAmount::all, Reaction::respond_and_close, sealed_head + "Content-Length: 100\r\n\r\ndata: x"},
          unknown,
          unknown},
         {"no length, ended in order",
-         {ReadAmount::all, Reaction::respond_and_close,
-          "HTTP/1.1 200 OK\r\n" + id + seal + "\r\ndata: x\n\n"},
+         {ReadAmount::all, Reaction::respond_and_close, sealed_head + "\r\ndata: x\n\n"},
          answered,
          answered},
         {"no length, ended in order before the body was read",
-         {ReadAmount::head, Reaction::respond_and_close,
-          "HTTP/1.1 200 OK\r\n" + id + seal + "\r\ndata: x\n\n"},
+         {ReadAmount::head, Reaction::respond_and_close, sealed_head + "\r\ndata: x\n\n"},
          answered,
          answered},
         {"HTTP/1.0, to its close",
@@ -205,8 +200,7 @@
 Test(proxied_request, trailers_do_not_become_fields_of_the_head) {
     ProxyFixture proxy("safe", false, 2);
     proxy.first.expect({ReadAmount::all, Reaction::respond,
-                        "HTTP/1.1 200 OK\r\n" + id + seal + "Transfer-Encoding: chunked\r\n\r\n" +
-                            chunk("body") +
+                        sealed_head + "Transfer-Encoding: chunked\r\n\r\n" + chunk("body") +
                             "0\r\nServer-Seal: trailing\r\nContent-Encoding: gzip\r\nX-Last: 1\r\n\r\n"});
     const std::string got = proxy.serve("0b");
     cr_assert_eq(status_of(got), 200);
