Count every response that turns out not to be whole, where that is found

Cause: a response without a length that was reset under its request was counted as abandoned where it was held, and not where it was a stream or passed on as it came; one whose wait this process ended was counted as ended by the worker.

Change: is_whole notes it, for all three, as `ended` or `timed_out`. What clients get is as it was.

The metric itself has no test of its own.

--- a/src/system/data/upstream_attempt.h
+++ b/src/system/data/upstream_attempt.h
@@ -47,7 +47,7 @@
     asio::awaitable<AttemptResult> read_response();
     AttemptFacts facts() const;
 
-    // Whether a response that was read to its end is the worker's whole response.
+    // Whether a response that was read to its end is the worker's whole response. Notes one that is not.
     asio::awaitable<bool> is_whole(const WorkerResponse& response);
     asio::awaitable<AttemptResult> relay_response(WorkerResponse& response);
     asio::awaitable<void> hold_body(WorkerResponse& response, HeldBody& body);
--- a/src/system/data/upstream_relay.cpp
+++ b/src/system/data/upstream_relay.cpp
@@ -32,11 +32,12 @@
     SteadyTimer timer(context_.loop);
     while (connection_->socket.is_open() && outgoing_->state != SendState::failed) {
         const transport::PeerEnd end = transport::peer_end(connection_->socket);
-        if (end == transport::PeerEnd::reset) co_return false;
+        if (end == transport::PeerEnd::reset) break;
         if (end == transport::PeerEnd::in_order && outgoing_->state == SendState::sent) co_return true;
         timer.expires_after(peer_end_poll_period);
         co_await timer.async_wait(asio::use_awaitable);
     }
+    note_abandoned(response, connection_->socket.is_open() ? ReadFailure::ended : ReadFailure::timed_out);
     co_return false;
 }
 
@@ -55,7 +56,6 @@
     if (!response.complete()) co_return co_await relay_rest(response, body);
     const bool whole = co_await is_whole(response);
     if (whole) co_return co_await answer_with(response, body);
-    note_abandoned(response, ReadFailure::ended);
     drop_connection();
     co_return AttemptResult::broken;
 }
