Look at the class of a route after every attempt, not only after one that broke off

Cause: RetryState::decide asked whether the request may run twice only where the last attempt had broken off. Where a worker broke off, a second one was asked, the route became non_idempotent, and the second one refused or could not be reached, a third one got a request that may have run (rule TWICE). Change: the question is asked whenever any attempt may have run. Scripted workers of the tests can send more of a response after a pause.

--- a/src/system/data/retry_state.cpp
+++ b/src/system/data/retry_state.cpp
@@ -23,13 +23,12 @@
 RetryDecision RetryState::decide(AttemptResult result, const RetryConditions& conditions,
                                  budget::RetryBudget& budget) {
     if (deadline_.is_due(conditions.now)) return RetryDecision::deadline_passed;
+    if (may_have_run_ && !still_repeatable(conditions.newest_route)) return RetryDecision::not_repeatable;
     if (nothing_sent_in(result)) return RetryDecision::allowed;
     // The instance it was sent to is gone, so that no worker of the service has had it by that send; the
     // attempt counts for the budget all the same.
     if (result == AttemptResult::misdirected) --sends_;
     if (!has_sends_left(conditions.newest_route)) return RetryDecision::attempts_exhausted;
-    if (may_have_run_after(result) && !still_repeatable(conditions.newest_route))
-        return RetryDecision::not_repeatable;
     if (result == AttemptResult::broken_midway && !conditions.has_resume_position)
         return RetryDecision::stream_not_resumable;
     if (!budget.try_acquire(conditions.now, conditions.schedulers)) return RetryDecision::budget_exhausted;
--- a/tests/system/data/retries_test.cpp
+++ b/tests/system/data/retries_test.cpp
@@ -82,3 +82,22 @@
     cr_assert_eq(status_of(proxy.serve("0b")), 502);
     cr_assert(proxy.second.requests.empty());
 }
+
+// Guards against rule TWICE: the class of a route is tightened between an attempt that may have run and one
+// that was refused.
+Test(proxied_request, a_request_that_may_have_run_is_not_repeated_after_a_refusal_either) {
+    constexpr std::chrono::milliseconds until_refusal{100}, until_change{50};
+    ProxyFixture proxy("safe", false, 3);
+    ScriptedWorker third(proxy.loop);
+    routing::Worker& last = proxy.context->workers["w3"] = proxy.context->workers["w2"];
+    last.instance.id = "w3";
+    last.instance.address = third.address();
+    proxy.first.expect({ReadAmount::all, Reaction::close, ""});
+    const std::string refusal = worker_response("503 Service Unavailable", id + promise);
+    proxy.second.expect({ReadAmount::all, Reaction::respond, "", "", {{until_refusal, refusal}}});
+    third.expect({ReadAmount::all, Reaction::respond, "", "", {{until_refusal, refusal}}});
+    SteadyTimer change(proxy.loop, until_change);
+    change.async_wait([&](ErrorCode) { proxy.activate("non_idempotent", false, 3); });
+    cr_assert_eq(status_of(proxy.serve("0b")), 502);
+    cr_assert_eq(proxy.second.requests.size() + third.requests.size(), 1U);
+}
--- a/tests/system/data/retry_state_test.cpp
+++ b/tests/system/data/retry_state_test.cpp
@@ -217,3 +217,15 @@
     cr_assert(request.state.may_have_run());
     cr_assert(request.state.final_error(in_time).kind == ErrorKind::worker_failed);
 }
+
+// Guards against rule TWICE: what came of the last attempt alone decided whether the class was looked at.
+Test(retry_state, what_may_have_run_is_not_sent_again_after_an_attempt_that_has_not) {
+    const configuration::Route once = route_of(RouteClass::non_idempotent, 9);
+    for (const AttemptResult last : {AttemptResult::not_executed, AttemptResult::misdirected,
+                                     AttemptResult::unreachable, AttemptResult::ineligible}) {
+        Request request(route_of(RouteClass::safe, 9));
+        cr_assert(request.send_and_decide(AttemptResult::broken) == RetryDecision::allowed);
+        request.conditions.newest_route = &once;
+        cr_assert(request.send_and_decide(last) == RetryDecision::not_repeatable);
+    }
+}
--- a/tests/system/data/scripted_worker.h
+++ b/tests/system/data/scripted_worker.h
@@ -30,11 +30,18 @@
     stay_silent
 };
 
+// Bytes that follow a response, or another part, after a pause.
+struct LaterPart {
+    std::chrono::milliseconds pause;
+    std::string bytes; // "ID" as in a response
+};
+
 struct Step {
     ReadAmount reads = ReadAmount::all;
     Reaction reaction = Reaction::respond;
     std::string response;  // "ID" stands for the request's Attempt-Id
     std::string surplus{}; // sent before it, where this connection has carried the same request before
+    std::vector<LaterPart> later_parts{}; // of a worker that responds
 };
 
 class ScriptedWorker {
@@ -52,6 +59,7 @@
 
     std::vector<std::string> requests; // what was read of each
     std::size_t connections = 0;
+    std::size_t ended_connections = 0; // by the other end, while the worker read
 
   private:
     struct Peer {
@@ -89,7 +97,10 @@
     void read(const PeerPtr& peer) {
         peer->socket.async_read_some(
             asio::buffer(peer->buffer), [this, peer](ErrorCode error, std::size_t n) {
-                if (error) return;
+                if (error) {
+                    ++ended_connections;
+                    return;
+                }
                 peer->got.append(peer->buffer.data(), n);
                 const Step step = steps_.empty() ? Step{ReadAmount::all, Reaction::respond, plain_response()}
                                                  : steps_.front();
@@ -118,14 +129,12 @@
             id == std::string::npos ? "" : request.substr(id + 12, request.find("\r\n", id) - id - 12);
         const bool sent_before = std::ranges::count(peer->ids, value) > 0;
         peer->ids.push_back(value);
-        std::string response = (sent_before ? step.surplus : "") + step.response;
-        for (std::size_t at = response.find("ID\r\n"); at != std::string::npos;
-             at = response.find("ID\r\n", at + 1))
-            response.replace(at, 2, value);
+        const std::string response = with_id((sent_before ? step.surplus : "") + step.response, value);
         ErrorCode ignored;
         switch (step.reaction) {
         case Reaction::respond:
             asio::write(peer->socket, asio::buffer(response), ignored);
+            send_later(peer, step.later_parts, value);
             return read(peer);
         case Reaction::respond_and_close:
             asio::write(peer->socket, asio::buffer(response), ignored);
@@ -151,6 +160,26 @@
         }
     }
 
+    static std::string with_id(std::string response, const std::string& value) {
+        for (std::size_t at = response.find("ID\r\n"); at != std::string::npos;
+             at = response.find("ID\r\n", at + 1))
+            response.replace(at, 2, value);
+        return response;
+    }
+
+    static void send_later(const PeerPtr& peer, const std::vector<LaterPart>& parts,
+                           const std::string& value) {
+        std::chrono::milliseconds pause{0};
+        for (const LaterPart& part : parts) {
+            pause += part.pause;
+            const auto timer = std::make_shared<SteadyTimer>(peer->socket.get_executor(), pause);
+            timer->async_wait([peer, timer, bytes = with_id(part.bytes, value)](ErrorCode) {
+                ErrorCode ignored;
+                asio::write(peer->socket, asio::buffer(bytes), ignored);
+            });
+        }
+    }
+
     // Reads on, so that closing does not reset what was written.
     void drain(const PeerPtr& peer) {
         peer->socket.async_read_some(asio::buffer(peer->buffer), [this, peer](ErrorCode error, std::size_t) {
