--- a/src/system/budget/byte_budget.h
+++ b/src/system/budget/byte_budget.h
@@ -19,6 +19,10 @@
     class Reservation {
       public:
         explicit Reservation(std::shared_ptr<ByteBudget> budget) : budget_(std::move(budget)) {}
+        // Takes over what the other one holds.
+        Reservation(Reservation&& other) noexcept
+            : budget_(other.budget_), bytes_(std::exchange(other.bytes_, 0)) {}
+        Reservation& operator=(Reservation&&) = delete;
         ~Reservation() { budget_->reserved_ -= bytes_; }
         Reservation(const Reservation&) = delete;
         Reservation& operator=(const Reservation&) = delete;
--- a/src/system/budget/retry_budget.h
+++ b/src/system/budget/retry_budget.h
@@ -25,6 +25,8 @@
     // Takes one retry from the budget. Returns false, and takes none, if this scheduler's share is used up.
     // `scheduler_count`: schedulers that share the budget.
     bool try_acquire(Time now, std::size_t scheduler_count);
+    // Gives back a retry that was taken at `taken_at` and not sent.
+    void give_back(Time taken_at) { retries_.remove(taken_at); }
 
   private:
     RetryLimits limits_;
--- a/src/system/budget/sliding_window.h
+++ b/src/system/budget/sliding_window.h
@@ -1,9 +1,11 @@
 // Counts the events of a recent period of time.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <deque>
+#include <iterator>
 
 namespace willowrill::budget {
 
@@ -19,6 +21,11 @@
         remove_expired(now);
         event_times_.push_back(now);
     }
+    // Removes one of the events recorded at `time`, if it is still in the window.
+    void remove(Time time) {
+        const auto found = std::find(event_times_.rbegin(), event_times_.rend(), time);
+        if (found != event_times_.rend()) event_times_.erase(std::next(found).base());
+    }
     // Returns the number of events from `now` minus the window length up to `now`, both inclusive.
     std::size_t count(Time now) {
         remove_expired(now);
