--- a/src/system/budget/byte_budget.h
+++ b/src/system/budget/byte_budget.h
@@ -21,9 +21,11 @@
         explicit Reservation(std::shared_ptr<ByteBudget> budget) : budget_(std::move(budget)) {}
         // Takes over what the other one holds.
         Reservation(Reservation&& other) noexcept
-            : budget_(other.budget_), bytes_(std::exchange(other.bytes_, 0)) {}
+            : budget_(std::move(other.budget_)), bytes_(std::exchange(other.bytes_, 0)) {}
         Reservation& operator=(Reservation&&) = delete;
-        ~Reservation() { budget_->reserved_ -= bytes_; }
+        ~Reservation() {
+            if (budget_) budget_->reserved_ -= bytes_;
+        }
         Reservation(const Reservation&) = delete;
         Reservation& operator=(const Reservation&) = delete;
 
--- a/tests/soak/worker.py
+++ b/tests/soak/worker.py
@@ -25,12 +25,14 @@
 EVENTS = {"/stream/": 100, "/resume/": 4, "/digest/": 100}
 EVENT_GAP_S = 0.08
 MAX_CONNECTIONS = 60
+PAUSE_S = 1.5
 
-# Each is a share of requests, from 0 to 1; besides, there are `max_connections`, `slow_s`: what a run takes longer, `flood_shape`: one
+# Each is a share of requests, from 0 to 1; besides, there are `max_connections`, `slow_s`: what a run takes longer, `pause_s`: for how
+# long a run that pauses says nothing, once, before its answer or after any event, `flood_shape`: one
 # of `floods.SHAPES`, any without it, `flood_health`: a share of the questions for its health, and `broken`: one of
 # `broken_answers.SHAPES`, in place of every answer.
 FAULTS = ("reset_after_run", "close_after_run", "mute", "answer_twice", "late_copy", "stray_promise", "garbage", "reject",
-          "reject_twice", "early_reject", "reset_before_run", "cut_short", "close_header", "flood")
+          "reject_twice", "early_reject", "reset_before_run", "cut_short", "close_header", "flood", "pause")
 
 
 class Worker:
@@ -162,6 +164,8 @@
         if kind in EVENTS:
             return await self.stream(writer, head, headers, EVENTS[kind]) and not last
         await asyncio.sleep(WORK_S.get(kind, 0.03) * self.random.uniform(0.3, 3) + self.faults.get("slow_s", 0.0))
+        if self.strikes("pause"):
+            await self.pause()
         body = f"whole {attempt}".encode()
         answer = (head + f"Content-Length: {len(body)}\r\n\r\n").encode() + body
         if self.strikes("cut_short"):
@@ -185,8 +189,14 @@
         if not writer.transport.is_closing():
             writer.write(answer)
 
+    async def pause(self):
+        await asyncio.sleep(self.faults.get("pause_s", PAUSE_S))
+
     async def stream(self, writer, head, headers, last):
         first = int(headers.get("last-event-id", 0)) + 1
+        paused_after = self.random.randint(first - 1, last) if self.strikes("pause") else None
+        if paused_after == first - 1:
+            await self.pause()
         writer.write((head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
         for number in range(first, last + 1):
             await asyncio.sleep(EVENT_GAP_S * self.random.uniform(0.2, 2))
@@ -195,6 +205,8 @@
             await writer.drain()
             if self.strikes("cut_short"):
                 return False
+            if number == paused_after:
+                await self.pause()
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return True
