--- a/tests/system/data/proxy_fixture.h
+++ b/tests/system/data/proxy_fixture.h
@@ -111,6 +111,14 @@
         return std::exchange(got, {}) + available();
     }
 
+    // The client reads nothing for so long, and little fits into the buffers of its connection.
+    void let_client_rest(routing::Time length) {
+        client->socket().set_option(asio::socket_base::send_buffer_size(small_buffer));
+        client_end->set_option(asio::socket_base::receive_buffer_size(small_buffer));
+        client_reads_from = steady_now() + length;
+        poll_client();
+    }
+
     asio::io_context loop;
     settings::Settings settings;
     std::optional<Context> context;
@@ -140,11 +148,24 @@
         return out;
     }
 
+    // Lets `serve` look at the client's connection also while nothing else happens.
+    void poll_client() {
+        client_poll.expires_after(client_poll_period);
+        client_poll.async_wait([this](ErrorCode error) {
+            if (!error) poll_client();
+        });
+    }
+
     bool client_has_head() {
-        got += available();
+        if (steady_now() >= client_reads_from) got += available();
         return got.find("\r\n\r\n") != std::string::npos;
     }
 
+    static constexpr int small_buffer = 32768;
+    static constexpr std::chrono::milliseconds client_poll_period{5};
+
+    SteadyTimer client_poll{loop};
+    routing::Time client_reads_from{0};
     replication::Position position{1, 0};
     std::optional<beast::tcp_stream> client;
     std::optional<Tcp::socket> client_end;
--- a/tests/system/data/silence_test.cpp
+++ b/tests/system/data/silence_test.cpp
@@ -287,6 +287,20 @@
     cr_assert(proxy.second.requests.empty());
 }
 
+// Guards against rule LOST: a worker whose stream waits for a client that reads slowly is not silent.
+Test(silence, a_worker_is_not_silent_while_its_client_reads_nothing) {
+    ProxyFixture proxy("streaming", true, 2);
+    const std::string long_event = "id: 1\ndata: " + std::string(400000, 'x') + "\n\n";
+    proxy.first.expect({ReadAmount::all,
+                        Reaction::respond,
+                        stream_head + chunk(long_event),
+                        "",
+                        {{silence_length, last_event}}});
+    proxy.let_client_rest(silence_length);
+    expect_whole(midway, proxy.serve("0b"));
+    cr_assert(proxy.second.requests.empty());
+}
+
 // A failure waits for the worker that may still succeed, and is the response where that one does not.
 Test(silence, a_failure_of_the_other_worker_is_passed_on_when_the_response_is_due) {
     ProxyFixture proxy("safe", false, 2, 2000);
