Refuse configurations that are not UTF-8 with the field and the byte, before anything is replicated

Cause: the parser takes any bytes in strings, and messages between members replace those that are not UTF-8. Change: what PUT and PATCH send is checked once its version is known to be current; the error names the first byte and the JSON pointer of its field. What was accepted before stays readable and is acknowledged as before, so that no stored state is lost to the check. The platform's lists were refused before, by the parser that reads them.

--- a/src/system/configuration/control_state.cpp
+++ b/src/system/configuration/control_state.cpp
@@ -95,27 +95,28 @@
 }
 
 // Acknowledges an order that was accepted before, refuses one that is based on another version than the
-// current one, and applies any other. `make_text` computes the new configuration document.
-Result<ApplyOutcome> apply_configuration_order(const ControlState& state,
-                                               const std::optional<Version>& based_on,
-                                               const OrderDigest& digest,
+// current one, and applies any other. `make_text` computes the new configuration document. Only what an
+// operator sends must be UTF-8: what was accepted before stays readable.
+template <class ConfigurationOrder>
+Result<ApplyOutcome> apply_configuration_order(const ControlState& state, const ConfigurationOrder& order,
                                                const std::function<Result<std::string>()>& make_text) {
+    const OrderDigest digest = digest_of(order);
     if (std::ranges::count(state.accepted_orders, digest, &AcceptedOrder::digest) > 0)
         return ApplyOutcome{Unchanged{}};
-    if (!based_on) return Error{ErrorKind::invalid_configuration, "If-Match must name a version"};
-    if (*based_on != state.version) return version_conflict_error(state, *based_on);
+    if (!order.based_on) return Error{ErrorKind::invalid_configuration, "If-Match must name a version"};
+    if (*order.based_on != state.version) return version_conflict_error(state, *order.based_on);
+    if (const auto error = check_utf8(order.body)) return *error;
     auto text = make_text();
     if (!text) return text.error();
     return replace_configuration(state, digest, std::move(text.value()));
 }
 
 Result<ApplyOutcome> put_configuration(const ControlState& state, const PutConfiguration& order) {
-    return apply_configuration_order(state, order.based_on, digest_of(order),
-                                     [&] { return Result<std::string>(order.body); });
+    return apply_configuration_order(state, order, [&] { return Result<std::string>(order.body); });
 }
 
 Result<ApplyOutcome> patch_configuration(const ControlState& state, const PatchConfiguration& order) {
-    return apply_configuration_order(state, order.based_on, digest_of(order), [&]() -> Result<std::string> {
+    return apply_configuration_order(state, order, [&]() -> Result<std::string> {
         if (state.version == 0) return invalid_configuration_error("there is no configuration to alter yet");
         return apply_patch(state.configuration, order.body);
     });
--- a/src/system/configuration/json_text.cpp
+++ b/src/system/configuration/json_text.cpp
@@ -1,7 +1,9 @@
 #include "system/configuration/json_text.h"
 
 #include <fmt/format.h>
+#include <rapidjson/encodings.h>
 #include <rapidjson/error/en.h>
+#include <rapidjson/memorystream.h>
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
@@ -49,6 +51,44 @@
     return std::nullopt;
 }
 
+// Returns the offset of the first byte that does not begin a valid character.
+std::optional<std::size_t> find_invalid_utf8(std::string_view text) {
+    rapidjson::MemoryStream stream(text.data(), text.size());
+    while (stream.Tell() < text.size()) {
+        const std::size_t begin = stream.Tell();
+        unsigned code_point = 0;
+        if (!rapidjson::UTF8<>::Decode(stream, &code_point)) return begin;
+    }
+    return std::nullopt;
+}
+
+// Returns the JSON pointer of the first key or string that is not UTF-8: of an invalid key, that of its
+// object.
+std::optional<std::string> find_invalid_field(const Value& value, const std::string& pointer) {
+    if (value.IsString() && find_invalid_utf8(string_view_of(value))) return pointer;
+    if (value.IsArray()) {
+        for (rapidjson::SizeType index = 0; index < value.Size(); ++index)
+            if (auto found = find_invalid_field(value[index], fmt::format("{}/{}", pointer, index)))
+                return found;
+    }
+    if (!value.IsObject()) return std::nullopt;
+    for (const auto& member : value.GetObject()) {
+        const std::string_view key = string_view_of(member.name);
+        if (find_invalid_utf8(key)) return pointer;
+        if (auto found = find_invalid_field(member.value, fmt::format("{}/{}", pointer, key))) return found;
+    }
+    return std::nullopt;
+}
+
+// Returns the JSON pointer of what is not UTF-8, or nothing where the text cannot be read as JSON either.
+std::optional<std::string> field_that_is_not_utf8(std::string_view text) {
+    if (nesting_depth_of(text) > max_nesting_depth) return std::nullopt;
+    rapidjson::Document document;
+    document.Parse<rapidjson::kParseIterativeFlag>(text.data(), text.size());
+    if (document.HasParseError()) return std::nullopt;
+    return find_invalid_field(document, "#");
+}
+
 } // namespace
 
 Error invalid_configuration_error(std::string detail) {
@@ -94,4 +134,12 @@
     return std::nullopt;
 }
 
+std::optional<Error> check_utf8(std::string_view text) {
+    const auto byte = find_invalid_utf8(text);
+    if (!byte) return std::nullopt;
+    const auto field = field_that_is_not_utf8(text);
+    return invalid_configuration_error(
+        fmt::format("not UTF-8 at byte {}{}", *byte, field ? fmt::format(", in {}", *field) : ""));
+}
+
 } // namespace willowrill::configuration
--- a/src/system/configuration/json_text.h
+++ b/src/system/configuration/json_text.h
@@ -35,4 +35,8 @@
 std::optional<errors::Error> read_json(std::string_view text, const rapidjson::SchemaDocument& schema,
                                        rapidjson::Document& document);
 
+// Returns an error of the kind `invalid_configuration` if the text is not UTF-8. The error names the first
+// byte that is not, and the field that it belongs to.
+std::optional<errors::Error> check_utf8(std::string_view text);
+
 } // namespace willowrill::configuration
--- a/tests/system/configuration/configuration_test.cpp
+++ b/tests/system/configuration/configuration_test.cpp
@@ -349,3 +349,47 @@
     cr_assert(read.error().kind == ErrorKind::unsupported_version);
     cr_assert(read.error().detail.find("cluster version 5") != std::string::npos);
 }
+
+// Guards against rule CONFIG: text that is not UTF-8 was acknowledged, and another text was read back.
+Test(orders, text_that_is_not_utf8_is_refused_by_its_field_and_byte) {
+    const ControlState state = applied({}, change(0, 5));
+    const std::string name = R"("name":"r")";
+    for (const std::string& bytes :
+         {std::string("\xE7"), std::string("\xC3"), std::string("\xC0\x80"), std::string("\xED\xA0\x80"),
+          std::string("\xF4\x90\x80\x80"), std::string("\xE7\x9B"), std::string("\x80")}) {
+        std::string body = document(route("/b/"), 6);
+        const std::size_t at = body.find(name) + name.size() - 1;
+        body.insert(at, bytes);
+        const auto refused = willowrill::configuration::apply(state, PutConfiguration{5, body});
+        cr_assert(!refused && refused.error().kind == ErrorKind::invalid_configuration);
+        expect_text(refused.error().detail.c_str(),
+                    fmt::format("not UTF-8 at byte {}, in #/routes/0/name", at).c_str());
+    }
+    const std::string patch = "{\"configVersion\":6,\"routes\":{\"remove\":[\"r\xE7\"]}}";
+    const auto refused = willowrill::configuration::apply(state, PatchConfiguration{5, patch});
+    cr_assert(!refused);
+    expect_text(refused.error().detail.c_str(), "not UTF-8 at byte 41, in #/routes/remove/0");
+    const auto key = willowrill::configuration::apply(state, PutConfiguration{5, "{\"\xE7\":1}"});
+    expect_text(key.error().detail.c_str(), "not UTF-8 at byte 2, in #");
+    const auto no_json = willowrill::configuration::apply(state, PutConfiguration{5, "\xFF"});
+    expect_text(no_json.error().detail.c_str(), "not UTF-8 at byte 0");
+}
+
+Test(orders, text_in_utf8_is_kept_byte_for_byte) {
+    std::string body = document(route("/b/"), 6);
+    body.insert(body.find(R"("name":"r")") + 9, "\xC3\xA7\xE2\x82\xAC\xF0\x9F\x8E\xB5");
+    const ControlState state = applied(applied({}, change(0, 5)), PutConfiguration{5, body});
+    expect_text(state.configuration.c_str(), body.c_str());
+}
+
+// An order that an earlier version took, and its text, stay as they are.
+Test(orders, what_was_accepted_before_is_acknowledged_and_read_whatever_its_bytes) {
+    std::string body = document(route("/b/"), 6);
+    body.insert(body.find(R"("name":"r")") + 9, "\xE7");
+    ControlState state = applied({}, PutConfiguration{0, change(0, 6).body});
+    state.configuration = body;
+    const auto patched = willowrill::configuration::apply(
+        state, PatchConfiguration{6, R"({"configVersion":7,"upsert":{"services":[{"name":"t"}]}})"});
+    cr_assert(static_cast<bool>(patched), "%s", patched ? "" : patched.error().detail.c_str());
+    cr_assert(static_cast<bool>(parse(body)));
+}
