--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -103,10 +103,11 @@
 # ---- The deployment ---------------------------------------------------------------------------------------------
 
 class Machine:
-    def __init__(self, deployment, zone, number):
+    def __init__(self, deployment, zone, number, in_zone=1):
         self.deployment, self.zone = deployment, zone
         self.ip = f"{deployment.net}.{10 + number}"
-        self.name = f"edge-{zone}-1"
+        self.name = f"edge-{zone}-{in_zone}"
+        self.roles = ("control", "data") if in_zone == 1 else ("data",)
         self.folder = pathlib.Path(deployment.folder, self.name)
         self.processes = {}
 
@@ -130,8 +131,8 @@
             "platformApi": {"address": f"{d.net}.2:8169", "ratePerS": 44.0, "assignments": [], "maxLagMs": 800}}))
         return boot
 
-    def start(self, role, initial=True):
-        boot = self.write_settings(role, initial)
+    def start(self, role, initial=True, boot=None):
+        boot = boot or self.write_settings(role, initial)
         command = self.deployment.commands[role].split()
         log = open(self.folder / f"{role}.log", "ab")
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
@@ -149,6 +150,7 @@
     ports = {"front": 8161, "readiness": 8167, "control": 8166, "directory": 8164}
 
     def __init__(self, record):
+        self.further = []  # machines without a member of the core
         self.record, self.net, self.folder = record, free_net(), tempfile.mkdtemp(prefix="willowrill-case-")
         text = (ROOT / "deploy/system.toml").read_text()
         self.commands = {role: re.search(rf"\[roles\.{role}\]\s*run = \"(.*?)\"", text).group(1) for role in ("data", "control")}
@@ -168,8 +170,8 @@
         for worker in workers:
             await self.listen(worker.serve, worker.address)
         await self.listen(self.serve_platform, f"{self.net}.2:8169")
-        for machine in self.machines:
-            for role in ("control", "data"):
+        for machine in self.machines + self.further:
+            for role in machine.roles:
                 machine.start(role)
 
     async def serve_platform(self, reader, writer):
@@ -215,7 +217,7 @@
 
     async def until_ready(self, within_s=20.0):
         end = time.monotonic() + within_s
-        for machine in self.machines:
+        for machine in self.machines + self.further:
             while True:
                 try:
                     if (await call(machine.address("readiness"), "GET", "/-/readiness"))[0] == 200:
