--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -366,6 +366,7 @@
         deployment = Deployment(record)
         return await asyncio.wait_for(case(deployment, record, trouble), 115)
 
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # so that what was started is ended all the same
     try:
         broken = asyncio.run(run())
         code = 1 if broken else 0
