Take every status from 200 to 299 for a success, known to a table or not

Callers got a success without a seal for each of the 90 statuses of 2xx that Beast's table lacks (MIXED); beside a silent worker such a success was held back until the response was due, as if it were a failure, and the counters took it for one.

Cause: `is_success` asked `to_status_class(head.result())`, and `result()` is 0 for what the table lacks.

Change: `http_rules::is_success` goes by the number; it is the one place that says so, for the seal, for what is held beside other attempts and for the counters.

Evidence: two tests of worker_statuses failed before at status 209 (passed on without a seal; counted as failed), and one of silence at 299, held for the 5 s that its request had; all pass now.

--- a/src/system/data/response_head.cpp
+++ b/src/system/data/response_head.cpp
@@ -1,5 +1,7 @@
 #include "system/data/response_head.h"
 
+#include "common/http_rules/response_rules.h"
+
 namespace willowrill::data {
 namespace {
 
@@ -36,9 +38,7 @@
 
 } // namespace
 
-bool is_success(const http::response_header<>& head) {
-    return http::to_status_class(head.result()) == http::status_class::successful;
-}
+bool is_success(const http::response_header<>& head) { return http_rules::is_success(head.result_int()); }
 
 ResponseKind classify_response(const http::response_header<>& head, const AttemptFacts& attempt) {
     if (is_repeated(head, attempt_id) || is_repeated(head, seal)) return ResponseKind::unusable;
--- a/tests/system/data/held_body_test.cpp
+++ b/tests/system/data/held_body_test.cpp
@@ -82,7 +82,7 @@
 
 // Guards against rule FAULT (all responses together over the process's memory) and rule MIXED.
 Test(held_body, a_response_without_memory_to_hold_it_reaches_the_client_whole) {
-    for (const char* const status : {"200 OK", "500 Internal Server Error", "529 Busy", "520 "}) {
+    for (const char* const status : {"200 OK", "500 Internal Server Error", "299 Fine", "529 Busy", "520 "}) {
         ProxyFixture proxy("non_idempotent", false, 1);
         leave_no_memory(proxy);
         std::string text = long_response();
--- a/tests/system/data/silence_test.cpp
+++ b/tests/system/data/silence_test.cpp
@@ -324,6 +324,18 @@
     cr_assert_lt((steady_now() - began).count(), well_before_deadline_ms);
 }
 
+// Guards against a success that is held back as a failure: its status is in no table.
+Test(silence, a_success_of_the_other_worker_is_passed_on_at_once_whatever_its_status) {
+    for (const char* const status : {"299 Fine", "220 Fine", "200 OK"}) {
+        ProxyFixture proxy("safe", false, 2);
+        proxy.first.expect({ReadAmount::all, Reaction::stay_silent, ""});
+        proxy.second.expect({ReadAmount::all, Reaction::respond, worker_response(status, id + seal)});
+        const routing::Time began = steady_now();
+        cr_assert_eq(status_of(proxy.serve("0b")), std::stoi(status));
+        cr_assert_lt((steady_now() - began).count(), well_before_deadline_ms);
+    }
+}
+
 // An earlier request of the worker may still be running: another one is asked when there is one again.
 Test(silence, another_worker_is_asked_as_soon_as_there_is_one) {
     ProxyFixture proxy("safe", false, 2);
--- a/tests/system/data/worker_statuses_test.cpp
+++ b/tests/system/data/worker_statuses_test.cpp
@@ -91,6 +91,29 @@
     }
 }
 
+// Guards against rule MIXED: a success that is in no table reached the client without a seal.
+Test(worker_statuses, a_success_without_a_seal_is_no_response_whatever_its_status) {
+    OneWorker proxy(non_idempotent);
+    for (const int status : statuses(min_status, 299)) {
+        const std::string unsealed = worker_response(fmt::format("{} S", status), id, "");
+        const std::string got = proxy.serve_with({ReadAmount::all, Reaction::respond, unsealed});
+        cr_assert_eq(status_of(got), 502, "%d: %s", status, got.c_str());
+    }
+}
+
+// Guards against counters that take a success for a failure.
+Test(worker_statuses, each_counts_as_what_its_class_says) {
+    OneWorker proxy(non_idempotent);
+    const Counters& counters = proxy.context->counters;
+    for (const int status : statuses(min_status, max_status)) {
+        const std::uint64_t served = counters.served, failed = counters.failed;
+        proxy.serve_with(response_with(status, "", Framing::length));
+        const bool is_success = status < 300;
+        cr_assert_eq(counters.served, served + (is_success ? 1 : 0), "%d", status);
+        cr_assert_eq(counters.failed, failed + (is_success ? 0 : 1), "%d", status);
+    }
+}
+
 // Guards against a promise that is believed by its status alone, or not for its status.
 Test(worker_statuses, a_promise_holds_whatever_its_status) {
     OneWorker proxy(non_idempotent);
