End the answer to a HEAD, and of 204 and 304, with its head, by one rule

A 204 got a length, which it has none of, a 304 one of 0.

Cause: no part of the program knew whether a body may follow: each writer gave the body that it had, and the length of that.

Change: `http_rules::may_have_body` says it by the method of the request and the number of the status. It is asked where a worker's response is written, and by `http_server::complete`, through which all responses of our own go: refusals, errors of the parser, readiness, directory, operators' API, metrics. The response to HEAD on a streaming route is held like others, as it has no events. The length of a body that is not sent is the one that the worker states.

--- a/src/system/data/client_session.cpp
+++ b/src/system/data/client_session.cpp
@@ -46,8 +46,7 @@
     auto response = http_server::error_response(request, error);
     if (const auto id = request.find("Attempt-Id"); id != request.end())
         response.set("Attempt-Id", id->value());
-    response.keep_alive(keep_alive);
-    response.prepare_payload();
+    http_server::complete(response, text(request.method_string()), keep_alive);
     return response;
 }
 
@@ -87,7 +86,7 @@
     BodyMemory memory(context_.input_memory.requests, copies_of_body); // until the response is complete
     co_await read_request(parser, memory, error);
     if (error == asio::error::no_memory) co_return co_await reject_for_memory(parser.get());
-    if (error) co_return co_await reject_unreadable(error, parser.got_some());
+    if (error) co_return co_await reject_unreadable(error, parser);
     ++requests_read_;
     const ClientRequest request = parser.release();
     co_return co_await respond(request);
@@ -162,12 +161,13 @@
 }
 
 // Bytes that are no request are answered where there were any; then the connection ends.
-asio::awaitable<bool> ClientSession::reject_unreadable(ErrorCode error, bool has_bytes) {
-    const std::optional<Error> reason = unreadable_error(error, has_bytes);
+asio::awaitable<bool> ClientSession::reject_unreadable(ErrorCode error, const Parser& parser) {
+    const std::optional<Error> reason = unreadable_error(error, parser.got_some());
     if (!reason) co_return false;
     ++context_.counters.bad;
-    const ClientRequest no_request;
-    const auto response = error_response(no_request, *reason, false);
+    ClientRequest request; // of which its method alone may be relied on
+    request.method_string(http_reader::method_of(parser, input_));
+    const auto response = error_response(request, *reason, false);
     co_await write_rejection(response);
     co_return false;
 }
--- a/src/system/data/client_session.h
+++ b/src/system/data/client_session.h
@@ -67,7 +67,7 @@
     asio::awaitable<bool> respond(const ClientRequest& request);
     asio::awaitable<bool> proxy(const ClientRequest& request, const ActiveConfigurationPtr& configuration,
                                 const configuration::Route& route, routing::Time arrived);
-    asio::awaitable<bool> reject_unreadable(ErrorCode error, bool has_bytes);
+    asio::awaitable<bool> reject_unreadable(ErrorCode error, const Parser& parser);
     asio::awaitable<bool> reject_for_memory(const ClientRequest& request);
     asio::awaitable<bool> reject(const ClientRequest& request, const errors::Error& error);
 
--- a/src/system/data/forwarded_head.cpp
+++ b/src/system/data/forwarded_head.cpp
@@ -1,5 +1,6 @@
 #include "system/data/forwarded_head.h"
 
+#include "common/http_rules/response_rules.h"
 #include "system/data/upstream_request.h"
 
 #include <fmt/format.h>
@@ -17,6 +18,12 @@
 
 std::string length_field(std::size_t body_bytes) { return fmt::format("Content-Length: {}\r\n", body_bytes); }
 
+std::string stated_length_field(const http::response_header<>& head) {
+    const auto stated = head.find(http::field::content_length);
+    if (stated == head.end() || !http_rules::may_have_length(head.result_int())) return "";
+    return "Content-Length: " + text(stated->value()) + "\r\n";
+}
+
 std::string forwarded_head(const http::response_header<>& head, const std::string& framing_field,
                            bool keep_alive) {
     std::string out = fmt::format("HTTP/1.1 {} {}\r\n", head.result_int(), reason_of(head));
--- a/src/system/data/response_head.h
+++ b/src/system/data/response_head.h
@@ -21,7 +21,7 @@
 // What is known of the attempt.
 struct AttemptFacts {
     std::string_view attempt_id;
-    bool streaming = false;           // its route's responses are streams
+    bool streaming = false;           // its route's responses are streams, and have bodies
     bool reused = false;              // its connection has carried an earlier request
     bool part_of_stream_sent = false; // the client has the head and some events already
 };
--- a/src/system/data/response_writer.cpp
+++ b/src/system/data/response_writer.cpp
@@ -1,5 +1,6 @@
 #include "system/data/response_writer.h"
 
+#include "common/http_rules/response_rules.h"
 #include "system/data/forwarded_head.h"
 #include "system/http_server/responses.h"
 
@@ -23,8 +24,10 @@
                                                      const HeldBody& body,
                                                      std::chrono::milliseconds timeout) {
     decide_keep_alive();
-    const std::string head_bytes = forwarded_head(head, length_field(body.size()), keep_alive_);
-    std::vector<asio::const_buffer> buffers = body.data();
+    const bool has_body = http_rules::may_have_body(text(request_.method_string()), head.result_int());
+    const std::string framing_field = has_body ? length_field(body.size()) : stated_length_field(head);
+    const std::string head_bytes = forwarded_head(head, framing_field, keep_alive_);
+    std::vector<asio::const_buffer> buffers = has_body ? body.data() : std::vector<asio::const_buffer>();
     buffers.insert(buffers.begin(), asio::buffer(head_bytes));
     ErrorCode error;
     client_.expires_after(std::max(min_write_timeout, timeout));
@@ -38,8 +41,7 @@
     auto response = http_server::error_response(request_, error);
     const std::string attempt_id = text(request_["Attempt-Id"]);
     if (!attempt_id.empty()) response.set("Attempt-Id", attempt_id);
-    response.keep_alive(keep_alive_);
-    response.prepare_payload();
+    http_server::complete(response, text(request_.method_string()), keep_alive_);
     ErrorCode write_error;
     client_.expires_after(std::max(min_write_timeout, timeout));
     co_await http::async_write(client_, response, asio::redirect_error(asio::use_awaitable, write_error));
--- a/src/system/data/upstream_attempt.cpp
+++ b/src/system/data/upstream_attempt.cpp
@@ -226,15 +226,15 @@
 }
 
 AttemptFacts UpstreamAttempt::facts() const {
-    const bool streaming = request_.route.route_class == configuration::RouteClass::streaming;
-    return {request_.attempt_id, streaming, connection_->reused, writer_.head_sent()};
+    const bool is_stream_route = request_.route.route_class == configuration::RouteClass::streaming;
+    return {request_.attempt_id, is_stream_route && !responses_lack_body(), connection_->reused,
+            writer_.head_sent()};
 }
 
 // Reads the response to this attempt, past late responses to earlier requests.
 asio::awaitable<AttemptResult> UpstreamAttempt::read_response() {
-    const bool without_body = request_.request.method() == http::verb::head;
     for (int earlier = 0; earlier < max_earlier_responses; ++earlier) {
-        WorkerResponse response(connection_, without_body);
+        WorkerResponse response(connection_, responses_lack_body());
         const bool has_head = co_await response.read_head();
         if (!has_head) {
             note_abandoned(response);
--- a/src/system/data/upstream_attempt.h
+++ b/src/system/data/upstream_attempt.h
@@ -59,6 +59,8 @@
     asio::awaitable<AttemptResult> send_and_read();
     void start_sending();
     asio::awaitable<AttemptResult> read_response();
+    // No body follows the head of a response, whatever that says.
+    bool responses_lack_body() const { return request_.request.method() == http::verb::head; }
     AttemptFacts facts() const;
 
     // Whether a response that was read to its end is the worker's whole response. Notes one that is not.
--- a/src/system/http_reader/read.h
+++ b/src/system/http_reader/read.h
@@ -4,12 +4,14 @@
 #pragma once
 
 #include "system/http_reader/body_memory.h"
-#include "system/http_reader/input_buffer.h"
 #include "system/http_reader/response_check.h"
+#include "system/http_reader/input_buffer.h"
 #include "system/transport/asio.h"
 #include "system/transport/socket_options.h"
 
 #include <cstddef>
+#include <string>
+#include <string_view>
 #include <utility>
 
 namespace willowrill::http_reader {
@@ -112,6 +114,15 @@
     Stage stage_ = Stage::starting;
 };
 
+// The method of a request, as far as it came: its line may be too long or malformed, and none of it parsed.
+template <class Parser> std::string method_of(const Parser& parser, const InputBuffer& input) {
+    const auto parsed = parser.get().method_string();
+    if (!parsed.empty()) return std::string(parsed);
+    const asio::const_buffer unparsed = input.data();
+    const std::string_view line(static_cast<const char*>(unparsed.data()), unparsed.size());
+    return std::string(line.substr(0, line.find(' ')));
+}
+
 // Reads until `until`; `token` gets an ErrorCode. All arguments must live until then. Beside the parser's and
 // the connection's errors: http::error::buffer_overflow, asio::error::no_memory, and for responses those of
 // `check_response_head`.
--- a/src/system/http_server/responses.cpp
+++ b/src/system/http_server/responses.cpp
@@ -1,5 +1,7 @@
 #include "system/http_server/responses.h"
 
+#include "common/http_rules/response_rules.h"
+
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -29,4 +31,10 @@
     return response;
 }
 
+void complete(Response& response, std::string_view request_method, bool keep_alive) {
+    response.keep_alive(keep_alive);
+    response.prepare_payload();
+    if (!http_rules::may_have_body(request_method, response.result_int())) response.body().clear();
+}
+
 } // namespace willowrill::http_server
--- a/src/system/http_server/session.cpp
+++ b/src/system/http_server/session.cpp
@@ -52,6 +52,7 @@
 
 void Session::on_read(ErrorCode error) {
     if (is_linked()) unlink();
+    request_method_ = http_reader::method_of(*parser_, input_);
     if (error == asio::error::no_memory)
         return write(error_response({}, {ErrorKind::overloaded, "no memory for the request now"}), true);
     if (error == http::error::header_limit || error == http::error::body_limit ||
@@ -69,8 +70,7 @@
 }
 
 void Session::write(Response response, bool last) {
-    response.keep_alive(!last);
-    response.prepare_payload();
+    complete(response, request_method_, !last);
     response_ = std::move(response);
     stream_.expires_after(context_->options.read_timeout);
     http::async_write(stream_, response_,
--- a/src/system/http_server/session.h
+++ b/src/system/http_server/session.h
@@ -13,6 +13,7 @@
 #include <cstddef>
 #include <memory>
 #include <optional>
+#include <string>
 #include <utility>
 
 namespace willowrill::http_server {
@@ -44,6 +45,7 @@
     http_reader::InputBuffer input_;
     std::optional<http::request_parser<http::string_body>> parser_;
     std::optional<http_reader::BodyMemory> body_memory_; // until the response is written
+    std::string request_method_;                         // of the request that is answered
     Response response_;
 };
 
--- a/tests/system/transport/http_test.cpp
+++ b/tests/system/transport/http_test.cpp
@@ -93,6 +93,64 @@
     cr_assert_eq(requests, 0U);
 }
 
+namespace {
+
+// What a server that knows one resource answers on one connection; `is_head`: of each request in turn.
+std::vector<http::response<http::string_body>> responses_to(const std::string& requests,
+                                                            const std::vector<bool>& is_head) {
+    asio::io_context loop;
+    const std::uint16_t port = free_port(loop);
+    const http_server::Server server(
+        loop, "127.0.0.1", port, {},
+        [](const http_server::Request& request, const http_server::Respond& respond) {
+            if (request.target() == "/known") return respond(http_server::json_response(request, 200, "{}"));
+            respond(http_server::error_response(request, {errors::ErrorKind::unknown_resource, "none"}));
+        });
+    Tcp::socket client(loop);
+    client.connect(transport::endpoint_of("127.0.0.1", port));
+    asio::write(client, asio::buffer(requests));
+    beast::flat_buffer buffer;
+    std::vector<http::response<http::string_body>> responses;
+    for (const bool to_head : is_head) {
+        http::response_parser<http::string_body> parser;
+        parser.skip(to_head);
+        bool received = false;
+        http::async_read(client, buffer, parser, [&](ErrorCode error, std::size_t) {
+            cr_assert(!error, "%s", error.message().c_str());
+            received = true;
+        });
+        while (!received)
+            cr_assert_gt(loop.run_one_for(std::chrono::seconds(5)), 0U);
+        responses.push_back(parser.release());
+    }
+    cr_assert_eq(buffer.size(), 0U, "bytes behind the last response");
+    return responses;
+}
+
+} // namespace
+
+// Guards against bytes behind the head of an answer to HEAD, read as the next answer: readiness, directory,
+// operators' API, metrics.
+Test(http, a_head_is_answered_with_the_head_that_a_get_gets) {
+    for (const std::string target : {"/known", "/unknown"}) {
+        const std::string rest = " " + target + " HTTP/1.1\r\n\r\n";
+        const auto responses =
+            responses_to("HEAD" + rest + "GET" + rest + "HEAD" + rest, {true, false, true});
+        for (const auto& response : responses) {
+            cr_assert_eq(response.result_int(), responses[1].result_int());
+            cr_assert(response[http::field::content_length] == responses[1][http::field::content_length]);
+        }
+        cr_assert_not(responses[1].body().empty());
+    }
+}
+
+// Guards against the same where the connection ends, as the request could not be read.
+Test(http, an_unreadable_head_is_answered_with_a_head_alone) {
+    responses_to("HEAD / HTTP/1.1\r\nContent-Length: 999999999999\r\n\r\n", {true});
+    responses_to("HEAD / HTTP/1.1\r\nnot a field\r\n\r\n", {true});
+    responses_to("HEAD /" + std::string(100'000, 'x') + " HTTP/1.1\r\n\r\n", {true});
+}
+
 // Health answers, load reports and the platform's list.
 Test(http, what_is_no_response_is_not_delivered) {
     for (const std::string& response :
