Answer HEAD with a head alone in the scheduler in service, too

Callers who sent HEAD to a job's address, to /ready or to the admin port got the text of the 405 or 404 behind the head, read as the next answer on a connection that was kept.

Cause: `write_response` gave every response its body.

Change: it is told the method of the request, and asks `http_rules::may_have_body`, which is that of the whole system.

Evidence: one case of the program and one of the admin server failed with the old line in its place (text behind the head, no head in its place on the connection), and pass now.

--- a/src/scheduler/admin/server.cpp
+++ b/src/scheduler/admin/server.cpp
@@ -85,7 +85,7 @@
         answered_ = true;
         if (status >= 400 && status != 503) ++server_.counters_.rejected;
         fields.emplace_back("Connection", "close");
-        connection_.write(net::http::write_response(status, fields, body));
+        connection_.write(net::http::write_response(status, fields, body, parser_.head().method));
         timer_.arm(server_.loop_.now() + linger_timeout);
         connection_.close_when_sent();
     }
--- a/src/scheduler/frontend/frontend.cpp
+++ b/src/scheduler/frontend/frontend.cpp
@@ -220,7 +220,7 @@
         if (is_last) fields.emplace_back("Connection", "close");
         if (!is_last && parser_.head().minor == 0) fields.emplace_back("Connection", "keep-alive");
         state_ = is_last ? State::closing : State::reading;
-        connection_.write(write_response(status, fields, body));
+        connection_.write(write_response(status, fields, body, parser_.head().method));
         if (is_last) {
             timer_.arm(front_.loop_.now() + (connection_.all_sent() ? linger_timeout : response_timeout));
             return connection_.close_when_sent();
--- a/src/scheduler/net/http.cpp
+++ b/src/scheduler/net/http.cpp
@@ -1,5 +1,7 @@
 #include "scheduler/net/http.h"
 
+#include "common/http_rules/response_rules.h"
+
 #include <algorithm>
 #include <charconv>
 
@@ -276,7 +278,8 @@
     return out;
 }
 
-std::string write_response(int status, const Fields& fields, std::string_view body) {
+std::string write_response(int status, const Fields& fields, std::string_view body,
+                           std::string_view request_method) {
     std::string out;
     out.reserve(256 + body.size());
     out.append("HTTP/1.1 ")
@@ -285,8 +288,10 @@
         .append(reason_phrase(status))
         .append("\r\n");
     write_fields(out, fields);
-    if (status >= 200) out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
-    out.append("\r\n").append(body);
+    const auto code = static_cast<unsigned>(status);
+    if (http_rules::may_have_length(code)) out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    out += "\r\n";
+    if (http_rules::may_have_body(request_method, code)) out += body;
     return out;
 }
 
--- a/src/scheduler/net/http.h
+++ b/src/scheduler/net/http.h
@@ -74,10 +74,13 @@
 };
 
 // Serialize a message with its body and add `Content-Length`, except to an empty GET or an interim response.
+// `request_method`: of the request that is answered; the response to a HEAD has no body, and the length of
+// the one that a GET gets.
 using Fields = std::vector<std::pair<std::string_view, std::string>>;
 std::string write_request(std::string_view method, std::string_view target, const Fields& fields,
                           std::string_view body);
-std::string write_response(int status, const Fields& fields, std::string_view body);
+std::string write_response(int status, const Fields& fields, std::string_view body,
+                           std::string_view request_method = "GET");
 
 // Parses an unsigned integer. Signs, spaces, prefixes, trailing characters and overflow are errors.
 std::optional<std::uint64_t> parse_unsigned(std::string_view text, int base = 10);
--- a/tests/scheduler/admin/admin_test.cpp
+++ b/tests/scheduler/admin/admin_test.cpp
@@ -56,6 +56,15 @@
     CHECK(service.lame_duck_states.size() == 2);
 }
 
+// Guards against bytes behind the head of an answer to HEAD.
+TEST_CASE("admin server: a HEAD is answered with a head alone") {
+    FakeService service;
+    for (const char* const path : {"/_ready", "/_vars", "/odd"}) {
+        const std::string status_and_body = service.send_request(std::string("HEAD ") + path);
+        CHECK_MESSAGE(status_and_body.size() == 3, status_and_body);
+    }
+}
+
 TEST_CASE("admin server: silent callers do not lock out others and are closed") {
     FakeService service;
     service.ready = true;
--- a/tests/scheduler/program/program_test.cpp
+++ b/tests/scheduler/program/program_test.cpp
@@ -272,6 +272,18 @@
     CHECK(rig.host.counters().admitted == 0);
 }
 
+// Guards against bytes behind the head of an answer to HEAD, read as the next answer.
+TEST_CASE("a HEAD is answered with a head alone, and the next request on its connection in order") {
+    SchedulerFixture rig(1, 1);
+    const std::string head = "HEAD /ready HTTP/1.1\r\nHost: h\r\n\r\n";
+    const std::string odd = "HEAD /odd HTTP/1.1\r\nHost: h\r\n\r\n";
+    const auto client = rig.connect_client(head + odd + "GET /ready HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(rig.run_until([&] { return client->received.ends_with("\r\n\r\nready\n"); }));
+    CHECK(client->has_received("\r\n\r\nHTTP/1.1 405 Method Not Allowed\r\n"));
+    CHECK(client->has_received("\r\n\r\nHTTP/1.1 200 OK\r\n"));
+    CHECK(client->has_received("Content-Length: 31\r\n")); // what a GET would get
+}
+
 TEST_CASE("descriptors: idle connections are evicted, and waiting clients are served later") {
     SchedulerFixture rig(2, 1);
     const auto idle = rig.connect_client("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n");
