Refuse requests whose body is in a transfer coding other than chunks

Cause: Beast's parser takes a coding that it does not know for no body at all, and looks for `Content-Length` beside it; nothing else looked at the field. The check that responses have passed since the broken answers was not asked of requests.

Change: `check_request_head` in the one operation that reads messages, at the clients' door and at the system's own interfaces: 400, and the connection ends. `response_check.h` is `head_check.h` now.

Evidence: with the check taken out, the test of client_session fails at `Transfer-Encoding: gzip`; it passes with it for seven forms of the field.

--- a/src/system/http_reader/response_check.cpp
+++ b/src/system/http_reader/head_check.cpp
@@ -1,4 +1,4 @@
-#include "system/http_reader/response_check.h"
+#include "system/http_reader/head_check.h"
 
 #include <iterator>
 #include <string_view>
@@ -12,7 +12,7 @@
 constexpr unsigned max_status = 599;
 
 // None, or chunks alone: with any other coding the bytes of the body are not those that were meant.
-bool is_transfer_coding_known(const http::response_header<>& head) {
+bool is_transfer_coding_known(const http::fields& head) {
     const auto [first, last] = head.equal_range(http::field::transfer_encoding);
     if (first == last) return true;
     return std::next(first) == last && beast::iequals(first->value(), "chunked");
@@ -29,6 +29,10 @@
     return {};
 }
 
+ErrorCode check_request_head(const http::request_header<>& head) {
+    return is_transfer_coding_known(head) ? ErrorCode() : http::error::bad_transfer_encoding;
+}
+
 bool has_folded_field(asio::const_buffer lines) {
     const std::string_view text(static_cast<const char*>(lines.data()), lines.size());
     return text.find("\n ") != std::string_view::npos || text.find("\n\t") != std::string_view::npos;
--- a/src/system/http_reader/read.h
+++ b/src/system/http_reader/read.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "system/http_reader/body_memory.h"
-#include "system/http_reader/response_check.h"
+#include "system/http_reader/head_check.h"
 #include "system/http_reader/input_buffer.h"
 #include "system/transport/asio.h"
 #include "system/transport/socket_options.h"
@@ -81,7 +81,7 @@
     // What the parser lets pass. `parsed`: the bytes of the head that it has just taken.
     ErrorCode check_head(std::size_t parsed) const {
         if constexpr (Parser::is_request::value) {
-            return {};
+            return parser_.is_header_done() ? check_request_head(parser_.get().base()) : ErrorCode();
         } else {
             if (has_folded_field(asio::buffer(input_.data(), parsed))) return http::error::bad_obs_fold;
             return parser_.is_header_done() ? check_response_head(parser_.get().base()) : ErrorCode();
@@ -124,8 +124,8 @@
 }
 
 // Reads until `until`; `token` gets an ErrorCode. All arguments must live until then. Beside the parser's and
-// the connection's errors: http::error::buffer_overflow, asio::error::no_memory, and for responses those of
-// `check_response_head`.
+// the connection's errors: http::error::buffer_overflow, asio::error::no_memory, and those of the checks of
+// heads.
 template <class Stream, class Parser, class Memory, class Token>
 auto async_read(Stream& stream, InputBuffer& input, Parser& parser, ReadUntil until, Memory& memory,
                 Token&& token) {
--- a/tests/system/data/client_session_test.cpp
+++ b/tests/system/data/client_session_test.cpp
@@ -55,6 +55,27 @@
     cr_assert_eq(session.proxy.context->counters.bad, 1U);
 }
 
+// Guards against rule UNASKED: a body in a coding that the parser does not know was read as the next request.
+Test(client_session, rejects_a_body_in_another_coding_than_chunks_and_ends) {
+    const std::string head = "POST /a/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 0b\r\n";
+    const std::string body = "GET /a/smuggled HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 0c\r\n\r\n";
+    const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    for (const std::string& fields :
+         {std::string("Transfer-Encoding: gzip\r\n"), "Transfer-Encoding: gzip\r\n" + length,
+          std::string("Transfer-Encoding: identity\r\n"), std::string("Transfer-Encoding: \r\n"),
+          std::string("Transfer-Encoding: xchunked\r\n"), std::string("Transfer-Encoding: chunked, gzip\r\n"),
+          std::string("Transfer-Encoding: gzip, chunked\r\n")}) {
+        SessionFixture session;
+        session.send(head + fields + "\r\n" + body);
+        const auto rejection = session.receive();
+        cr_assert_eq(rejection.result_int(), 400U, "%s", fields.c_str());
+        cr_assert_not(rejection.keep_alive());
+        session.end_of_session();
+        cr_assert_eq(session.surplus_bytes(), 0U, "%s", fields.c_str());
+        cr_assert(session.proxy.first.requests.empty(), "%s", fields.c_str());
+    }
+}
+
 Test(client_session, rejects_a_body_over_the_limit_and_ends) {
     SessionFixture session;
     const std::size_t limit =
