Wait for signals in one place, where each wake has one owner and none is lost

Cause: `shutdown_requested_within` ended its wait by cancelling the signal set from the timer's handler. A signal that had been handed over by then was not cancelled; its handler began to wait for the next one, and nothing was left that could end the loop's run. Waiting stood twice, at the start and in service.

Change: one wait for the next signal is always under way, from construction on; it hands each signal to whoever waits at that moment, and remembers a request to end. A wait for a time is ended by its timer alone, whose handler is called once. A plane that runs later gets the request that came before.

--- a/src/system/control/main.cpp
+++ b/src/system/control/main.cpp
@@ -4,7 +4,7 @@
 #include "system/process/settings_wait.h"
 #include "system/process/startup.h"
 #include "system/transport/address_wait.h"
-#include "system/transport/process.h"
+#include "system/transport/process_signals.h"
 
 #include <CLI/CLI.hpp>
 #include <fmt/format.h>
@@ -40,7 +40,7 @@
     // Before anything reads the disk: the process that has the addresses may still write there.
     if (!transport::wait_for_addresses(loop, signals, control::addresses_of(settings))) return 0;
     control::ControlPlane plane(loop, settings, path, metrics_port);
-    signals.run_until_shutdown(loop, plane);
+    signals.run_until_shutdown(plane);
     return 0;
 }
 
@@ -64,7 +64,7 @@
     transport::ProcessSignals signals(loop);
     const std::chrono::milliseconds settings_timeout =
         check_only ? std::chrono::milliseconds(0) : process::settings_timeout;
-    auto found = process::wait_for_settings(loop, signals, settings_path, settings_timeout);
+    auto found = process::wait_for_settings(signals, settings_path, settings_timeout);
     if (!found) return EXIT_SUCCESS; // told to end before there were any
     auto& settings = *found;
     if (!settings || settings.value().control.port == 0) {
--- a/src/system/data/main.cpp
+++ b/src/system/data/main.cpp
@@ -4,7 +4,7 @@
 #include "system/process/settings_wait.h"
 #include "system/process/startup.h"
 #include "system/transport/address_wait.h"
-#include "system/transport/process.h"
+#include "system/transport/process_signals.h"
 
 #include <CLI/CLI.hpp>
 
@@ -21,7 +21,7 @@
            const std::string& path, std::uint16_t metrics_port) {
     if (!transport::wait_for_addresses(loop, signals, data::addresses_of(settings))) return;
     data::DataPlane data_plane(loop, settings, path, metrics_port);
-    signals.run_until_shutdown(loop, data_plane);
+    signals.run_until_shutdown(data_plane);
 }
 
 } // namespace
@@ -41,7 +41,7 @@
     transport::ProcessSignals signals(loop);
     const std::chrono::milliseconds settings_timeout =
         check ? std::chrono::milliseconds(0) : process::settings_timeout;
-    auto found = process::wait_for_settings(loop, signals, settings_path, settings_timeout);
+    auto found = process::wait_for_settings(signals, settings_path, settings_timeout);
     if (!found) return EXIT_SUCCESS; // told to end before there were any
     auto& settings = *found;
     if (!settings || settings.value().front.port == 0 || settings.value().readiness.port == 0) {
--- a/src/system/process/settings_wait.cpp
+++ b/src/system/process/settings_wait.cpp
@@ -1,6 +1,7 @@
 #include "system/process/settings_wait.h"
 
 #include "system/logging/log.h"
+#include "system/transport/process.h"
 
 namespace willowrill::process {
 namespace {
@@ -9,8 +10,7 @@
 
 } // namespace
 
-std::optional<errors::Result<settings::Settings>> wait_for_settings(asio::io_context& loop,
-                                                                    transport::ProcessSignals& signals,
+std::optional<errors::Result<settings::Settings>> wait_for_settings(transport::ProcessSignals& signals,
                                                                     const std::string& path,
                                                                     std::chrono::milliseconds timeout) {
     const std::chrono::milliseconds give_up_at = steady_now() + timeout;
@@ -22,7 +22,7 @@
                 .field("path", path)
                 .text("detail", settings.error().detail);
         waited = true;
-        if (signals.shutdown_requested_within(loop, retry_pause)) return std::nullopt;
+        if (signals.shutdown_requested_within(retry_pause)) return std::nullopt;
         settings = settings::load(path);
     }
     return settings;
--- a/src/system/process/settings_wait.h
+++ b/src/system/process/settings_wait.h
@@ -4,7 +4,7 @@
 
 #include "system/errors/error.h"
 #include "system/settings/settings.h"
-#include "system/transport/process.h"
+#include "system/transport/process_signals.h"
 
 #include <chrono>
 #include <optional>
@@ -15,9 +15,9 @@
 inline constexpr std::chrono::milliseconds settings_timeout{2000};
 
 // The settings, or the error where they cannot be used until `timeout` is over. Nothing where SIGTERM or
-// SIGINT came before. The loop must not run meanwhile.
+// SIGINT came before. The loop of `signals` must not run meanwhile.
 std::optional<errors::Result<settings::Settings>>
-wait_for_settings(asio::io_context& loop, transport::ProcessSignals& signals, const std::string& path,
+wait_for_settings(transport::ProcessSignals& signals, const std::string& path,
                   std::chrono::milliseconds timeout = settings_timeout);
 
 } // namespace willowrill::process
--- a/src/system/transport/address_wait.cpp
+++ b/src/system/transport/address_wait.cpp
@@ -1,6 +1,7 @@
 #include "system/transport/address_wait.h"
 
 #include "system/logging/log.h"
+#include "system/transport/process.h"
 
 #include <fmt/format.h>
 
@@ -35,7 +36,7 @@
                 throw boost::system::system_error(error, to_text(address));
             if (!waited) logging::warning("address-in-use").field("address", to_text(address));
             waited = true;
-            if (signals.shutdown_requested_within(loop, retry_pause)) return false;
+            if (signals.shutdown_requested_within(retry_pause)) return false;
         }
         if (waited) logging::info("address-free").field("address", to_text(address));
     }
--- a/src/system/transport/address_wait.h
+++ b/src/system/transport/address_wait.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "system/transport/asio.h"
-#include "system/transport/process.h"
+#include "system/transport/process_signals.h"
 
 #include <chrono>
 #include <vector>
--- a/tests/system/process/settings_wait_test.cpp
+++ b/tests/system/process/settings_wait_test.cpp
@@ -18,7 +18,7 @@
 struct Start {
     void write(const std::string& text) const { std::ofstream(path) << text; }
     auto wait(std::chrono::milliseconds timeout) {
-        return process::wait_for_settings(loop, signals, path, timeout);
+        return process::wait_for_settings(signals, path, timeout);
     }
 
     ScratchFolder folder;
--- a/tests/system/transport/address_wait_test.cpp
+++ b/tests/system/transport/address_wait_test.cpp
@@ -1,6 +1,7 @@
 // A process that starts while its addresses are in use.
 #include "system/transport/address_wait.h"
 #include "system/transport/listener.h"
+#include "system/transport/process.h"
 
 #include <criterion/criterion.h>
 
