Search the parts of a long event once, not anew with each part that comes

Cause: `EventSplitter::take_events` searched its whole buffer for the end of an event after each read.

Change: it remembers how far it has searched, and goes back three bytes for a blank line that came in two parts. `searched_bytes` counts what was searched.

--- a/src/system/stream/event_splitter.cpp
+++ b/src/system/stream/event_splitter.cpp
@@ -5,6 +5,9 @@
 namespace willowrill::stream {
 namespace {
 
+// Of the longest blank line, without its last byte: it may have come in two parts.
+constexpr std::size_t max_partial_blank_line = 3;
+
 // Returns the position after the last blank line, or 0 if there is none.
 std::size_t end_of_complete_events(std::string_view bytes) {
     std::size_t end = 0;
@@ -24,13 +27,25 @@
 }
 
 std::string EventSplitter::take_events() {
-    const std::size_t end = end_of_complete_events(buffer_);
+    const std::size_t first = searched_ - std::min(searched_, max_partial_blank_line);
+    const std::string_view unsearched = std::string_view(buffer_).substr(first);
+    searched_bytes_ += unsearched.size();
+    searched_ = buffer_.size();
+    const std::size_t end_in_unsearched = end_of_complete_events(unsearched);
+    if (end_in_unsearched == 0) return "";
+    const std::size_t end = first + end_in_unsearched;
     std::string events = buffer_.substr(0, end);
     buffer_.erase(0, end);
+    searched_ -= end;
     update_last_event_id(events);
     return events;
 }
 
+void EventSplitter::discard_partial_event() {
+    buffer_.clear();
+    searched_ = 0;
+}
+
 void EventSplitter::update_last_event_id(std::string_view events) {
     while (!events.empty()) {
         std::string_view line = events.substr(0, events.find('\n'));
--- a/src/system/stream/event_splitter.h
+++ b/src/system/stream/event_splitter.h
@@ -22,7 +22,9 @@
     // Returns the buffered bytes. After `take_events` these are the start of an incomplete event.
     std::string_view partial_event() const { return buffer_; }
     // Discards an incomplete event after its stream has broken off.
-    void discard_partial_event() { buffer_.clear(); }
+    void discard_partial_event();
+    // Returns how many bytes were searched for the end of an event so far: about as many as were appended.
+    std::size_t searched_bytes() const { return searched_bytes_; }
     // Returns the id of the last complete event that had one; empty if none had.
     const std::string& last_event_id() const { return last_event_id_; }
 
@@ -30,6 +32,8 @@
     void update_last_event_id(std::string_view events);
 
     std::string buffer_;
+    std::size_t searched_ = 0; // of the buffer, without an end of an event that lies within
+    std::size_t searched_bytes_ = 0;
     std::string last_event_id_;
 };
 
--- a/tests/system/stream/event_splitter_test.cpp
+++ b/tests/system/stream/event_splitter_test.cpp
@@ -50,6 +50,20 @@
     }
 }
 
+// Guards against seconds of processor time for one long event: it was searched anew with each part that came.
+Test(event_splitter, an_event_that_comes_in_many_parts_is_searched_about_once) {
+    EventSplitter splitter;
+    const std::string part = "data: " + std::string(93, 'x') + "\n";
+    constexpr std::size_t parts = 4000;
+    for (std::size_t i = 0; i < parts; ++i) {
+        cr_assert(splitter.append(part));
+        cr_assert(splitter.take_events().empty());
+    }
+    cr_assert(splitter.append("\n"));
+    cr_assert_eq(splitter.take_events().size(), parts * part.size() + 1);
+    cr_assert_leq(splitter.searched_bytes(), 2 * parts * part.size());
+}
+
 Test(event_splitter, an_event_larger_than_the_buffer_is_rejected) {
     EventSplitter splitter;
     const std::string chunk(willowrill::stream::max_event_bytes / 2 + 1, 'x');
