Test that a cancelled attempt whose response was read does not respond

Cause: `AttemptGroup::claim_response` without its check of a cancelled attempt passed all tests. Change: a test in which both silent workers answer in the same turn of the loop, so that the second response is read when the first one is given. Result: without the check it crashes in a second write to the client; with it one response reaches the client. The program is unchanged.

--- a/tests/system/data/scripted_worker.h
+++ b/tests/system/data/scripted_worker.h
@@ -57,6 +57,14 @@
     // For the next requests, one after the other; without a step it responds in order.
     void expect(Step step) { steps_.push_back(std::move(step)); }
 
+    // Answers the requests for which it has been silent so far.
+    void end_silence(const std::string& response) {
+        ErrorCode ignored;
+        for (const PeerPtr& peer : silent_peers_)
+            asio::write(peer->socket, asio::buffer(with_id(response, peer->ids.back())), ignored);
+        silent_peers_.clear();
+    }
+
     std::vector<std::string> requests; // what was read of each
     std::size_t connections = 0;
     std::size_t ended_connections = 0; // by the other end, while the worker read
@@ -156,6 +164,7 @@
         case Reaction::reset:
             return reset(peer);
         case Reaction::stay_silent:
+            silent_peers_.push_back(peer);
             return keep_open(peer);
         }
     }
@@ -220,6 +229,7 @@
     Tcp::acceptor acceptor_;
     std::deque<Step> steps_;
     std::vector<PeerPtr> pending_resets_;
+    std::vector<PeerPtr> silent_peers_;
 };
 
 } // namespace willowrill::data
--- a/tests/system/data/silence_test.cpp
+++ b/tests/system/data/silence_test.cpp
@@ -336,6 +336,27 @@
     }
 }
 
+// Guards against a response that is mixed from two workers: what the other one sent was read already when the
+// first one responded.
+Test(silence, a_cancelled_attempt_whose_response_was_read_does_not_respond) {
+    for (const auto& [route_class, response] :
+         {std::pair{"safe", worker_response("200 OK", id + seal, "data: e2\n\n")},
+          std::pair{"streaming", stream_head + last_event}}) {
+        ProxyFixture proxy(route_class, true, 2);
+        proxy.first.expect({ReadAmount::all, Reaction::stay_silent, ""});
+        proxy.second.expect({ReadAmount::all, Reaction::stay_silent, ""});
+        SteadyTimer both(proxy.loop, until_another_worker);
+        both.async_wait([&](ErrorCode) {
+            proxy.first.end_silence(response);
+            proxy.second.end_silence(response);
+        });
+        const std::string got = proxy.serve("0b");
+        cr_assert_eq(proxy.second.requests.size(), 1U, "%s", route_class);
+        cr_assert_eq(count_of(got, "HTTP/1.1"), 1U, "%s: %s", route_class, got.c_str());
+        cr_assert_eq(count_of(got, "data: e2\n"), 1U, "%s: %s", route_class, got.c_str());
+    }
+}
+
 // An earlier request of the worker may still be running: another one is asked when there is one again.
 Test(silence, another_worker_is_asked_as_soon_as_there_is_one) {
     ProxyFixture proxy("safe", false, 2);
