Draw a status for each call in the soak of real processes

Cause: the soak's workers answered with 200 or with a status that they named, all of them in the table; 000 for all others could not be seen.

--- a/tests/soak/broken_answer_case.py
+++ b/tests/soak/broken_answer_case.py
@@ -24,6 +24,7 @@
 RELOAD_S = 0.15  # until the workers have read what they do next
 OWN_FAILURES = (502, 503, 504)
 STREAM = "/stream/"
+HONEST_GROUPS = ("honest", "any-status")
 
 
 class BrokenAnswerSoak(SurroundedSoak):
@@ -57,11 +58,14 @@
     return answer.complete and (answer.status not in OWN_FAILURES or "server-seal" in answer.headers)
 
 
-def is_honest_answer(answer):
-    return answer.complete and answer.status == 200 and answer.body == broken_answers.BODY.encode()
+def is_honest_answer(answer, group):
+    if not answer.complete or "attempt-id" not in answer.headers:
+        return False
+    status = broken_answers.any_status(answer.headers["attempt-id"]) if group == "any-status" else 200
+    return answer.status == status and "server-seal" in answer.headers and answer.body == broken_answers.BODY.encode()
 
 
-async def play_shape(soak, name, shape, honest):
+async def play_shape(soak, name, shape, group):
     for worker in soak.workers:
         worker.set_faults({"broken": name})
     await asyncio.sleep(RELOAD_S)
@@ -74,7 +78,8 @@
     counts = collections.Counter(f"{one.status}{'' if one.complete else ' cut'}" for one in answers)
     print(f"  {name}: {dict(counts)}")
     passed_on = [one for one in answers if is_broken_answer_passed_on(one)]
-    if honest and not all(is_honest_answer(one) for one in answers):
+    honest = group in HONEST_GROUPS
+    if honest and not all(is_honest_answer(one, group) for one in answers):
         soak.problems.append(f"{name}: an honest answer was not passed on: {dict(counts)}")
     if not honest and passed_on:
         soak.problems.append(f"{name}: {len(passed_on)} of {len(answers)} callers got it as an answer")
@@ -84,7 +89,7 @@
     """The shapes one after the other; then workers are sound, and a call is served."""
     async def disturb(soak):
         for name, shape in broken_answers.GROUPS[group].items():
-            await play_shape(soak, name, shape, group == "honest")
+            await play_shape(soak, name, shape, group)
         for worker in soak.workers:
             worker.set_faults({})
         await asyncio.sleep(RELOAD_S)
--- a/tests/soak/broken_answers.py
+++ b/tests/soak/broken_answers.py
@@ -11,8 +11,15 @@
 CHUNKED_BODY = f"{len(BODY):x}\r\n{BODY}\r\n0\r\n\r\n".encode()
 
 
+def any_status(attempt):
+    """One of those that a worker may give, the same for the same attempt. Without 204 and 304, which have no body, and without those that
+    clients take for a promise."""
+    statuses = [status for status in range(200, 600) if status not in (204, 304, 408, 421, 429, 503)]
+    return statuses[int(attempt, 16) % len(statuses)]
+
+
 class Shape:
-    """`text`: may hold ID for the attempt and SEAL. `read`: whether the request's body is read before it is sent. `end`: what becomes of
+    """`text`: may hold ID for the attempt, SEAL, and STATUS for any. `read`: whether the request's body is read before it is sent. `end`: what becomes of
     the connection: `keep`, `close`, `reset`, or `finish`: the worker ends its side, and reads the request to its end."""
 
     def __init__(self, text, end="keep", read=True, delay_s=0.0, stream=False):
@@ -22,7 +29,8 @@
         """Returns whether the connection may carry another request."""
         if self.read:
             await reader.readexactly(length)
-        writer.write(self.text.replace(b"ID", attempt.encode()).replace(b"SEAL", seal.encode()))
+        status = str(any_status(attempt)).encode()
+        writer.write(self.text.replace(b"STATUS", status).replace(b"ID", attempt.encode()).replace(b"SEAL", seal.encode()))
         await writer.drain()
         if self.end == "finish":
             writer.write_eof()
@@ -94,5 +102,14 @@
             "chunked": Shape(head() + b"Transfer-Encoding: chunked\r\n\r\n" + CHUNKED_BODY)}
 
 
-GROUPS = {"statuses": statuses(), "codings": codings(), "heads": heads(), "resets": resets(), "honest": honest()}
+def any_statuses():
+    """Answers too, with every status that a worker may give; with a reason that no table has, and without one."""
+    shapes = {"any-status-no-length": Shape(head("STATUS Some Reason") + b"\r\n" + BODY.encode(), "close")}
+    for name, reason in (("", " Some Reason"), ("-no-reason", " ")):
+        shapes[f"any-status{name}"] = Shape(with_length(head(f"STATUS{reason}")))
+        shapes[f"any-status-chunked{name}"] = Shape(head(f"STATUS{reason}") + b"Transfer-Encoding: chunked\r\n\r\n" + CHUNKED_BODY)
+    return shapes
+
+
+GROUPS = {"any-status": any_statuses(), "statuses": statuses(), "codings": codings(), "heads": heads(), "resets": resets(), "honest": honest()}
 SHAPES = {name: shape for group in GROUPS.values() for name, shape in group.items()}
