Let the soak's worker note a run only where the request begins to run

Change: what the answer will be is drawn first, in the same order of draws; a refusal notes nothing.

--- a/tests/soak/floods.py
+++ b/tests/soak/floods.py
@@ -49,10 +49,10 @@
     return head + begin, piece
 
 
-def answer(shape, head, refusal_head):
-    """As `behind_head`, of an answer."""
+def answer(shape, head):
+    """As `behind_head`, of an answer; of a refusal where that is the shape."""
     if shape == REFUSAL:
-        return refusal_head + ENDLESS, JUNK
+        return head + ENDLESS, JUNK
     if shape in WITHOUT_HEAD:
         return WITHOUT_HEAD[shape]
     return behind_head(shape, head)
--- a/tests/soak/worker.py
+++ b/tests/soak/worker.py
@@ -33,6 +33,7 @@
 # `broken_answers.SHAPES`, in place of every answer.
 FAULTS = ("reset_after_run", "close_after_run", "mute", "answer_twice", "late_copy", "stray_promise", "garbage", "reject",
           "reject_twice", "early_reject", "reset_before_run", "cut_short", "close_header", "flood", "pause")
+ENDINGS = ("reset_after_run", "close_after_run", "mute")  # of a run that has no answer
 
 
 class Worker:
@@ -93,15 +94,23 @@
         await reader.readexactly(length)
         return await self.take(reader, writer, path, headers, attempt)
 
-    async def pour(self, writer, head, refusal_head):
-        shape = self.faults.get("flood_shape") or self.random.choice(floods.SHAPES)
-        await floods.pour(writer, *floods.answer(shape, head, refusal_head))
+    def flood_shape(self):
+        return self.faults.get("flood_shape") or self.random.choice(floods.SHAPES)
+
+    def draw_flood(self):
+        """The shape of the flood that this answer is, or nothing."""
+        return self.flood_shape() if self.strikes("flood") else None
+
+    @staticmethod
+    async def pour(writer, shape, head):
+        """`head`: of a refusal where that is the shape."""
+        await floods.pour(writer, *floods.answer(shape, head))
         return False
 
     async def answer_get(self, writer, path):
         if self.strikes("flood_health"):
             head = f"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nServing-Instance: {self.instance}\r\n".encode()
-            return await self.pour(writer, head, head)
+            return await self.pour(writer, self.flood_shape(), head)
         body = b""
         if path == "/-/report":
             body = json.dumps({"phase": "bidirectional", "models": [{"name": "m", "configVersion": 1, "adapters": []}],
@@ -145,22 +154,24 @@
             self.slots.release()
 
     async def run(self, reader, writer, path, headers, attempt):
+        ending = next((fault for fault in ENDINGS if self.strikes(fault)), None)
+        last = ending is None and self.strikes("close_header")
+        flood = self.draw_flood() if ending is None else None
+        if flood == floods.REFUSAL:  # it says that it did not run
+            return await self.pour(writer, flood, self.rejection_head(attempt, 503))
         self.note("run", attempt)
         kind = "/" + path.split("/")[1] + "/"
-        if self.strikes("reset_after_run"):
+        if ending == "reset_after_run":
             writer.transport.abort()
-            return False
-        if self.strikes("close_after_run"):
-            return False
-        if self.strikes("mute"):
+        if ending == "mute":
             await asyncio.sleep(10)
+        if ending:
             return False
         head = f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Seal: seal.{self.instance}.{attempt}\r\nVersions: 1\r\n"
-        last = self.strikes("close_header")
         if last:
             head += "Connection: close\r\n"
-        if self.strikes("flood"):
-            return await self.pour(writer, head.encode(), self.rejection_head(attempt, 503))
+        if flood:
+            return await self.pour(writer, flood, head.encode())
         if kind in EVENTS:
             return await self.stream(writer, head, headers, EVENTS[kind]) and not last
         await asyncio.sleep(WORK_S.get(kind, 0.03) * self.random.uniform(0.3, 3) + self.faults.get("slow_s", 0.0))
