Ask whether processes answer from a process of its own in the soak

Cause: the loop that carries 150 uploads of 4 MB also asked the processes whether they answer, so that beside 40 busy processes it stood still and reported "gave no answer for 2.0 s" of programs that did. Change: the questions are asked by tests/soak/answer_watch.py, which writes down the time of each one's latest answer; the bounds are as they were.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -28,6 +28,7 @@
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent.parent / "review"))
 import harness  # noqa: E402  stand-ins of the platform and of machines
+from answer_watch import AnswerWatch  # noqa: E402
 from evacuations import Arrival, Disruption, Evacuation, late_arrivals  # noqa: E402
 from history import End, PROMISES, Run, Try, describe, findings  # noqa: E402
 from worker import FAULTS as WORKER_FAULTS  # noqa: E402
@@ -150,6 +151,7 @@
                 self.schedulers.append(self.machine_type(self, zone, ip, number))
         self.tries, self.kills, self.own_ends = [], [], []
         self.mute = []  # or too large
+        self.answers = None  # until the play has started
         self.evacuations, self.disruptions = [], []
         self.ending = collections.defaultdict(list)  # disruptions that last until their process runs again, by machine and role
         self.clients = []
@@ -176,22 +178,32 @@
                     disruption.ended_at = time.monotonic()
             await asyncio.sleep(0.02)
 
+    @staticmethod
+    def question(machine, role):
+        """Where and what to ask a process to see that it answers."""
+        port, path = ("readiness", "/-/readiness") if role == "data" else ("control", "/-/configuration")
+        return machine.address(port), path
+
+    def start_watch(self, machines):
+        """The tasks that note processes which answer nothing."""
+        watched = [(machine, role) for machine in machines for role in machine.roles]
+        self.answers = AnswerWatch(self.folder, [self.question(*one) for one in watched])
+        return [asyncio.ensure_future(self.watch(*one)) for one in watched]
+
     async def watch(self, machine, role):
         """Notes a process that runs, is not disturbed, and answers nothing."""
-        port, path = ("readiness", "/-/readiness") if role == "data" else ("control", "/-/configuration")
         process, answered = None, 0.0
         while not self.stopping:
             self.watch_memory(machine, role)
             disturbed = any(one.address == machine.address("front") and one.ended_at == math.inf for one in self.disruptions)
             if disturbed or machine.processes[role] is not process or process.poll() is not None:
                 process, answered = machine.processes[role], time.monotonic() + self.started_within_s
-            answer = await harness.call(machine.address(port), "GET", path, timeout=1.0)
-            if answer.status:
-                answered = max(answered, time.monotonic())
-            elif time.monotonic() - answered > self.mute_s:
+            now = time.monotonic()
+            answered = max(answered, self.answers.latest(self.question(machine, role)))
+            if now - answered > self.mute_s:
                 self.mute.append(f"{role} of {machine.name} runs and gave no answer for {self.mute_s} s")
                 self.record(self.mute[-1])
-                answered = time.monotonic()
+                answered = now
             await asyncio.sleep(0.2)
 
     def watch_memory(self, machine, role):
@@ -463,7 +475,7 @@
     async def play(self, seconds, clients, fault_names):
         await self.start()
         tasks = [asyncio.ensure_future(self.keep_alive(m, role)) for m in self.schedulers for role in m.roles]
-        tasks += [asyncio.ensure_future(self.watch(m, role)) for m in self.schedulers for role in m.roles]
+        tasks += self.start_watch(self.schedulers)
         tasks += [asyncio.ensure_future(self.client(number)) for number in range(clients)]
         end = time.monotonic() + seconds
         faults = set()
@@ -481,6 +493,8 @@
                 self.record(f"a part of the soak failed: {result!r}")
 
     def end_processes(self):
+        if self.answers:
+            self.answers.end()
         for machine in self.schedulers:
             for process in machine.processes.values():
                 if process.poll() is None:
