--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -13,6 +13,7 @@
 import asyncio
 import collections
 import contextlib
+import fcntl
 import json
 import math
 import os
@@ -22,6 +23,7 @@
 import signal
 import subprocess
 import sys
+import tempfile
 import threading
 import time
 
@@ -52,6 +54,21 @@
     return int(next(line.split()[1] for line in text.splitlines() if line.startswith("VmRSS"))) // 1024
 
 
+def claim_network():
+    """A network that is free, and that no other play of this machine takes meanwhile."""
+    while True:
+        net = find_free_network()
+        lock = open(pathlib.Path(tempfile.gettempdir(), f"willowrill-network-{net}"), "w", encoding="utf-8")
+        with contextlib.suppress(BlockingIOError):
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            claimed_networks.append(lock)  # until this process ends
+            return net
+
+
+find_free_network, harness.free_network = harness.free_network, claim_network
+claimed_networks = []
+
+
 class WorkerProcess:
     """A worker's machine: one process at a time at its address, each a new instance."""
 
