Let the floods of the soak begin when workers are served from, and print the answers

All plays start at once, so workers listen late, and schedulers refuse with 503 "no worker can take it now" for up to 1.4 s: the check counted these against the flood. The watch that asks processes whether they answer is a process of its own, too, and counted its own start as their silence. Change: workers listen before schedulers start, a flood begins once each machine has served a call, and the watch counts from its first question on. Shares and bounds are as they were; the ends of all tries are printed.

--- a/tests/soak/broken_answer_case.py
+++ b/tests/soak/broken_answer_case.py
@@ -85,17 +85,10 @@
         soak.problems.append(f"{name}: {len(passed_on)} of {len(answers)} callers got it as an answer")
 
 
-async def until_served(soak):
-    """Each machine knows sound workers: what it answers from now on is theirs."""
-    for number in range(len(soak.machines)):
-        while (await soak.call(number, soaks.SAFE, b"")).status != 200:
-            await asyncio.sleep(RELOAD_S)
-
-
 def shapes(group):
     """The shapes one after the other, once workers are known; then workers are sound, and a call is served."""
     async def disturb(soak):
-        await until_served(soak)
+        await soak.until_served()
         for name, shape in broken_answers.GROUPS[group].items():
             await play_shape(soak, name, shape, group)
         for worker in soak.workers:
--- a/tests/soak/flood_case.py
+++ b/tests/soak/flood_case.py
@@ -8,6 +8,7 @@
 Ends with 1 where a case failed. All cases without CASE.
 """
 import asyncio
+import collections
 import contextlib
 import signal
 import sys
@@ -144,7 +145,8 @@
     ended = [one for one in soak.tries if one.ended_at]
     served = sum(one.end == soaks.End.ANSWERED and one.status == 200 for one in ended)
     waits = [one.ended_at - one.sent_at for one in ended if one.sent_at and one.end == soaks.End.ANSWERED]
-    print(f"  {served} of {len(ended)} ended tries served; longest wait {max(waits, default=0):.2f} s")
+    ends = collections.Counter(str(one.status) if one.end == soaks.End.ANSWERED else one.end.name for one in ended)
+    print(f"  {served} of {len(ended)} ended tries served, {dict(ends)}; longest wait {max(waits, default=0):.2f} s")
     if served < at_least * len(ended):
         soak.problems.append(f"{served} of {len(ended)} tries were served, fewer than {at_least:.2f} of them")
 
@@ -152,6 +154,7 @@
 def worker_flood(shape, kinds=KINDS):
     """One worker of six pours bytes in place of its answers."""
     async def disturb(soak):
+        await soak.until_served()
         soak.workers[0].set_faults({"flood": 1.0, "flood_shape": shape})
         try:
             await watched(soak, *(call_first_machine(soak, number, kinds) for number in range(CALLERS)))
@@ -172,6 +175,7 @@
 def health_flood(shape):
     """One worker of six pours bytes in place of what it says of its health."""
     async def disturb(soak):
+        await soak.until_served()
         soak.workers[0].set_faults({"flood_health": 1.0, "flood_shape": shape})
         try:
             await watched(soak, call_first_machine(soak, 0))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -217,6 +217,8 @@
                 process, answered = machine.processes[role], time.monotonic() + self.started_within_s
             now = time.monotonic()
             answered = max(answered, self.answers.latest(self.question(machine, role)))
+            if self.answers.asked_since() == 0.0:  # the watch's own process is slow to start
+                answered = max(answered, now)
             if now - answered > self.mute_s:
                 self.mute.append(f"{role} of {machine.name} runs and gave no answer for {self.mute_s} s")
                 self.record(self.mute[-1])
@@ -476,10 +478,13 @@
             one.end = End.PARTIAL if got_bytes else End.CLOSED
         return False, 0.0
 
-    async def start(self):
+    async def start_workers(self):
         for worker in self.workers:
             worker.set_faults(self.worker_faults)
             await worker.start()
+
+    async def start(self):
+        await self.start_workers()
         await self.platform.start()
         for machine in self.schedulers:
             machine.write_settings(initial=True)
--- a/tests/soak/surroundings_case.py
+++ b/tests/soak/surroundings_case.py
@@ -38,6 +38,8 @@
 BODY_BYTES = 4_000_000
 BODY_CLIENTS = 150
 ADDRESS_KEPT_S = 0.6
+LISTENING_PERIOD_S = 0.05
+SERVED_PERIOD_S = 0.15
 
 
 @dataclasses.dataclass
@@ -102,6 +104,15 @@
         self.started[role] = time.monotonic()
 
 
+async def listens(address):
+    try:
+        _, writer = await asyncio.open_connection(*address.split(":"))
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
 class SurroundedSoak(soaks.Soak):
     machine_type = SurroundedMachine
     started_within_s = 0.0  # it is looked at from when the system serves
@@ -112,6 +123,23 @@
         SurroundedMachine.surroundings = surroundings
         super().__init__(record, build, 1, workers=6)
 
+    async def start_workers(self):
+        """Waits until all listen, beside whatever else is played: the schedulers then find them at their first look."""
+        await super().start_workers()
+        for worker in self.workers:
+            while not await listens(worker.address):
+                await asyncio.sleep(LISTENING_PERIOD_S)
+
+    async def until_served(self):
+        """Each machine knows sound workers: what it answers from now on is theirs."""
+        for machine in self.machines:
+            while (await self.ask_for_work(machine)).status != 200:
+                await asyncio.sleep(SERVED_PERIOD_S)
+
+    async def ask_for_work(self, machine):
+        headers = harness.client_headers(f"{self.random.getrandbits(64):016x}", remaining=4000)
+        return await harness.call(machine.address("front"), "POST", f"{soaks.SAFE}x", headers, b"", 6.0)
+
     async def change_on(self):
         while not self.stopping:
             await self.fault_change()
