Take in a successor that only the primary reaches, on its confirmed word

What callers saw: with two core machines replaced in turn and two zones cut from each other for 5.5 s, the acknowledged configuration was never read back (503). Cause: a member without a register waited for as many witnesses of the newest record as meet every majority. A successor was never one of them; with its predecessor gone it needed both others, stayed in recovering while one was out of reach, and the next replacement left one witness of three. Change: the primary confirms by a round of heartbeats, begun after the question, that it leads by a record that does not name the member; every later election needs a majority of that record's witnesses. The field is left out where false.

--- a/src/system/replication/codec.cpp
+++ b/src/system/replication/codec.cpp
@@ -71,6 +71,20 @@
                 {"leaving", reply.shutting_down},  {"sent_at", reply.sent_at}};
 }
 
+// The key of the confirmation is left out where there is none, as earlier programs do.
+void to_json(Json& json, const RecoveryReply& reply) {
+    json =
+        Json{{"nonce", reply.nonce}, {"voting", reply.voting}, {"witness_register", reply.witness_register}};
+    if (reply.leadership_confirmed) json["leads"] = true;
+}
+
+void from_json(const Json& json, RecoveryReply& reply) {
+    json.at("nonce").get_to(reply.nonce);
+    json.at("voting").get_to(reply.voting);
+    json.at("witness_register").get_to(reply.witness_register);
+    reply.leadership_confirmed = json.value("leads", false);
+}
+
 void from_json(const Json& json, HeartbeatReply& reply) {
     json.at("number").get_to(reply.number);
     json.at("epoch").get_to(reply.epoch);
@@ -94,7 +108,6 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Heartbeat, number, record, committed, in_contact, echo)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CommitNotification, epoch, state)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecoveryRequest, nonce)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecoveryReply, nonce, voting, witness_register)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LeadershipTransfer, epoch)
 
 namespace {
--- a/src/system/replication/messages.h
+++ b/src/system/replication/messages.h
@@ -106,6 +106,8 @@
     std::uint64_t nonce = 0;
     bool voting = false;
     WitnessRegister witness_register;
+    // The sender is the primary, and a quorum has confirmed after it received the request that it still is.
+    bool leadership_confirmed = false;
 };
 
 // A primary that shuts down asks a backup to take over now.
--- a/src/system/replication/quorum.h
+++ b/src/system/replication/quorum.h
@@ -11,6 +11,9 @@
 
 bool contains(const std::vector<MemberId>& group, const MemberId& member);
 
+// Whether the record names the member, as a witness or as in sync.
+bool takes_part(const EpochRecord& record, const MemberId& member);
+
 // Whether more than half of the group are among the members. Always false for an empty group.
 bool has_quorum(const std::vector<MemberId>& group, const std::set<MemberId>& members);
 
--- a/src/system/replication/register_recovery.cpp
+++ b/src/system/replication/register_recovery.cpp
@@ -1,5 +1,7 @@
 #include "system/replication/register_recovery.h"
 
+#include "system/replication/quorum.h"
+
 #include <algorithm>
 
 namespace willowrill::replication {
@@ -23,13 +25,26 @@
     else
         registers_.erase(from);
     const WitnessRegister recovered = highest_known();
-    const std::vector<MemberId>& group = recovered.accepted.witnesses;
+    const bool is_covered = covers_own_majorities(self, recovered.accepted.witnesses) ||
+                            (reply.voting && reply.leadership_confirmed && is_in_no_record(self));
+    if (!is_covered) return std::nullopt;
+    registers_.clear();
+    return recovered;
+}
+
+// Whether the witnesses that answered intersect every majority of the group.
+bool RegisterRecovery::covers_own_majorities(const MemberId& self, const std::vector<MemberId>& group) const {
     const std::size_t majority = group.size() / 2 + 1;
     const auto answered = static_cast<std::size_t>(std::ranges::count_if(
         group, [&](const MemberId& id) { return id != self && registers_.contains(id); }));
-    if (group.empty() || answered < group.size() - majority + 1) return std::nullopt;
-    registers_.clear();
-    return recovered;
+    return !group.empty() && answered >= group.size() - majority + 1;
+}
+
+bool RegisterRecovery::is_in_no_record(const MemberId& self) const {
+    return std::ranges::none_of(registers_, [&](const auto& entry) {
+        const WitnessRegister& known = entry.second;
+        return takes_part(known.accepted, self) || takes_part(known.decided, self);
+    });
 }
 
 WitnessRegister RegisterRecovery::highest_known() const {
--- a/src/system/replication/register_recovery.h
+++ b/src/system/replication/register_recovery.h
@@ -1,5 +1,15 @@
-// Recovers a witness's lost register by asking the other members for theirs. Until then the witness does not
-// vote, because it does not know what it has promised. Not thread-safe.
+// Recovers a lost register by asking the other members for theirs. Until then the member does not vote,
+// because it does not know what it has promised. Not thread-safe.
+//
+// Invariant: a member votes again only when nothing that it may have forgotten can decide an election. Either
+// of these ensures it:
+//   - The witnesses that answered intersect every majority that this member may have been part of, so that
+//   one
+//     of them knows each promise of such a majority.
+//   - The primary of a decided record that does not name this member has confirmed, after this process
+//     started, that it still leads. Every later election needs a majority of that record's witnesses, and
+//     what this member may have promised before counts in none of them. A member that is new depends on no
+//     witness but those that the primary needs anyway.
 #pragma once
 
 #include "system/replication/messages.h"
@@ -9,6 +19,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace willowrill::replication {
 
@@ -22,9 +33,8 @@
     // Makes the next `request_if_due` return a request, because a new peer has connected.
     void request_soon() { requested_at_.reset(); }
 
-    // Handles a reply. Returns a register that covers every promise of the lost one, once the witnesses that
-    // answered intersect every majority that this member may have been part of. The returned register marks
-    // the state as incomplete.
+    // Handles a reply. Returns a register with which this member may vote, once the invariant above allows
+    // it. The returned register marks the state as incomplete.
     std::optional<WitnessRegister> on_reply(const MemberId& self, const MemberId& from,
                                             const RecoveryReply& reply);
 
@@ -36,6 +46,8 @@
 
   private:
     WitnessRegister highest_known() const;
+    bool covers_own_majorities(const MemberId& self, const std::vector<MemberId>& group) const;
+    bool is_in_no_record(const MemberId& self) const;
 
     std::uint64_t nonce_ = 0;
     std::map<MemberId, WitnessRegister> registers_; // of the members that can vote
--- a/src/system/replication/replica.h
+++ b/src/system/replication/replica.h
@@ -10,6 +10,7 @@
 #include "system/replication/options.h"
 #include "system/replication/peer_table.h"
 #include "system/replication/quorum.h"
+#include "system/replication/recovery_confirmations.h"
 #include "system/replication/register_recovery.h"
 #include "system/replication/role.h"
 #include "system/replication/timing.h"
@@ -47,6 +48,8 @@
 //     than a state the member has acknowledged is not marked as complete.
 //   - Before the primary answers a request that commits nothing, a round of heartbeats proves that it still
 //     is the primary (`ConfirmLeadership`), so that a primary that was suspended returns no stale data.
+//   - A member without a register votes only once nothing that it may have forgotten can decide an election
+//     (register_recovery.h).
 //   - After a failed save it is unknown whether the record is stored: the member discards all actions
 //     deferred behind it, does not vote, and returns once both of its records are rewritten and read back.
 //
@@ -59,8 +62,9 @@
 // `step`, which keeps a pointer to the caller's list of actions.
 //
 // Components: `Durability` (saves and deferred actions), `PeerTable` (the other members), `Election` (state
-// of the candidacy), `ElectionBackoff`, `HeartbeatLog`, `LeadershipConfirmations`, `RegisterRecovery`, and
-// the pure functions of quorum.h and membership_plan.h. `Replica` makes all decisions.
+// of the candidacy), `ElectionBackoff`, `HeartbeatLog`, `LeadershipConfirmations`, `RegisterRecovery`,
+// `RecoveryConfirmations`, and the pure functions of quorum.h and membership_plan.h. `Replica` makes all
+// decisions.
 class Replica {
   public:
     explicit Replica(Options options);
@@ -104,6 +108,7 @@
         backoff_.visit_state(visitor);
         heartbeats_.visit_state(visitor, now, max_age);
         confirmations_.visit_state(visitor, newest_heartbeat);
+        recovery_confirmations_.visit_state(visitor, newest_heartbeat);
     }
     // The number of the newest round of heartbeats, from which the differences above are computed.
     std::uint64_t newest_heartbeat() const { return heartbeats_.newest_number(); }
@@ -155,6 +160,7 @@
     bool can_vote() const;
     void request_recovery();
     void on_message(const MemberId& from, const RecoveryRequest& request);
+    void confirm_leadership_to(const RecoveryConfirmations::Request& request);
     void on_message(const MemberId& from, const RecoveryReply& reply);
 
     // Witness and backup (replica_backup.cpp).
@@ -263,6 +269,7 @@
     HeartbeatLog heartbeats_;
     std::optional<Proposal> proposal_;
     LeadershipConfirmations confirmations_;
+    RecoveryConfirmations recovery_confirmations_;
     Time primary_since_{0};
     Time reconfigured_at_{0}; // when the newest epoch began
     std::optional<Time> leadership_transfer_sent_at_;
--- a/src/system/replication/replica_durability.cpp
+++ b/src/system/replication/replica_durability.cpp
@@ -128,6 +128,16 @@
 
 void Replica::on_message(const MemberId& from, const RecoveryRequest& request) {
     send(from, RecoveryReply{request.nonce, has_register_, register_});
+    if (role_ == Role::primary && !takes_part(register_.decided, from))
+        confirm_leadership_to({from, request.nonce});
+}
+
+// A member that no record names may vote on the word of a primary that proves that it still leads.
+void Replica::confirm_leadership_to(const RecoveryConfirmations::Request& request) {
+    if (recovery_confirmations_.contains(request)) return;
+    send_heartbeats();
+    recovery_confirmations_.add(request, heartbeats_.newest_number());
+    check_confirmations();
 }
 
 void Replica::on_message(const MemberId& from, const RecoveryReply& reply) {
--- a/src/system/replication/replica_primary.cpp
+++ b/src/system/replication/replica_primary.cpp
@@ -54,6 +54,7 @@
 void Replica::abort_client_requests() {
     if (proposal_) actions_->emplace_back(OutcomeUnknown{proposal_->id});
     proposal_.reset();
+    recovery_confirmations_.clear();
     for (const LeadershipConfirmations::Id id : confirmations_.take_all())
         actions_->emplace_back(OutcomeUnknown{id});
 }
@@ -155,6 +156,9 @@
     };
     for (const LeadershipConfirmations::Id id : confirmations_.take_answered(answered))
         actions_->emplace_back(LeadershipConfirmed{id});
+    const bool is_fenced = register_.promised != register_.decided.epoch;
+    for (const auto& [member, nonce] : recovery_confirmations_.take_answered(answered))
+        send(member, RecoveryReply{nonce, has_register_, register_, !is_fenced});
 }
 
 void Replica::expire_confirmations() {
--- a/src/system/simulation/cluster.cpp
+++ b/src/system/simulation/cluster.cpp
@@ -31,6 +31,7 @@
             .break_no_election_backoff = scenario.break_no_election_backoff,
             .break_unchecked_upgrade = scenario.break_unchecked_upgrade,
             .break_trusts_any_base = scenario.break_trusts_any_base,
+            .break_ignores_confirmations = scenario.break_ignores_confirmations,
             .trace = scenario.trace};
 }
 
--- a/src/system/simulation/fault_injector.cpp
+++ b/src/system/simulation/fault_injector.cpp
@@ -12,6 +12,9 @@
 
 constexpr Time first_fault{3000}; // nothing fails while the core starts for the first time
 constexpr Time restart_delay{500};
+constexpr Time successor_delay{1000}; // until the successor of a member that is gone for good starts
+constexpr Time member_sync_time{
+    4000}; // after this long a successor is expected to have replaced its predecessor
 
 } // namespace
 
@@ -40,6 +43,7 @@
         queue_.chance() < 0.25 ? Time(queue_.uniform(1500)) : Time(mean / 4 + queue_.uniform(mean * 3 / 2));
     queue_.after(gap, [this] {
         if (over_) return;
+        if (queue_.now() < next_fault_at_) return schedule_fault();
         ++history_.outcome().faults;
         monitor_.note_event();
         inject();
@@ -66,6 +70,10 @@
                                          &FaultInjector::kill_some};
     static constexpr Fault of_replacement[] = {&FaultInjector::replace_planned,
                                                &FaultInjector::replace_unplanned};
+    static constexpr Fault of_cuts[] = {
+        &FaultInjector::replace_two_beside_a_cut, &FaultInjector::replace_two_beside_a_cut,
+        &FaultInjector::replace_two_beside_a_cut, &FaultInjector::replace_two_beside_a_cut,
+        &FaultInjector::replace_two_beside_a_cut, &FaultInjector::replace_two_beside_a_cut};
     static constexpr Fault of_versions[] = {&FaultInjector::change_version, &FaultInjector::change_version,
                                             &FaultInjector::change_version, &FaultInjector::change_version};
     std::vector<Fault> all(std::begin(always), std::end(always));
@@ -73,6 +81,7 @@
     if (scenario_.disk_faults) all.insert(all.end(), std::begin(of_disks), std::end(of_disks));
     if (scenario_.herds) all.insert(all.end(), std::begin(of_herds), std::end(of_herds));
     if (scenario_.replacements) all.insert(all.end(), std::begin(of_replacement), std::end(of_replacement));
+    if (scenario_.replacements_beside_cuts) all.insert(all.end(), std::begin(of_cuts), std::end(of_cuts));
     const std::size_t chosen = queue_.index(all.size());
     const Time duration = some_duration();
     if (scenario_.trace)
@@ -219,7 +228,41 @@
     Member& old = machines_.random_member();
     old.stop(true);
     old.removed = true;
-    end_after(Time{1000}, [this] { machines_.add_member(false).start(); });
+    end_after(successor_delay, [this] { machines_.add_member(false).start(); });
+}
+
+// Each loss is made good before the next one: the primary reaches the first successor all the while.
+void FaultInjector::replace_two_beside_a_cut(Time) {
+    const auto all = machines_.present_in_random_order();
+    const auto primary = std::ranges::find_if(all, [](const Member* one) { return one->is_primary(); });
+    if (machines_.members().size() + 2 > max_members || all.size() != scenario_.members ||
+        primary == all.end() || !monitor_.is_settled() || !monitor_.may_lose_disk())
+        return;
+    Member& first = **std::ranges::find_if(all, [&](const Member* one) { return one != *primary; });
+    Member& second =
+        **std::ranges::find_if(all, [&](const Member* one) { return one != *primary && one != &first; });
+    next_fault_at_ = queue_.now() + 2 * (successor_delay + member_sync_time);
+    first.stop(true);
+    first.removed = true;
+    end_after(successor_delay, [this, &second] {
+        Member& successor = add_successor();
+        cut_pair(successor.node(), second.node(), true, true);
+        successor.start();
+    });
+    queue_.after(successor_delay + member_sync_time, [this, &second] {
+        if (over_) return;
+        monitor_.note_event();
+        monitor_.note_member_lost();
+        second.stop(true);
+        second.removed = true;
+        end_after(successor_delay, [this] { add_successor().start(); });
+    });
+}
+
+// Its settings name members that are there.
+Member& FaultInjector::add_successor() {
+    turn_over_seeds(Time{0});
+    return machines_.add_member(false);
 }
 
 // A roll-out, which may turn round half-way until the upgrade is finished.
--- a/src/system/simulation/fault_injector.h
+++ b/src/system/simulation/fault_injector.h
@@ -47,6 +47,8 @@
     void turn_over_seeds(Time);
     void replace_planned(Time);
     void replace_unplanned(Time);
+    void replace_two_beside_a_cut(Time);
+    Member& add_successor();
     void change_version(Time duration);
     void roll_out(Member& member);
     void refuse_saves(Time duration);
@@ -64,6 +66,7 @@
     Machines& machines_;
     StabilityMonitor& monitor_;
     Operators& operators_;
+    Time next_fault_at_{0}; // not before, as a fault that takes several steps goes on
     bool over_ = false;
 };
 
--- a/src/system/simulation/member.cpp
+++ b/src/system/simulation/member.cpp
@@ -329,7 +329,12 @@
 void Member::on_core_message(const MemberId& from, ConnectionSerial serial,
                              const messages::CoreMessage& message) {
     states_.break_trusts_any_base = environment_.break_trusts_any_base;
-    if (const auto whole = states_.receive(from, serial, message)) return feed(Received{from, *whole});
+    if (auto whole = states_.receive(from, serial, message)) {
+        auto* recovery = std::get_if<RecoveryReply>(&*whole);
+        if (recovery != nullptr && environment_.break_ignores_confirmations)
+            recovery->leadership_confirmed = false;
+        return feed(Received{from, std::move(*whole)});
+    }
     ++environment_.history.outcome().missing_bases;
     send_to(from, [self = id_](Member& sender) {
         const auto again = sender.states_.on_snapshot_request(self);
--- a/src/system/simulation/member.h
+++ b/src/system/simulation/member.h
@@ -41,6 +41,7 @@
     bool break_no_election_backoff = false;
     bool break_unchecked_upgrade = false;
     bool break_trusts_any_base = false;
+    bool break_ignores_confirmations = false;
     bool trace = false;
     // An order to finish the upgrade was taken in: nobody puts an older program on a machine from then on.
     bool upgrade_ordered = false;
@@ -59,6 +60,7 @@
     bool up() const { return up_; }
     bool frozen() const { return frozen_until_ && environment_.queue.now() <= *frozen_until_; }
     bool answers() const { return up_ && !frozen(); }
+    bool is_primary() const { return answers() && replica_->is_primary(); }
     replication::Replica& replica() { return *replica_; }
     control::OrderQueue& orders() { return *orders_; }
     Disk& disk() { return disk_; }
--- a/src/system/simulation/plans.cpp
+++ b/src/system/simulation/plans.cpp
@@ -41,6 +41,15 @@
     return out;
 }
 
+Scenario with_replacements_beside_cuts() {
+    Scenario out;
+    out.replacements = false;
+    out.replacements_beside_cuts = true;
+    out.length = Time(60000);
+    out.fault_gap = Time(9000);
+    return out;
+}
+
 Scenario with_upgrades() {
     Scenario out;
     out.upgrades = true;
@@ -62,6 +71,8 @@
         {"three-frequent", "three, faults every 0.7 s", with_frequent_faults({})},
         {"three-many", "three, five operators", with_many_orders()},
         {"three-long-cuts", "three, cuts of up to 20 s", with_long_cuts()},
+        {"three-replaced", "three, two replaced while the first successor does not reach the second to go",
+         with_replacements_beside_cuts()},
         {"three-upgrades", "three, members that change their version", with_upgrades()},
         {"three-failing-primary", "three, one fails whenever it is the primary", with_a_failing_primary()},
         {"five", "five members", five_members()},
--- a/src/system/simulation/scenario.h
+++ b/src/system/simulation/scenario.h
@@ -21,6 +21,8 @@
     bool herds = true;        // all processes are killed, or all lose power, now and then
     bool disk_faults = true;  // disks refuse, stall and are slow
     bool replacements = true; // members leave for good, and others come
+    // Two members are replaced one after the other, while the first successor cannot reach the second to go.
+    bool replacements_beside_cuts = false;
     // Members begin as a program of protocol version 3, and are replaced by the newer one and back, one at a
     // time, until an operator's order to finish the upgrade was taken in.
     bool upgrades = false;
@@ -43,6 +45,8 @@
     bool break_no_election_backoff = false;
     // Deltas of states are applied to whatever state a member has from their sender.
     bool break_trusts_any_base = false;
+    // A member without a register does not take the word of a primary that proves that it leads.
+    bool break_ignores_confirmations = false;
     // The upgrade is finished without a look at who could not follow.
     bool break_unchecked_upgrade = false;
 };
--- a/src/system/simulation/stability_monitor.cpp
+++ b/src/system/simulation/stability_monitor.cpp
@@ -25,6 +25,10 @@
     return true;
 }
 
+bool StabilityMonitor::is_settled() {
+    return is_complete() && complete_since_ && environment_.queue.now() - *complete_since_ >= sync_time;
+}
+
 bool StabilityMonitor::is_healthy(Member& member) const {
     const Disk& disk = member.disk();
     const Time now = environment_.queue.now();
@@ -63,7 +67,7 @@
         complete_since_.reset();
     else if (!complete_since_)
         complete_since_ = now;
-    if (complete_since_ && now - *complete_since_ >= sync_time) {
+    if (is_settled()) {
         if (scenario_.trace && disks_lost_ > 0) fmt::print(stderr, "{} disks made good\n", now.count());
         disks_lost_ = 0;
     }
--- a/src/system/verification/state_hash.h
+++ b/src/system/verification/state_hash.h
@@ -119,7 +119,7 @@
     void add(const replication::CommitNotification& value) { (*this)(value.epoch, value.state); }
     void add(const replication::RecoveryRequest& value) { add(value.nonce); }
     void add(const replication::RecoveryReply& value) {
-        (*this)(value.nonce, value.voting, value.witness_register);
+        (*this)(value.nonce, value.voting, value.witness_register, value.leadership_confirmed);
     }
     void add(const replication::LeadershipTransfer& value) { add(value.epoch); }
 
--- a/tests/system/replication/checker_test.cpp
+++ b/tests/system/replication/checker_test.cpp
@@ -1,5 +1,6 @@
 // Tests of the checker of the simulation: it must detect each deliberately injected fault.
 #include "system/simulation/cluster.h"
+#include "system/simulation/plans.h"
 
 #include <criterion/criterion.h>
 
@@ -77,9 +78,16 @@
     cr_assert_gt(count_violating_seeds(scenario, 20), 0);
 }
 
+Test(checker, sees_successors_that_wait_for_witnesses_of_their_predecessor) {
+    simulation::Scenario scenario = simulation::find_plan("three-replaced").value();
+    scenario.break_ignores_confirmations = true;
+    cr_assert_gt(count_violating_seeds(scenario, 10), 0);
+}
+
 Test(checker, sees_upgrades_that_are_finished_while_older_members_run) {
     simulation::Scenario scenario;
     scenario.upgrades = true;
+    scenario.fault_gap = Time(700);
     scenario.break_unchecked_upgrade = true;
     cr_assert_gt(count_violating_seeds(scenario, 40), 0);
 }
--- a/tests/system/replication/cluster_test.cpp
+++ b/tests/system/replication/cluster_test.cpp
@@ -42,6 +42,10 @@
 
 Test(cluster, long_network_partitions) { expect_no_violations(find_scenario("three-long-cuts"), 1, 30); }
 
+// Guards against a successor that is not taken in while it does not reach one zone: the next replacement
+// would then leave nobody who could decide.
+Test(cluster, replacements_beside_a_cut) { expect_no_violations(find_scenario("three-replaced"), 1, 30); }
+
 // A late delta whose base is no longer the receiver's newest state makes the receiver get the whole state.
 Test(cluster, states_are_transferred_as_deltas) {
     simulation::Scenario scenario = find_scenario("three");
--- a/tests/system/replication/primary_test.cpp
+++ b/tests/system/replication/primary_test.cpp
@@ -134,3 +134,42 @@
     const std::vector<MemberId> expected{"a:1", "c:1", "d:1"};
     cr_assert(member.replica.witness_register().decided.witnesses == expected);
 }
+
+Test(primary, it_confirms_its_leadership_to_a_member_that_no_record_names) {
+    ReplicaDriver member = primary();
+    member.step(1050, PeerConnected{"d:1"});
+    const std::vector<Action> actions = member.receive(1050, "d:1", RecoveryRequest{77});
+    const auto at_once = messages_of<RecoveryReply>(actions);
+    cr_assert_eq(at_once.size(), 1U);
+    cr_assert_not(at_once[0].leadership_confirmed, "nobody has confirmed it yet");
+
+    cr_assert_eq(messages_of<Heartbeat>(member.receive(1060, "d:1", RecoveryRequest{77})).size(), 0U,
+                 "a repeated request begins no further round");
+    const std::uint64_t round = messages_of<Heartbeat>(actions).at(0).number;
+    const Epoch epoch = member.replica.witness_register().decided.epoch;
+    const auto reply_to = [&](std::uint64_t number) {
+        return HeartbeatReply{number, epoch, epoch, {}, true, true, false, 1070};
+    };
+    cr_assert_eq(messages_of<RecoveryReply>(member.receive(1070, "b:1", reply_to(round - 1))).size(), 0U);
+    const auto confirmed = messages_of<RecoveryReply>(member.receive(1080, "b:1", reply_to(round)));
+    cr_assert_eq(confirmed.size(), 1U);
+    cr_assert(confirmed[0].leadership_confirmed);
+    cr_assert_eq(confirmed[0].nonce, 77U);
+    cr_assert_eq(confirmed[0].witness_register.decided.epoch, epoch);
+}
+
+Test(primary, it_confirms_nothing_to_a_witness_or_once_it_was_superseded) {
+    ReplicaDriver member = primary();
+    const std::uint64_t round = messages_of<Heartbeat>(member.step(1300, Tick{})).at(0).number;
+    const Epoch epoch = member.replica.witness_register().decided.epoch;
+    const HeartbeatReply current{round + 1, epoch, epoch, {}, true, true, false, 1310};
+    member.receive(1310, "b:1", RecoveryRequest{77});
+    cr_assert_eq(messages_of<RecoveryReply>(member.receive(1310, "c:1", current)).size(), 0U);
+
+    member.step(1320, PeerConnected{"d:1"});
+    member.receive(1320, "d:1", RecoveryRequest{78});
+    HeartbeatReply of_a_later_epoch{round + 3, epoch, epoch + 1, {}, true, true, false, 1330};
+    cr_assert_eq(messages_of<RecoveryReply>(member.receive(1330, "b:1", of_a_later_epoch)).size(), 0U);
+    cr_assert_not(member.replica.is_primary());
+    cr_assert_eq(messages_of<RecoveryReply>(member.receive(1340, "c:1", current)).size(), 0U);
+}
