--- a/src/system/control/main.cpp
+++ b/src/system/control/main.cpp
@@ -5,6 +5,7 @@
 #include "system/process/startup.h"
 #include "system/transport/address_wait.h"
 #include "system/transport/process_signals.h"
+#include "system/transport/signal_mask.h"
 
 #include <CLI/CLI.hpp>
 #include <fmt/format.h>
@@ -59,7 +60,10 @@
     app.add_option("--check-configuration", configuration_path,
                    "validate an operator's configuration file and exit");
     CLI11_PARSE(app, argc, argv);
-    if (!configuration_path.empty()) return check_configuration(configuration_path);
+    if (!configuration_path.empty()) {
+        transport::unblock_process_signals();
+        return check_configuration(configuration_path);
+    }
     asio::io_context loop(1);
     transport::ProcessSignals signals(loop);
     const std::chrono::milliseconds settings_timeout =
--- a/src/system/transport/process_signals.cpp
+++ b/src/system/transport/process_signals.cpp
@@ -1,10 +1,13 @@
 #include "system/transport/process_signals.h"
 
+#include "system/transport/signal_mask.h"
+
 namespace willowrill::transport {
 
 ProcessSignals::ProcessSignals(asio::io_context& loop)
     : loop_(loop), signals_(loop, SIGTERM, SIGINT, SIGHUP) {
     wait_for_next();
+    unblock_process_signals();
 }
 
 void ProcessSignals::wait_for_next() {
