Fail a flood that never begins, and a watch that never asks

Cause: loosened two checks. A flood waited for served calls inside its play's time and ahead of its judgement, so that one which never began passed unjudged, and one which began late was judged over less time. A watch that never asked judged nothing. Change: the wait comes before the time of the play, within START_S, else the play fails; no ended try fails it too. A play waits until its watch asks, within 15 s, else it fails, and no silence is excused after that.

--- a/tests/soak/flood_case.py
+++ b/tests/soak/flood_case.py
@@ -61,6 +61,14 @@
         super().__init__(record, build, surroundings)
         self.platform = FloodingPlatform(self.platform.address, self.workers)
 
+    async def start_in_surroundings(self):
+        """The time of the play begins once each machine has served a call."""
+        await super().start_in_surroundings()
+        try:
+            await asyncio.wait_for(self.until_served(), surroundings_case.START_S)
+        except (asyncio.TimeoutError, TimeoutError):
+            self.problems.append(f"a machine served no call within {surroundings_case.START_S} s")
+
     def configuration(self, version):
         configuration = super().configuration(version)
         configuration["routes"].append(harness.route("long", LONG, routeClass="non_idempotent", affinity=False))
@@ -147,14 +155,13 @@
     waits = [one.ended_at - one.sent_at for one in ended if one.sent_at and one.end == soaks.End.ANSWERED]
     ends = collections.Counter(str(one.status) if one.end == soaks.End.ANSWERED else one.end.name for one in ended)
     print(f"  {served} of {len(ended)} ended tries served, {dict(ends)}; longest wait {max(waits, default=0):.2f} s")
-    if served < at_least * len(ended):
+    if not ended or served < at_least * len(ended):
         soak.problems.append(f"{served} of {len(ended)} tries were served, fewer than {at_least:.2f} of them")
 
 
 def worker_flood(shape, kinds=KINDS):
     """One worker of six pours bytes in place of its answers."""
     async def disturb(soak):
-        await soak.until_served()
         soak.workers[0].set_faults({"flood": 1.0, "flood_shape": shape})
         try:
             await watched(soak, *(call_first_machine(soak, number, kinds) for number in range(CALLERS)))
@@ -175,7 +182,6 @@
 def health_flood(shape):
     """One worker of six pours bytes in place of what it says of its health."""
     async def disturb(soak):
-        await soak.until_served()
         soak.workers[0].set_faults({"flood_health": 1.0, "flood_shape": shape})
         try:
             await watched(soak, call_first_machine(soak, 0))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -46,6 +46,7 @@
 EVACUATED_S = (8.0, 12.0)
 GRACE_S = harness.TIMERS["graceS"]
 LOG_READ_PERIOD_S = 0.05
+WATCH_STARTED_WITHIN_S = 15.0
 LOADED_WITHIN_S = 0.05  # before a program's own code runs, a signal ends it whatever it does
 
 
@@ -201,10 +202,15 @@
         port, path = ("readiness", "/-/readiness") if role == "data" else ("control", "/-/configuration")
         return machine.address(port), path
 
-    def start_watch(self, machines):
-        """The tasks that note processes which answer nothing."""
+    async def start_watch(self, machines):
+        """The tasks that note processes which answer nothing, once these are asked: a process of its own asks them."""
         watched = [(machine, role) for machine in machines for role in machine.roles]
         self.answers = AnswerWatch(self.folder, [self.question(*one) for one in watched])
+        end = time.monotonic() + WATCH_STARTED_WITHIN_S
+        while not self.answers.asked_since() and time.monotonic() < end:
+            await asyncio.sleep(0.02)
+        if not self.answers.asked_since():
+            self.mute.append(f"nobody asked the processes whether they answer within {WATCH_STARTED_WITHIN_S} s")
         return [asyncio.ensure_future(self.watch(*one)) for one in watched]
 
     async def watch(self, machine, role):
@@ -217,8 +223,6 @@
                 process, answered = machine.processes[role], time.monotonic() + self.started_within_s
             now = time.monotonic()
             answered = max(answered, self.answers.latest(self.question(machine, role)))
-            if self.answers.asked_since() == 0.0:  # the watch's own process is slow to start
-                answered = max(answered, now)
             if now - answered > self.mute_s:
                 self.mute.append(f"{role} of {machine.name} runs and gave no answer for {self.mute_s} s")
                 self.record(self.mute[-1])
@@ -497,7 +501,7 @@
     async def play(self, seconds, clients, fault_names):
         await self.start()
         tasks = [asyncio.ensure_future(self.keep_alive(m, role)) for m in self.schedulers for role in m.roles]
-        tasks += self.start_watch(self.schedulers)
+        tasks += await self.start_watch(self.schedulers)
         tasks += [asyncio.ensure_future(self.client(number)) for number in range(clients)]
         end = time.monotonic() + seconds
         faults = set()
--- a/tests/soak/surroundings_case.py
+++ b/tests/soak/surroundings_case.py
@@ -160,7 +160,7 @@
             await asyncio.sleep(0.02)
         tasks = [asyncio.ensure_future(self.client(number)) for number in range(10)]
         tasks += [asyncio.ensure_future(self.change_on())] if self.surroundings.serves else []
-        tasks += self.start_watch(self.machines) if self.surroundings.serves else []
+        tasks += await self.start_watch(self.machines) if self.surroundings.serves else []
         tasks += [asyncio.ensure_future(self.surroundings.disturb(self))] if self.surroundings.disturb else []
         await self.until_end(seconds)
         self.stopping = True
